Add the skeleton: base parts, HTTP, API messages, design page

Cause: first commit of the project. Ruled out: clang-analyzer checks, which report false findings in Asio's coroutine headers; ASIO_NO_DEPRECATED, with which RESTinio 0.6 does not compile. Change: TimerService, Supervisor, EventLog, Metrics, HttpClient (libcurl multi on Asio), HttpServer (RESTinio), log and peer interfaces, protobuf messages, formatter, linter and check script. g++ 12 copies braced aggregate arguments of co_await calls bitwise; the lint script refuses them. Conclusion: the parts can now be written side by side.

--- /dev/null
+++ b/Source/Base/Supervisor.cpp
@@ -0,0 +1,55 @@
+#include "Base/Supervisor.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <fmt/format.h>
+#include <glog/logging.h>
+
+namespace hickory {
+
+Supervisor::Supervisor(asio::any_io_executor Executor, TimerService &Timers,
+                       SupervisorOptions Options)
+    : Executor_(std::move(Executor)), Timers_(Timers), Options_(Options) {}
+
+void Supervisor::add(Part &Child) { Children_.push_back({&Child, {}}); }
+
+void Supervisor::start() {
+  for (ChildState &State : Children_)
+    asio::co_spawn(Executor_, superviseChild(State), asio::detached);
+}
+
+asio::awaitable<void> Supervisor::superviseChild(ChildState &State) {
+  auto Backoff = Options_.InitialBackoff;
+  while (!Stopping_) {
+    Result<void> Outcome = co_await State.Child->run();
+    if (Stopping_ || Outcome)
+      co_return;
+    LOG(WARNING) << "supervisor: part " << State.Child->name()
+                 << " failed: " << Outcome.error().Message;
+    const auto Now = Timers_.now();
+    State.Restarts.push_back(Now);
+    while (State.Restarts.front() + Options_.RestartWindow < Now)
+      State.Restarts.pop_front();
+    if (static_cast<int>(State.Restarts.size()) > Options_.MaximumRestarts) {
+      if (GiveUp_)
+        GiveUp_(fmt::format("part {} failed {} times: {}", State.Child->name(),
+                            State.Restarts.size(), Outcome.error().Message));
+      co_return;
+    }
+    if (State.Restarts.size() == 1)
+      Backoff = Options_.InitialBackoff;
+    co_await Timers_.sleepFor(Backoff);
+    Backoff = std::min(Backoff * 2, Options_.MaximumBackoff);
+  }
+}
+
+asio::awaitable<void> Supervisor::drainAndStop() {
+  Stopping_ = true;
+  for (auto It = Children_.rbegin(); It != Children_.rend(); ++It)
+    co_await It->Child->drain();
+  for (auto It = Children_.rbegin(); It != Children_.rend(); ++It)
+    It->Child->stop();
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Base/Supervisor.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Base/Part.h"
+#include "Base/TimerService.h"
+
+#include <asio/any_io_executor.hpp>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+struct SupervisorOptions {
+  std::chrono::milliseconds InitialBackoff{100};
+  std::chrono::milliseconds MaximumBackoff{5000};
+  int MaximumRestarts = 5; ///< Within RestartWindow; one more gives up.
+  std::chrono::seconds RestartWindow{60};
+};
+
+/// Restarts parts that fail, with backoff, and reports when restarting does
+/// not help. Parts start in the order in which they were added and are drained
+/// and stopped in the opposite order.
+class Supervisor {
+public:
+  Supervisor(asio::any_io_executor Executor, TimerService &Timers,
+             SupervisorOptions Options = {});
+
+  void add(Part &Child);
+
+  /// Called once if a part failed too often; the process should then stop.
+  void onGiveUp(std::function<void(std::string)> Callback) {
+    GiveUp_ = std::move(Callback);
+  }
+
+  void start();
+  asio::awaitable<void> drainAndStop();
+
+private:
+  struct ChildState {
+    Part *Child;
+    std::deque<Clock::time_point> Restarts;
+  };
+
+  asio::awaitable<void> superviseChild(ChildState &State);
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  SupervisorOptions Options_;
+  std::deque<ChildState> Children_;
+  std::function<void(std::string)> GiveUp_;
+  bool Stopping_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Base/TimerService.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Base/Subscription.h"
+
+#include <asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+
+namespace hickory {
+
+/// Monotonic time. It does not advance while the machine itself is suspended.
+using Clock = std::chrono::steady_clock;
+
+/// The only source of time for all parts, so that tests can replace it with a
+/// fake that advances on request.
+class TimerService {
+public:
+  virtual ~TimerService() = default;
+
+  /// Monotonic time.
+  [[nodiscard]] virtual Clock::time_point now() const = 0;
+
+  /// Wall-clock time; for display and records only, never for decisions.
+  [[nodiscard]] virtual std::chrono::system_clock::time_point
+  wallNow() const = 0;
+
+  /// Calls Callback once after Delay, unless the subscription ends first.
+  [[nodiscard]] virtual Subscription after(Clock::duration Delay,
+                                           std::function<void()> Callback) = 0;
+
+  /// Calls Callback every Period until the subscription ends.
+  [[nodiscard]] Subscription every(Clock::duration Period,
+                                   std::function<void()> Callback);
+
+  /// Suspends the calling coroutine for Delay.
+  asio::awaitable<void> sleepFor(Clock::duration Delay);
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Http/HttpClient.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Base/Error.h"
+
+#include <asio/awaitable.hpp>
+#include <chrono>
+#include <string>
+
+namespace hickory {
+
+struct HttpClientRequest {
+  std::string Method = "GET";
+  std::string Url;
+  std::string Body;
+  std::string ContentType = "application/json";
+  std::chrono::milliseconds Timeout{2000};
+};
+
+struct HttpClientResponse {
+  int Status = 0;
+  std::string Body;
+  std::chrono::milliseconds RetryAfter{0}; ///< From Retry-After; 0 if absent.
+};
+
+/// Sends HTTP requests. An interface, so that tests need no network.
+class HttpClient {
+public:
+  virtual ~HttpClient() = default;
+
+  /// Any complete response is a value, whatever its status. Errors: Refused
+  /// and NotSent are certain to have had no effect, Timeout and Unavailable
+  /// are not.
+  virtual asio::awaitable<Result<HttpClientResponse>>
+  send(HttpClientRequest Request) = 0;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Http/HttpServer.cpp
@@ -0,0 +1,184 @@
+#include "Http/HttpServer.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cctype>
+#include <fmt/format.h>
+#include <glog/logging.h>
+#include <restinio/all.hpp>
+
+namespace hickory {
+
+namespace {
+
+/// Every handler runs on one thread, so no strands are needed.
+struct ServerTraits : restinio::default_single_thread_traits_t {
+  // RESTinio fixes this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+restinio::http_status_line_t statusLine(int Status) {
+  const auto Code =
+      restinio::http_status_code_t(static_cast<std::uint16_t>(Status));
+  switch (Status) {
+  case 200:
+    return restinio::status_ok();
+  case 202:
+    return restinio::status_accepted();
+  case 400:
+    return restinio::status_bad_request();
+  case 404:
+    return restinio::status_not_found();
+  case 409:
+    return restinio::status_conflict();
+  case 413:
+    return restinio::status_payload_too_large();
+  case 429:
+    return restinio::status_too_many_requests();
+  case 503:
+    return restinio::status_service_unavailable();
+  case 504:
+    return restinio::status_gateway_time_out();
+  default:
+    return {Code, Status < 400 ? "OK" : "Error"};
+  }
+}
+
+} // namespace
+
+class HttpServer::Implementation {
+public:
+  Implementation(asio::io_context &Context, HttpServerOptions Options,
+                 Handler OnRequest)
+      : Context_(Context), Options_(std::move(Options)),
+        OnRequest_(std::move(OnRequest)) {}
+
+  void start() {
+    using namespace restinio;
+    Server_ = std::make_unique<http_server_t<ServerTraits>>(
+        external_io_context(Context_),
+        server_settings_t<ServerTraits>{}
+            .address(Options_.Address)
+            .port(Options_.Port)
+            .concurrent_accepts_count(4)
+            .max_parallel_connections(Options_.MaximumConnections)
+            .read_next_http_message_timelimit(Options_.IdleTimeout)
+            // A request may take as long as its own timeout; the gateway
+            // bounds it.
+            .handle_request_timeout(std::chrono::hours(1))
+            .write_http_response_timelimit(Options_.IdleTimeout)
+            .max_pipelined_requests(1)
+            .incoming_http_msg_limits(
+                incoming_http_msg_limits_t{}
+                    .max_url_size(4096)
+                    .max_field_name_size(256)
+                    .max_field_value_size(Options_.MaximumHeaderBytes)
+                    .max_field_count(64)
+                    .max_body_size(Options_.MaximumBodyBytes))
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &Acceptor) {
+              Port_ = Acceptor.local_endpoint().port();
+            })
+            .request_handler([this](request_handle_t Request) {
+              asio::co_spawn(Context_, handle(std::move(Request)),
+                             asio::detached);
+              return request_accepted();
+            }));
+    Server_->open_sync();
+    Open_ = true;
+  }
+
+  void stop() {
+    if (!Open_)
+      return;
+    Open_ = false;
+    Server_->close_sync();
+  }
+
+  [[nodiscard]] std::uint16_t port() const { return Port_; }
+  [[nodiscard]] std::size_t requestsInFlight() const { return InFlight_; }
+
+private:
+  asio::awaitable<void> handle(restinio::request_handle_t Request) {
+    ++InFlight_;
+    HttpServerRequest Incoming{.Method = Request->header().method().c_str(),
+                               .Path = std::string(Request->header().path()),
+                               .Query = std::string(Request->header().query()),
+                               .Body = Request->body()};
+    HttpServerResponse Reply = co_await OnRequest_(std::move(Incoming));
+    auto Response = Request->create_response(statusLine(Reply.Status));
+    Response.append_header(restinio::http_field::content_type,
+                           Reply.ContentType);
+    if (Reply.RetryAfter.count() > 0)
+      Response.append_header(restinio::http_field::retry_after,
+                             std::to_string(Reply.RetryAfter.count()));
+    Response.set_body(std::move(Reply.Body));
+    Response.done();
+    --InFlight_;
+  }
+
+  asio::io_context &Context_;
+  HttpServerOptions Options_;
+  Handler OnRequest_;
+  std::unique_ptr<restinio::http_server_t<ServerTraits>> Server_;
+  std::uint16_t Port_ = 0;
+  std::size_t InFlight_ = 0;
+  bool Open_ = false;
+};
+
+HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
+                       Handler OnRequest)
+    : Implementation_(std::make_unique<Implementation>(
+          Context, std::move(Options), std::move(OnRequest))) {}
+HttpServer::~HttpServer() = default;
+void HttpServer::start() { Implementation_->start(); }
+void HttpServer::stop() { Implementation_->stop(); }
+std::uint16_t HttpServer::port() const { return Implementation_->port(); }
+std::size_t HttpServer::requestsInFlight() const {
+  return Implementation_->requestsInFlight();
+}
+
+std::string percentDecode(const std::string &Text) {
+  std::string Decoded;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    if (Text[I] == '%' && I + 2 < Text.size() &&
+        std::isxdigit(static_cast<unsigned char>(Text[I + 1])) &&
+        std::isxdigit(static_cast<unsigned char>(Text[I + 2]))) {
+      Decoded.push_back(
+          static_cast<char>(std::stoi(Text.substr(I + 1, 2), nullptr, 16)));
+      I += 2;
+    } else {
+      Decoded.push_back(Text[I]);
+    }
+  }
+  return Decoded;
+}
+
+std::string percentEncode(const std::string &Text) {
+  std::string Encoded;
+  for (const char Character : Text) {
+    const auto Byte = static_cast<unsigned char>(Character);
+    if (std::isalnum(Byte) || Byte == '-' || Byte == '_' || Byte == '.' ||
+        Byte == '~')
+      Encoded.push_back(Character);
+    else
+      Encoded += fmt::format("%{:02X}", Byte);
+  }
+  return Encoded;
+}
+
+std::string queryParameter(const std::string &Query, const std::string &Name) {
+  std::size_t Begin = 0;
+  while (Begin < Query.size()) {
+    const std::size_t End = std::min(Query.find('&', Begin), Query.size());
+    const std::string Pair = Query.substr(Begin, End - Begin);
+    const std::size_t Equals = Pair.find('=');
+    if (Equals != std::string::npos && Pair.substr(0, Equals) == Name)
+      return percentDecode(Pair.substr(Equals + 1));
+    Begin = End + 1;
+  }
+  return {};
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Http/HttpServer.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hickory {
+
+struct HttpServerRequest {
+  std::string Method;
+  std::string Path;  ///< Without the query; not percent-decoded.
+  std::string Query; ///< Text after '?', not decoded.
+  std::string Body;
+};
+
+struct HttpServerResponse {
+  int Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  std::chrono::seconds RetryAfter{
+      0}; ///< Adds a Retry-After header if positive.
+};
+
+struct HttpServerOptions {
+  std::string Address = "127.0.0.1";
+  std::uint16_t Port = 0; ///< 0 lets the system choose.
+  std::size_t MaximumBodyBytes = 1 << 20;
+  std::size_t MaximumHeaderBytes = 16 << 10;
+  std::size_t MaximumConnections = 1024;
+  std::chrono::seconds IdleTimeout{60};
+};
+
+/// HTTP server on RESTinio. It runs on the given Asio context, and each
+/// request is handled in its own coroutine there.
+class HttpServer {
+public:
+  using Handler =
+      std::function<asio::awaitable<HttpServerResponse>(HttpServerRequest)>;
+
+  HttpServer(asio::io_context &Context, HttpServerOptions Options,
+             Handler OnRequest);
+  ~HttpServer();
+
+  /// Binds and listens; throws std::system_error if the address is in use.
+  void start();
+  /// Closes the listener; requests in flight may finish.
+  void stop();
+  [[nodiscard]] std::uint16_t port() const;
+  [[nodiscard]] std::size_t requestsInFlight() const;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> Implementation_;
+};
+
+/// Value of a query parameter, percent-decoded; empty if absent.
+std::string queryParameter(const std::string &Query, const std::string &Name);
+
+/// Percent-decodes and encodes one path segment.
+std::string percentDecode(const std::string &Text);
+std::string percentEncode(const std::string &Text);
+
+} // namespace hickory
--- /dev/null
+++ b/Tests/Http/HttpRoundTripTest.cpp
@@ -0,0 +1,78 @@
+#include "Http/CurlHttpClient.h"
+#include "Http/HttpServer.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/io_context.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+class HttpRoundTripTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpRoundTripTest);
+  CPPUNIT_TEST(manyConcurrentRequestsGetTheirOwnAnswers);
+  CPPUNIT_TEST(refusedConnectionIsReportedAsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against answers delivered to the wrong request on shared
+  // connections.
+  void manyConcurrentRequestsGetTheirOwnAnswers() {
+    asio::io_context Context;
+    HttpServer Server(
+        Context, {},
+        [](HttpServerRequest Request) -> asio::awaitable<HttpServerResponse> {
+          co_return HttpServerResponse{.Body = Request.Body + Request.Path};
+        });
+    Server.start();
+    CurlHttpClient Client(Context);
+    constexpr int Requests = 200;
+    int Correct = 0;
+    int Finished = 0;
+    for (int I = 0; I < Requests; ++I)
+      asio::co_spawn(
+          Context,
+          [&, I]() -> asio::awaitable<void> {
+            const std::string Path = "/echo/" + std::to_string(I);
+            HttpClientRequest Request{
+                .Method = "POST",
+                .Url =
+                    "http://127.0.0.1:" + std::to_string(Server.port()) + Path,
+                .Body = "body",
+                .Timeout = std::chrono::seconds(60)};
+            auto Reply = co_await Client.send(std::move(Request));
+            if (Reply && Reply->Body == "body" + Path)
+              ++Correct;
+            if (++Finished == Requests)
+              Context.stop();
+          },
+          asio::detached);
+    Context.run();
+    CPPUNIT_ASSERT_EQUAL(Requests, Correct);
+  }
+
+  // Guards against treating a dead process like a slow one.
+  void refusedConnectionIsReportedAsRefused() {
+    asio::io_context Context;
+    CurlHttpClient Client(Context);
+    ErrorCode Code = ErrorCode::Internal;
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          // Port 1 on loopback has no listener.
+          HttpClientRequest Request{.Url = "http://127.0.0.1:1/"};
+          auto Reply = co_await Client.send(std::move(Request));
+          if (!Reply)
+            Code = Reply.error().Code;
+          Context.stop();
+        },
+        asio::detached);
+    Context.run();
+    CPPUNIT_ASSERT(Code == ErrorCode::Refused);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpRoundTripTest);
+
+} // namespace hickory
