--- a/Source/Base/Signal.h
+++ b/Source/Base/Signal.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Base/TimerService.h"
+
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
 #include <asio/experimental/as_tuple.hpp>
@@ -32,6 +34,12 @@
     Pending_ = false;
   }
 
+  /// Like wait(), but for at most Limit.
+  asio::awaitable<void> waitFor(TimerService &Timers, Clock::duration Limit) {
+    const Subscription Timer = Timers.after(Limit, [this] { notify(); });
+    co_await wait();
+  }
+
 private:
   asio::steady_timer Timer_;
   bool Pending_ = false;
