--- a/Source/Log/LogClient.h
+++ b/Source/Log/LogClient.h
@@ -32,11 +32,16 @@
 public:
   virtual ~LogClient() = default;
 
-  /// Returns the offset. After Timeout or Unavailable the payload may have
-  /// been appended all the same. Overloaded carries RetryAfter.
+  /// Returns the offset. After Timeout, Unavailable or Overloaded the payload
+  /// may have been appended all the same. Overloaded carries the service's
+  /// Retry-After, if it sent one. InvalidArgument means that the service will
+  /// never accept this payload.
   virtual asio::awaitable<Result<std::uint64_t>>
   append(std::string Stream, std::string Payload) = 0;
 
+  /// Reads entries from From on, or from the oldest retained entry if that is
+  /// later. Next is at most the end of the stream. A stream without entries
+  /// exists and is empty.
   virtual asio::awaitable<Result<LogPage>> read(std::string Stream,
                                                 LogReadOptions Options) = 0;
 };
--- /dev/null
+++ b/Source/Log/LogWriter.cpp
@@ -0,0 +1,362 @@
+#include "Log/LogWriter.h"
+
+#include "Base/Hash.h"
+#include "Base/Random.h"
+#include "Base/Signal.h"
+#include "Log/Backoff.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <deque>
+#include <fmt/format.h>
+#include <glog/logging.h>
+#include <utility>
+#include <vector>
+
+namespace hickory {
+
+namespace {
+
+struct QueuedRecord {
+  records::Record Record;
+  std::size_t Bytes = 0;
+  Clock::time_point Queued;
+  LogWriter::Written Done;
+};
+
+Error notWritten(std::string_view Reason) {
+  return Error{ErrorCode::Cancelled,
+               fmt::format("record was not written: {}", Reason)};
+}
+
+} // namespace
+
+/// Everything that belongs to one incarnation. A restart replaces it as a
+/// whole, so an append of the old incarnation has no access to new records.
+struct LogWriter::Session {
+  Session(const asio::any_io_executor &Executor, std::uint64_t Incarnation)
+      : Wake(Executor), Incarnation(Incarnation) {}
+
+  [[nodiscard]] std::size_t waiting() const {
+    return Queue.size() + InFlight.size();
+  }
+
+  void notifyIfDrained() {
+    if (!Ended && waiting() > 0)
+      return;
+    for (const std::weak_ptr<Signal> &Waiter : DrainWaiters)
+      if (const auto Alive = Waiter.lock())
+        Alive->notify();
+    DrainWaiters.clear();
+  }
+
+  /// Ends the session and returns what the callbacks are to be told.
+  std::vector<std::pair<Written, Error>> end(std::string_view Reason) {
+    std::vector<std::pair<Written, Error>> Calls;
+    const bool MayBeWritten = AttemptRunning || AttemptLost;
+    for (Written &Done : std::exchange(InFlight, {}))
+      if (Done)
+        Calls.emplace_back(
+            std::move(Done),
+            MayBeWritten
+                ? Error{ErrorCode::Unavailable,
+                        fmt::format("record may have been written: {} while "
+                                    "its append was in flight",
+                                    Reason)}
+                : notWritten(Reason));
+    for (QueuedRecord &Item : std::exchange(Queue, {}))
+      if (Item.Done)
+        Calls.emplace_back(std::move(Item.Done), notWritten(Reason));
+    Ended = true;
+    Wake.notify();
+    notifyIfDrained();
+    return Calls;
+  }
+
+  Signal Wake;
+  const std::uint64_t Incarnation;
+  std::uint64_t NextSequence = 1;
+  std::string PreviousHash;
+  std::deque<QueuedRecord> Queue;
+  std::size_t QueuedBytes = 0;
+  std::vector<Written> InFlight; ///< One per record of the batch in flight.
+  bool AttemptRunning = false;
+  bool AttemptLost = false; ///< An attempt for this batch had an unknown end.
+  int Flushes = 0;
+  std::vector<std::weak_ptr<Signal>> DrainWaiters;
+  bool Ended = false;
+};
+
+struct LogWriter::State {
+  State(asio::any_io_executor Executor, TimerService &Timers, LogClient &Client,
+        Metrics &Counters, LogWriterOptions Options)
+      : Executor(std::move(Executor)), Timers(Timers), Client(Client),
+        Counters(Counters), Options(std::move(Options)),
+        Numbers(this->Options.Seed ? Random(*this->Options.Seed)
+                                   : Random::fromSystem()),
+        Labels(fmt::format("stream=\"{}\"", this->Options.Stream)) {}
+
+  std::string takeBatch(Session &From) {
+    records::RecordBatch Batch;
+    Batch.set_incarnation(From.Incarnation);
+    Batch.set_sequence(From.NextSequence);
+    Batch.set_previous_hash(From.PreviousHash);
+    Batch.set_slot(Options.Slot);
+    Batch.set_wall_time_ms(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Timers.wallNow().time_since_epoch())
+            .count());
+    std::size_t Bytes = 0;
+    while (!From.Queue.empty() &&
+           (Bytes == 0 ||
+            Bytes + From.Queue.front().Bytes <= Options.MaximumBatchBytes)) {
+      QueuedRecord &Front = From.Queue.front();
+      Bytes += Front.Bytes;
+      From.QueuedBytes -= Front.Bytes;
+      *Batch.add_records() = std::move(Front.Record);
+      From.InFlight.push_back(std::move(Front.Done));
+      From.Queue.pop_front();
+    }
+    return Batch.SerializeAsString();
+  }
+
+  asio::any_io_executor Executor;
+  TimerService &Timers;
+  LogClient &Client;
+  Metrics &Counters;
+  LogWriterOptions Options;
+  Random Numbers;
+  std::string Labels;
+  std::shared_ptr<Session> Current;
+  std::optional<Clock::time_point> FailingSince;
+};
+
+LogWriter::LogWriter(asio::any_io_executor Executor, TimerService &Timers,
+                     LogClient &Client, Metrics &Counters,
+                     LogWriterOptions Options)
+    : State_(std::make_shared<State>(std::move(Executor), Timers, Client,
+                                     Counters, std::move(Options))) {
+  begin(State_->Options.Incarnation);
+}
+
+LogWriter::~LogWriter() { State_->Current->end("the writer was destroyed"); }
+
+void LogWriter::begin(std::uint64_t Incarnation) {
+  State_->Current = std::make_shared<Session>(State_->Executor, Incarnation);
+  asio::co_spawn(State_->Executor, run(State_, State_->Current),
+                 asio::detached);
+}
+
+Result<void> LogWriter::enqueue(records::Record Record, Written Done) {
+  Session &Mine = *State_->Current;
+  const LogWriterOptions &Options = State_->Options;
+  if (Mine.Ended)
+    return fail(ErrorCode::Cancelled,
+                fmt::format("writer of stream {} was stopped", Options.Stream));
+  QueuedRecord Item{.Record = std::move(Record),
+                    .Bytes = 0,
+                    .Queued = State_->Timers.now(),
+                    .Done = std::move(Done)};
+  // Tag and length of the record within its batch take up to 6 bytes.
+  Item.Bytes = Item.Record.ByteSizeLong() + 6;
+  if (Mine.waiting() >= Options.MaximumWaitingRecords ||
+      (!Mine.Queue.empty() &&
+       Mine.QueuedBytes + Item.Bytes > Options.MaximumWaitingBytes)) {
+    State_->Counters.count("hickory_log_refused_records_total", 1,
+                           State_->Labels);
+    return fail(ErrorCode::Overloaded,
+                fmt::format("{} records wait for stream {}; retry later",
+                            Mine.waiting(), Options.Stream),
+                Options.MaximumBackoff);
+  }
+  const bool Full = Mine.QueuedBytes + Item.Bytes >= Options.MaximumBatchBytes;
+  const bool First = Mine.Queue.empty();
+  Mine.QueuedBytes += Item.Bytes;
+  Mine.Queue.push_back(std::move(Item));
+  if (First || Full)
+    Mine.Wake.notify();
+  return {};
+}
+
+asio::awaitable<Result<std::uint64_t>>
+LogWriter::append(records::Record Record, Clock::duration Deadline) {
+  struct Waiter {
+    explicit Waiter(const asio::any_io_executor &Executor) : Wake(Executor) {}
+    Signal Wake;
+    std::optional<Result<std::uint64_t>> Outcome;
+  };
+  auto Mine = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+  std::weak_ptr<Waiter> Weak = Mine;
+  const std::string Stream = State_->Options.Stream;
+  Result<void> Queued =
+      enqueue(std::move(Record), Written([Weak](Result<std::uint64_t> Offset) {
+                if (const auto Alive = Weak.lock(); Alive && !Alive->Outcome) {
+                  Alive->Outcome = std::move(Offset);
+                  Alive->Wake.notify();
+                }
+              }));
+  if (!Queued)
+    co_return tl::unexpected<Error>(Queued.error());
+  Subscription Timer = State_->Timers.after(Deadline, [Weak, Stream] {
+    if (const auto Alive = Weak.lock(); Alive && !Alive->Outcome) {
+      Alive->Outcome =
+          fail(ErrorCode::Timeout,
+               fmt::format("append to stream {} was not confirmed in time; the "
+                           "record may still be written",
+                           Stream));
+      Alive->Wake.notify();
+    }
+  });
+  while (!Mine->Outcome)
+    co_await Mine->Wake.wait();
+  co_return *Mine->Outcome;
+}
+
+bool LogWriter::reachable() const { return !State_->FailingSince; }
+
+Clock::time_point LogWriter::unreachableSince() const {
+  return State_->FailingSince.value_or(State_->Timers.now());
+}
+
+std::size_t LogWriter::waiting() const { return State_->Current->waiting(); }
+
+std::uint64_t LogWriter::incarnation() const {
+  return State_->Current->Incarnation;
+}
+
+void LogWriter::restart(std::uint64_t Incarnation) {
+  const std::shared_ptr<Session> Old = State_->Current;
+  auto Calls = Old->end("the writer restarted with a new incarnation");
+  begin(Incarnation);
+  for (auto &[Done, Reason] : Calls)
+    Done(tl::unexpected<Error>(std::move(Reason)));
+}
+
+void LogWriter::stop() {
+  auto Calls = State_->Current->end("the writer was stopped");
+  for (auto &[Done, Reason] : Calls)
+    Done(tl::unexpected<Error>(std::move(Reason)));
+}
+
+asio::awaitable<void> LogWriter::flush(Clock::duration Deadline) {
+  const std::shared_ptr<State> Self = State_;
+  const std::shared_ptr<Session> Mine = Self->Current;
+  auto Wake = std::make_shared<Signal>(co_await asio::this_coro::executor);
+  const Clock::time_point End = Self->Timers.now() + Deadline;
+  Subscription Timer =
+      Self->Timers.after(Deadline, [Weak = std::weak_ptr<Signal>(Wake)] {
+        if (const auto Alive = Weak.lock())
+          Alive->notify();
+      });
+  ++Mine->Flushes;
+  Mine->Wake.notify();
+  while (!Mine->Ended && Mine->waiting() > 0 && Self->Timers.now() < End) {
+    Mine->DrainWaiters.push_back(Wake);
+    co_await Wake->wait();
+  }
+  --Mine->Flushes;
+}
+
+asio::awaitable<void> LogWriter::run(std::shared_ptr<State> Self,
+                                     std::shared_ptr<Session> Mine) {
+  while (!Mine->Ended) {
+    if (Mine->Queue.empty()) {
+      co_await Mine->Wake.wait();
+      continue;
+    }
+    const Clock::time_point Due =
+        Mine->Queue.front().Queued + Self->Options.Linger;
+    const Clock::time_point Now = Self->Timers.now();
+    if (Now < Due && Mine->Flushes == 0 &&
+        Mine->QueuedBytes < Self->Options.MaximumBatchBytes) {
+      Subscription Timer =
+          Self->Timers.after(Due - Now, [Weak = std::weak_ptr<Session>(Mine)] {
+            if (const auto Alive = Weak.lock())
+              Alive->Wake.notify();
+          });
+      co_await Mine->Wake.wait();
+      continue;
+    }
+    std::string Payload = Self->takeBatch(*Mine);
+    co_await appendUntilConfirmed(Self, Mine, std::move(Payload));
+  }
+}
+
+asio::awaitable<void>
+LogWriter::appendUntilConfirmed(std::shared_ptr<State> Self,
+                                std::shared_ptr<Session> Mine,
+                                std::string Payload) {
+  Backoff Delays(Self->Numbers, Self->Options.InitialBackoff,
+                 Self->Options.MaximumBackoff);
+  Mine->AttemptLost = false;
+  Result<std::uint64_t> Offset =
+      fail(ErrorCode::Internal, "no attempt was made");
+  for (;;) {
+    const Clock::time_point Begun = Self->Timers.now();
+    Mine->AttemptRunning = true;
+    Offset = co_await Self->Client.append(Self->Options.Stream, Payload);
+    // After the end of the session the writer's owner may be gone.
+    if (Mine->Ended)
+      co_return;
+    Mine->AttemptRunning = false;
+    Self->Counters.count("hickory_log_append_attempts_total", 1, Self->Labels);
+    if (Offset) {
+      if (Self->FailingSince)
+        LOG(INFO) << "log: stream " << Self->Options.Stream
+                  << " accepts appends again";
+      Self->FailingSince.reset();
+      Self->Counters.observe(
+          "hickory_log_append_seconds",
+          std::chrono::duration<double>(Self->Timers.now() - Begun).count());
+      break;
+    }
+    const Error &Failure = Offset.error();
+    Self->Counters.count("hickory_log_append_failures_total", 1, Self->Labels);
+    // Repeating would fail again. The sequence can be used again only if no
+    // attempt can have written this batch.
+    if (Failure.Code == ErrorCode::InvalidArgument && !Mine->AttemptLost) {
+      LOG(ERROR) << "log: batch of " << Payload.size()
+                 << " bytes dropped, stream " << Self->Options.Stream
+                 << " refuses it: " << Failure.Message;
+      break;
+    }
+    if (!Self->FailingSince) {
+      Self->FailingSince = Begun;
+      LOG(WARNING) << "log: append to stream " << Self->Options.Stream
+                   << " failed and will be repeated: " << Failure.Message;
+    }
+    if (!Failure.hadNoEffect())
+      Mine->AttemptLost = true;
+    const Clock::time_point Next =
+        Self->Timers.now() + Delays.next(Failure.RetryAfter);
+    while (!Mine->Ended && Self->Timers.now() < Next) {
+      Subscription Timer = Self->Timers.after(
+          Next - Self->Timers.now(), [Weak = std::weak_ptr<Session>(Mine)] {
+            if (const auto Alive = Weak.lock())
+              Alive->Wake.notify();
+          });
+      co_await Mine->Wake.wait();
+    }
+    if (Mine->Ended)
+      co_return;
+  }
+  std::vector<Written> Finished = std::exchange(Mine->InFlight, {});
+  if (Offset) {
+    ++Mine->NextSequence;
+    Mine->PreviousHash = sha256(Payload);
+    Self->Counters.count("hickory_log_appends_total", 1, Self->Labels);
+    Self->Counters.count("hickory_log_appended_records_total",
+                         static_cast<double>(Finished.size()), Self->Labels);
+    Self->Counters.count("hickory_log_appended_bytes_total",
+                         static_cast<double>(Payload.size()), Self->Labels);
+  }
+  // A callback may restart or stop the writer; the rest of this batch is
+  // confirmed all the same.
+  for (Written &Done : Finished)
+    if (Done)
+      Done(Offset);
+  Mine->notifyIfDrained();
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Tests/Fakes/FakeLogClient.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "Base/Random.h"
+#include "Base/Signal.h"
+#include "Base/TimerService.h"
+#include "Log/LogClient.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace hickory {
+
+struct FakeLogOptions {
+  std::uint64_t Seed = 1;
+  /// Probability that an append fails without effect.
+  double LostRequests = 0;
+  /// Probability that an append takes effect, but the caller is told Timeout.
+  double LostAnswers = 0;
+  /// How long a call takes.
+  Clock::duration Latency{0};
+  /// Entries kept per stream; 0 keeps all.
+  std::size_t Retention = 0;
+};
+
+/// The log service in memory, with switches for its faults.
+class FakeLogClient final : public LogClient {
+public:
+  explicit FakeLogClient(TimerService &Timers, FakeLogOptions Options = {})
+      : Options(Options), Timers_(Timers), Numbers_(Options.Seed) {}
+
+  FakeLogOptions Options; ///< May be changed at any time.
+  /// If set, every call fails with it and has no effect.
+  std::optional<Error> Outage;
+  /// While true, appends take effect only once it is false and
+  /// releaseAppends() is called.
+  bool HoldAppends = false;
+  int Appends = 0; ///< Calls of append().
+  int Reads = 0;   ///< Calls of read().
+
+  void makeUnavailable() {
+    Outage = Error{ErrorCode::Unavailable, "fake log service is down"};
+  }
+  void makeAvailable() { Outage.reset(); }
+
+  void releaseAppends() {
+    HoldAppends = false;
+    wake(Held_);
+  }
+
+  /// Appends without a call, for example what another writer wrote.
+  std::uint64_t put(const std::string &Stream, std::string Payload) {
+    Content &To = Streams_[Stream];
+    To.Entries.push_back(std::move(Payload));
+    while (Options.Retention != 0 && To.Entries.size() > Options.Retention) {
+      To.Entries.pop_front();
+      ++To.Earliest;
+    }
+    wake(To.Waiting);
+    return To.end() - 1;
+  }
+
+  /// Drops the oldest entries up to, not including, Offset.
+  void dropBefore(const std::string &Stream, std::uint64_t Offset) {
+    Content &From = Streams_[Stream];
+    while (!From.Entries.empty() && From.Earliest < Offset) {
+      From.Entries.pop_front();
+      ++From.Earliest;
+    }
+  }
+
+  [[nodiscard]] std::uint64_t end(const std::string &Stream) const {
+    const auto It = Streams_.find(Stream);
+    return It == Streams_.end() ? 0 : It->second.end();
+  }
+  /// The retained payloads.
+  [[nodiscard]] std::deque<std::string>
+  entries(const std::string &Stream) const {
+    const auto It = Streams_.find(Stream);
+    return It == Streams_.end() ? std::deque<std::string>()
+                                : It->second.Entries;
+  }
+
+  asio::awaitable<Result<std::uint64_t>> append(std::string Stream,
+                                                std::string Payload) override {
+    ++Appends;
+    if (HoldAppends)
+      co_await waitIn(Held_, std::nullopt);
+    if (Options.Latency > Clock::duration(0))
+      co_await Timers_.sleepFor(Options.Latency);
+    if (Outage)
+      co_return tl::unexpected<Error>(*Outage);
+    if (Numbers_.unit() < Options.LostRequests)
+      co_return fail(ErrorCode::Timeout, "fake log service lost the request");
+    const std::uint64_t Offset = put(Stream, std::move(Payload));
+    if (Numbers_.unit() < Options.LostAnswers)
+      co_return fail(ErrorCode::Timeout, "fake log service lost the answer");
+    co_return Offset;
+  }
+
+  asio::awaitable<Result<LogPage>> read(std::string Stream,
+                                        LogReadOptions Read) override {
+    ++Reads;
+    if (Options.Latency > Clock::duration(0))
+      co_await Timers_.sleepFor(Options.Latency);
+    if (!Outage && Read.From >= Streams_[Stream].end() &&
+        Read.Wait > std::chrono::milliseconds(0))
+      co_await waitIn(Streams_[Stream].Waiting, Read.Wait);
+    if (Outage)
+      co_return tl::unexpected<Error>(*Outage);
+    const Content &From = Streams_[Stream];
+    LogPage Page;
+    Page.Earliest = From.Earliest;
+    Page.Next = std::min(std::max(Read.From, From.Earliest), From.end());
+    while (Page.Next < From.end() && Page.Entries.size() < Read.Maximum) {
+      Page.Entries.push_back(
+          LogEntry{Page.Next, From.Entries[Page.Next - From.Earliest]});
+      ++Page.Next;
+    }
+    co_return Page;
+  }
+
+private:
+  /// Owned by the waiting coroutine, so that nothing here outlives the Asio
+  /// context.
+  using Waiters = std::vector<std::weak_ptr<Signal>>;
+
+  struct Content {
+    [[nodiscard]] std::uint64_t end() const {
+      return Earliest + Entries.size();
+    }
+    std::uint64_t Earliest = 0;
+    std::deque<std::string> Entries;
+    Waiters Waiting;
+  };
+
+  static void wake(Waiters &Waiting) {
+    for (const std::weak_ptr<Signal> &Weak : std::exchange(Waiting, {}))
+      if (const auto Alive = Weak.lock())
+        Alive->notify();
+  }
+
+  asio::awaitable<void> waitIn(Waiters &Waiting,
+                               std::optional<Clock::duration> Limit) {
+    auto Wake = std::make_shared<Signal>(co_await asio::this_coro::executor);
+    const std::weak_ptr<Signal> Weak = Wake;
+    Waiting.push_back(Weak);
+    Subscription Timer;
+    if (Limit)
+      Timer = Timers_.after(*Limit, [Weak] {
+        if (const auto Alive = Weak.lock())
+          Alive->notify();
+      });
+    co_await Wake->wait();
+  }
+
+  TimerService &Timers_;
+  Random Numbers_;
+  std::map<std::string, Content> Streams_;
+  Waiters Held_;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Tests/Log/LogWriterTest.cpp
@@ -0,0 +1,480 @@
+#include "Log/LogWriter.h"
+
+#include "Base/Hash.h"
+#include "Fakes/FakeLogClient.h"
+#include "Fakes/FakeTimerService.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/io_context.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+records::Record keyRecord(const std::string &Key) {
+  records::Record Item;
+  Item.mutable_job_cancelled()->set_key(Key);
+  return Item;
+}
+
+/// A writer on a fake log service, with the time under the test's control.
+struct Bench {
+  explicit Bench(FakeLogOptions Faults = {}, LogWriterOptions Changes = {})
+      : Log(Timers, Faults), Writer(Context.get_executor(), Timers, Log,
+                                    Counters, withDefaults(Changes)) {}
+
+  static LogWriterOptions withDefaults(LogWriterOptions Options) {
+    Options.Stream = "domain.test";
+    Options.Slot = "slot-a";
+    Options.Incarnation = 7;
+    Options.Seed = 1;
+    return Options;
+  }
+
+  void poll() {
+    Context.restart();
+    Context.poll();
+  }
+
+  /// Advances in steps of 1 ms, so that coroutines go on in between.
+  void run(std::chrono::milliseconds Duration) {
+    poll();
+    for (auto Passed = 0ms; Passed < Duration; Passed += 1ms) {
+      Timers.advance(1ms);
+      poll();
+    }
+  }
+
+  [[nodiscard]] std::vector<records::RecordBatch> batches() const {
+    std::vector<records::RecordBatch> Parsed;
+    for (const std::string &Payload : Log.entries("domain.test"))
+      CPPUNIT_ASSERT(Parsed.emplace_back().ParseFromString(Payload));
+    return Parsed;
+  }
+
+  asio::io_context Context;
+  FakeTimerService Timers;
+  Metrics Counters;
+  FakeLogClient Log;
+  LogWriter Writer;
+};
+
+} // namespace
+
+class LogWriterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogWriterTest);
+  CPPUNIT_TEST(recordsOfOneLingerGoInOneAppend);
+  CPPUNIT_TEST(recordsThatWaitDuringAppendGoInTheNext);
+  CPPUNIT_TEST(batchesAreLimitedInBytes);
+  CPPUNIT_TEST(batchesFormHashChain);
+  CPPUNIT_TEST(everyRecordCountsOnceUnderRandomLoss);
+  CPPUNIT_TEST(lostAnswerRepeatsSameBytes);
+  CPPUNIT_TEST(appendTimesOutDuringOutageAndIsWrittenLater);
+  CPPUNIT_TEST(reachabilityFollowsAppends);
+  CPPUNIT_TEST(queueIsBounded);
+  CPPUNIT_TEST(restartDropsOldRecordsAndTellsCallbacks);
+  CPPUNIT_TEST(oldAppendDoesNotCompleteNewRecord);
+  CPPUNIT_TEST(restartWhileRefusedIsCertainlyNotWritten);
+  CPPUNIT_TEST(refusedBatchIsDroppedAndSequenceUsedAgain);
+  CPPUNIT_TEST(flushSkipsLingerAndWaits);
+  CPPUNIT_TEST(flushEndsAtDeadline);
+  CPPUNIT_TEST(retryAfterIsObserved);
+  CPPUNIT_TEST(callbackMayRestartWriter);
+  CPPUNIT_TEST(stopTellsCallbacksAndRefusesRecords);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against one append per record, which the service's rate limit
+  // would not allow.
+  void recordsOfOneLingerGoInOneAppend() {
+    Bench Setup;
+    for (int I = 0; I < 10; ++I)
+      CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord(std::to_string(I))));
+    Setup.run(19ms);
+    CPPUNIT_ASSERT_EQUAL(0, Setup.Log.Appends);
+    Setup.run(1ms);
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Log.Appends);
+    const auto Batches = Setup.batches();
+    CPPUNIT_ASSERT_EQUAL(10, Batches[0].records_size());
+    for (int I = 0; I < 10; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::to_string(I),
+                           Batches[0].records(I).job_cancelled().key());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Batches[0].incarnation());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Batches[0].sequence());
+    CPPUNIT_ASSERT_EQUAL(std::string("slot-a"), Batches[0].slot());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Setup.Writer.waiting());
+  }
+
+  // Guards against two appends in flight, whose order would be undefined.
+  void recordsThatWaitDuringAppendGoInTheNext() {
+    Bench Setup;
+    Setup.Log.HoldAppends = true;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(25ms);
+    for (int I = 0; I < 5; ++I) {
+      CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("b")));
+      Setup.run(30ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Log.Appends);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Setup.Writer.waiting());
+    Setup.Log.releaseAppends();
+    Setup.run(1ms);
+    CPPUNIT_ASSERT_EQUAL(2, Setup.Log.Appends);
+    CPPUNIT_ASSERT_EQUAL(5, Setup.batches()[1].records_size());
+  }
+
+  // Guards against batches that the service refuses for their size.
+  void batchesAreLimitedInBytes() {
+    LogWriterOptions Options;
+    Options.MaximumBatchBytes = 1000;
+    Bench Setup({}, Options);
+    for (int I = 0; I < 50; ++I)
+      CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord(std::string(90, 'x'))));
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord(std::string(5000, 'y'))));
+    Setup.run(5ms);
+    const auto Entries = Setup.Log.entries("domain.test");
+    CPPUNIT_ASSERT(Entries.size() >= 6);
+    int Records = 0;
+    for (const auto &Batch : Setup.batches()) {
+      Records += Batch.records_size();
+      CPPUNIT_ASSERT(Batch.records_size() == 1 ||
+                     Batch.ByteSizeLong() <= 1000 + 100);
+    }
+    CPPUNIT_ASSERT_EQUAL(51, Records);
+  }
+
+  // Guards against a chain in which hickory-audit could not find altered or
+  // missing batches.
+  void batchesFormHashChain() {
+    Bench Setup;
+    for (int I = 0; I < 4; ++I) {
+      CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord(std::to_string(I))));
+      Setup.run(25ms);
+    }
+    const auto Entries = Setup.Log.entries("domain.test");
+    const auto Batches = Setup.batches();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Batches.size());
+    CPPUNIT_ASSERT(Batches[0].previous_hash().empty());
+    for (std::size_t I = 1; I < Batches.size(); ++I) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(I + 1), Batches[I].sequence());
+      CPPUNIT_ASSERT(Batches[I].previous_hash() == sha256(Entries[I - 1]));
+    }
+  }
+
+  // Guards against records that are lost, doubled or out of order when
+  // requests and answers get lost at random.
+  void everyRecordCountsOnceUnderRandomLoss() {
+    const bool Holds = rc::check(
+        "each record is read once and in order", [](std::uint64_t Seed) {
+          FakeLogOptions Faults;
+          Faults.Seed = Seed;
+          Faults.LostRequests = *rc::gen::element(0.0, 0.2, 0.5);
+          Faults.LostAnswers = *rc::gen::element(0.0, 0.2, 0.5);
+          Faults.Latency = std::chrono::milliseconds(*rc::gen::inRange(0, 8));
+          const int Count = *rc::gen::inRange(1, 60);
+          Bench Setup(Faults);
+          int Confirmed = 0;
+          for (int I = 0; I < Count; ++I) {
+            RC_ASSERT(Setup.Writer
+                          .enqueue(keyRecord(std::to_string(I)),
+                                   [&](Result<std::uint64_t> Offset) {
+                                     RC_ASSERT(Offset.has_value());
+                                     ++Confirmed;
+                                   })
+                          .has_value());
+            Setup.run(
+                std::chrono::milliseconds(*rc::gen::element(0, 1, 5, 30)));
+          }
+          // Long enough for 60 appends with several losses each.
+          for (int I = 0; I < 600 && Setup.Writer.waiting() > 0; ++I)
+            Setup.run(1000ms);
+          RC_ASSERT(Confirmed == Count);
+          std::uint64_t Last = 0;
+          int Next = 0;
+          for (const auto &Batch : Setup.batches()) {
+            RC_ASSERT(Batch.sequence() <= Last + 1);
+            if (Batch.sequence() <= Last)
+              continue;
+            Last = Batch.sequence();
+            for (const auto &Item : Batch.records())
+              RC_ASSERT(Item.job_cancelled().key() == std::to_string(Next++));
+          }
+          RC_ASSERT(Next == Count);
+        });
+    CPPUNIT_ASSERT(Holds);
+  }
+
+  // Guards against a second copy with other bytes, which would break the hash
+  // chain or count as a new batch.
+  void lostAnswerRepeatsSameBytes() {
+    FakeLogOptions Faults;
+    Faults.LostAnswers = 1;
+    Bench Setup(Faults);
+    int Calls = 0;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(
+        keyRecord("a"), [&](std::uint64_t /*Offset*/) { ++Calls; }));
+    Setup.run(21ms);
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("b")));
+    Setup.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(0, Calls);
+    Setup.Log.Options.LostAnswers = 0;
+    Setup.run(3000ms);
+    CPPUNIT_ASSERT_EQUAL(1, Calls);
+    const auto Entries = Setup.Log.entries("domain.test");
+    CPPUNIT_ASSERT(Entries.size() >= 3);
+    for (std::size_t I = 1; I + 1 < Entries.size(); ++I)
+      CPPUNIT_ASSERT(Entries[I] == Entries[0]);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Setup.batches().back().sequence());
+  }
+
+  // Guards against a caller that waits for ever, and against a Timeout taken
+  // for "not written".
+  void appendTimesOutDuringOutageAndIsWrittenLater() {
+    Bench Setup;
+    Setup.Log.makeUnavailable();
+    std::optional<Result<std::uint64_t>> Outcome;
+    asio::co_spawn(
+        Setup.Context,
+        [&]() -> asio::awaitable<void> {
+          Outcome = co_await Setup.Writer.append(keyRecord("a"), 300ms);
+        },
+        asio::detached);
+    Setup.run(299ms);
+    CPPUNIT_ASSERT(!Outcome);
+    Setup.run(2ms);
+    CPPUNIT_ASSERT(Outcome && !*Outcome);
+    CPPUNIT_ASSERT(Outcome->error().Code == ErrorCode::Timeout);
+    Setup.Log.makeAvailable();
+    Setup.run(3000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Setup.batches().size());
+  }
+
+  // Guards against an instance that does not notice an outage, or counts it
+  // from too late a moment.
+  void reachabilityFollowsAppends() {
+    Bench Setup;
+    CPPUNIT_ASSERT(Setup.Writer.reachable());
+    CPPUNIT_ASSERT(Setup.Writer.unreachableSince() == Setup.Timers.now());
+    Setup.Log.makeUnavailable();
+    Setup.Log.Options.Latency = 100ms;
+    const auto Begun = Setup.Timers.now();
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(1000ms);
+    CPPUNIT_ASSERT(!Setup.Writer.reachable());
+    CPPUNIT_ASSERT(Setup.Writer.unreachableSince() == Begun + 20ms);
+    Setup.Log.makeAvailable();
+    Setup.run(3000ms);
+    CPPUNIT_ASSERT(Setup.Writer.reachable());
+  }
+
+  // Guards against memory that grows without bound during an outage.
+  void queueIsBounded() {
+    LogWriterOptions Options;
+    Options.MaximumWaitingRecords = 10;
+    Bench Setup({}, Options);
+    Setup.Log.makeUnavailable();
+    for (int I = 0; I < 10; ++I)
+      CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(100ms);
+    const auto Refused = Setup.Writer.enqueue(keyRecord("b"));
+    CPPUNIT_ASSERT(!Refused);
+    CPPUNIT_ASSERT(Refused.error().Code == ErrorCode::Overloaded);
+    CPPUNIT_ASSERT(Refused.error().RetryAfter.has_value());
+    Setup.Log.makeAvailable();
+    Setup.run(3000ms);
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("c")));
+  }
+
+  // Guards against callers that never hear of a dropped record, and against
+  // records of the old incarnation under the new one.
+  void restartDropsOldRecordsAndTellsCallbacks() {
+    Bench Setup;
+    Setup.Log.HoldAppends = true;
+    std::vector<ErrorCode> Told;
+    const auto Note = [&](Result<std::uint64_t> Offset) {
+      CPPUNIT_ASSERT(!Offset);
+      Told.push_back(Offset.error().Code);
+    };
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("in flight"), Note));
+    Setup.run(25ms);
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("queued"), Note));
+    Setup.Writer.restart(8);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Told.size());
+    CPPUNIT_ASSERT(Told[0] == ErrorCode::Unavailable);
+    CPPUNIT_ASSERT(Told[1] == ErrorCode::Cancelled);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), Setup.Writer.incarnation());
+    Setup.Log.releaseAppends();
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("new")));
+    Setup.run(25ms);
+    const auto Batches = Setup.batches();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Batches.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Batches[0].incarnation());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), Batches[1].incarnation());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Batches[1].sequence());
+    CPPUNIT_ASSERT(Batches[1].previous_hash().empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("new"),
+                         Batches[1].records(0).job_cancelled().key());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Told.size());
+  }
+
+  // Guards against a late answer to the old incarnation's append that is taken
+  // for the confirmation of a new record.
+  void oldAppendDoesNotCompleteNewRecord() {
+    Bench Setup;
+    Setup.Log.HoldAppends = true;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("old")));
+    Setup.run(25ms);
+    Setup.Writer.restart(8);
+    std::optional<std::uint64_t> Offset;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(
+        keyRecord("new"), [&](std::uint64_t Where) { Offset = Where; }));
+    // The old append ends within the linger of the new record.
+    Setup.run(10ms);
+    Setup.Log.releaseAppends();
+    Setup.run(5ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Setup.batches().size());
+    CPPUNIT_ASSERT(!Offset);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Setup.Writer.waiting());
+    Setup.run(10ms);
+    CPPUNIT_ASSERT(Offset == std::uint64_t(1));
+  }
+
+  // Guards against an uncertain answer where every attempt was refused before
+  // anything was sent.
+  void restartWhileRefusedIsCertainlyNotWritten() {
+    Bench Setup;
+    Setup.Log.Outage = Error{ErrorCode::Refused, "connection refused"};
+    std::optional<ErrorCode> Told;
+    CPPUNIT_ASSERT(
+        Setup.Writer.enqueue(keyRecord("a"), [&](Result<std::uint64_t> Offset) {
+          Told = Offset.error().Code;
+        }));
+    Setup.run(1000ms);
+    CPPUNIT_ASSERT(Setup.Log.Appends > 1);
+    Setup.Writer.restart(8);
+    CPPUNIT_ASSERT(Told == ErrorCode::Cancelled);
+  }
+
+  // Guards against a batch that the service never accepts and that blocks the
+  // stream for ever.
+  void refusedBatchIsDroppedAndSequenceUsedAgain() {
+    Bench Setup;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(25ms);
+    Setup.Log.Outage = Error{ErrorCode::InvalidArgument, "body too large"};
+    std::optional<ErrorCode> Told;
+    CPPUNIT_ASSERT(
+        Setup.Writer.enqueue(keyRecord("b"), [&](Result<std::uint64_t> Offset) {
+          Told = Offset.error().Code;
+        }));
+    Setup.run(25ms);
+    CPPUNIT_ASSERT(Told == ErrorCode::InvalidArgument);
+    Setup.Log.makeAvailable();
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("c")));
+    Setup.run(25ms);
+    const auto Batches = Setup.batches();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Batches.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Batches[1].sequence());
+    CPPUNIT_ASSERT(Batches[1].previous_hash() ==
+                   sha256(Setup.Log.entries("domain.test")[0]));
+  }
+
+  // Guards against a graceful stop that leaves records behind.
+  void flushSkipsLingerAndWaits() {
+    LogWriterOptions Options;
+    Options.Linger = 10000ms;
+    Bench Setup({}, Options);
+    Setup.Log.Options.Latency = 50ms;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(5ms);
+    bool Flushed = false;
+    asio::co_spawn(
+        Setup.Context,
+        [&]() -> asio::awaitable<void> {
+          co_await Setup.Writer.flush(1000ms);
+          Flushed = true;
+        },
+        asio::detached);
+    Setup.run(49ms);
+    CPPUNIT_ASSERT(!Flushed);
+    Setup.run(2ms);
+    CPPUNIT_ASSERT(Flushed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Setup.batches().size());
+  }
+
+  // Guards against a stop that hangs while the log service is down.
+  void flushEndsAtDeadline() {
+    Bench Setup;
+    Setup.Log.makeUnavailable();
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    bool Flushed = false;
+    asio::co_spawn(
+        Setup.Context,
+        [&]() -> asio::awaitable<void> {
+          co_await Setup.Writer.flush(1000ms);
+          Flushed = true;
+        },
+        asio::detached);
+    Setup.run(999ms);
+    CPPUNIT_ASSERT(!Flushed);
+    Setup.run(2ms);
+    CPPUNIT_ASSERT(Flushed);
+  }
+
+  // Guards against repeating appends while the service asks for less.
+  void retryAfterIsObserved() {
+    Bench Setup;
+    Setup.Log.Outage = Error{ErrorCode::Overloaded, "too many appends", 1000ms};
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("a")));
+    Setup.run(1015ms);
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Log.Appends);
+    Setup.run(60ms);
+    CPPUNIT_ASSERT_EQUAL(2, Setup.Log.Appends);
+  }
+
+  // Guards against use of freed state when an instance reads its own Expire
+  // and restarts the writer from within a callback.
+  void callbackMayRestartWriter() {
+    Bench Setup;
+    int Confirmed = 0;
+    CPPUNIT_ASSERT(
+        Setup.Writer.enqueue(keyRecord("a"), [&](std::uint64_t /*Offset*/) {
+          Setup.Writer.restart(9);
+        }));
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(
+        keyRecord("b"), [&](std::uint64_t /*Offset*/) { ++Confirmed; }));
+    Setup.run(25ms);
+    CPPUNIT_ASSERT_EQUAL(1, Confirmed);
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("c")));
+    Setup.run(25ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9),
+                         Setup.batches().back().incarnation());
+  }
+
+  // Guards against records that are accepted and then silently forgotten.
+  void stopTellsCallbacksAndRefusesRecords() {
+    Bench Setup;
+    std::optional<ErrorCode> Told;
+    CPPUNIT_ASSERT(
+        Setup.Writer.enqueue(keyRecord("a"), [&](Result<std::uint64_t> Offset) {
+          Told = Offset.error().Code;
+        }));
+    Setup.Writer.stop();
+    CPPUNIT_ASSERT(Told == ErrorCode::Cancelled);
+    const auto Refused = Setup.Writer.enqueue(keyRecord("b"));
+    CPPUNIT_ASSERT(!Refused && Refused.error().Code == ErrorCode::Cancelled);
+    Setup.run(100ms);
+    CPPUNIT_ASSERT_EQUAL(0, Setup.Log.Appends);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogWriterTest);
+
+} // namespace hickory
