--- a/Source/Scheduling/JobQueue.h
+++ b/Source/Scheduling/JobQueue.h
@@ -102,7 +102,7 @@
   [[nodiscard]] const PendingWork *find(const std::string &Key) const;
   [[nodiscard]] std::size_t size() const { return Entries_.size(); }
   [[nodiscard]] std::size_t lanes() const { return Lanes_.size(); }
-  /// Arrival of the work that has waited longest, per priority level.
+  /// Longest wait among the heads of all lanes.
   [[nodiscard]] Clock::duration longestWait() const;
 
 private:
--- /dev/null
+++ b/Source/Scheduling/UsageEstimator.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Base/TimerService.h"
+#include "Scheduling/Resources.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace hickory {
+
+struct UsageEstimatorOptions {
+  double Quantile = 0.95;
+  double SafetyMargin = 0.15;
+  /// Until so many observations the declared size is used.
+  std::size_t MinimumSamples = 20;
+  /// Observations after which old ones are forgotten.
+  std::size_t Window = 500;
+  /// Bounds of the estimate relative to the declared amount.
+  double Smallest = 0.05;
+  double Largest = 8;
+};
+
+/// Learns per job class how actual use relates to declared sizes and run times.
+/// The estimates order work and pack opportunistic work; what is committed on
+/// a worker is always the declared amount.
+class UsageEstimator {
+public:
+  explicit UsageEstimator(UsageEstimatorOptions Options = {})
+      : Options_(Options) {}
+
+  void observeUse(const std::string &JobClass, const Resources &Declared,
+                  const Resources &Used);
+  void observeRun(const std::string &JobClass, Clock::duration Declared,
+                  Clock::duration Actual);
+
+  /// Accelerators are never estimated below what was declared.
+  [[nodiscard]] Resources estimateUse(const std::string &JobClass,
+                                      const Resources &Declared) const;
+  [[nodiscard]] Clock::duration estimateRun(const std::string &JobClass,
+                                            Clock::duration Declared) const;
+
+private:
+  using Quantile = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::p_square_quantile>>;
+  /// Quantile of the last one to two windows.
+  class Ratio {
+  public:
+    void add(double Value, const UsageEstimatorOptions &Options);
+    [[nodiscard]] double estimate(const UsageEstimatorOptions &Options) const;
+
+  private:
+    std::optional<Quantile> Current_;
+    std::size_t Count_ = 0;
+    std::optional<double> Last_; ///< Of the previous window.
+  };
+  struct ClassRatios {
+    Ratio Cpus;
+    Ratio Memory;
+    Ratio Run;
+  };
+
+  UsageEstimatorOptions Options_;
+  std::map<std::string, ClassRatios> Classes_;
+};
+
+} // namespace hickory
