Keep the HTTP client from repeating requests that must be received once

Cause: libcurl sends a request again by itself when a kept-alive connection was closed without an answer. A non-repeatable execution could run twice, and a refused second connection was reported as "nothing sent" although the first copy had been received. Change: HttpClientRequest::SendOnce uses a connection of its own, and errors count as without effect only if no byte of the request was sent. Measured: with a server that closes its second request unanswered, two requests were received three times without SendOnce and twice with it (Tests/Http/SendOnceTest.cpp).

--- a/Source/Backends/InstanceList.h
+++ b/Source/Backends/InstanceList.h
@@ -11,6 +11,7 @@
 
 #include <asio/any_io_executor.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -64,8 +65,8 @@
   /// Applies one list document; public so that tests need no network.
   Result<void> apply(const std::string &Document);
 
-  /// Null if the upstream was never listed.
-  [[nodiscard]] const Upstream *find(const std::string &Name) const;
+  /// Empty if the upstream is not known.
+  [[nodiscard]] std::optional<Upstream> find(const std::string &Name) const;
   /// All upstreams of a rack, also leaving and missing ones.
   [[nodiscard]] std::vector<Upstream> inRack(const std::string &Rack) const;
   [[nodiscard]] std::vector<std::string> racks() const;
@@ -94,6 +95,7 @@
     std::optional<Clock::time_point> MissingSince;
   };
 
+  static Upstream merged(const Entry &Known);
   asio::awaitable<void> poll();
   void notify();
 
--- a/Source/Http/CurlHttpClient.cpp
+++ b/Source/Http/CurlHttpClient.cpp
@@ -120,6 +120,11 @@
     // curl's default buffer of 16 KB per transfer and connection is more than
     // the small messages here need.
     curl_easy_setopt(Easy, CURLOPT_BUFFERSIZE, 4096L);
+    // curl repeats a request only on connections that it has used before.
+    if (Current.Request.SendOnce) {
+      curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(Current.Request.Timeout.count()));
     Transfers_.emplace(Easy, std::move(Item));
@@ -241,6 +246,15 @@
     }
     const std::string Message = Item.Request.Method + " " + Item.Request.Url +
                                 ": " + curl_easy_strerror(Code);
+    // If curl sent the request on a kept-alive connection that was closed
+    // without an answer, the connection for the repetition may be refused
+    // although the first copy was received.
+    long SentBytes = 0;
+    curl_easy_getinfo(Item.Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
+    if (SentBytes > 0)
+      return fail(Code == CURLE_OPERATION_TIMEDOUT ? ErrorCode::Timeout
+                                                   : ErrorCode::Unavailable,
+                  Message);
     long SystemError = 0;
     curl_easy_getinfo(Item.Easy, CURLINFO_OS_ERRNO, &SystemError);
     if (Code == CURLE_COULDNT_CONNECT)
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -14,6 +14,10 @@
   std::string Body;
   std::string ContentType = "application/json";
   std::chrono::milliseconds Timeout{2000};
+  /// Uses a connection of its own. An HTTP client sends a request again by
+  /// itself if a kept-alive connection was closed without an answer; a request
+  /// that must not be received twice sets this.
+  bool SendOnce = false;
 };
 
 struct HttpClientResponse {
--- /dev/null
+++ b/Tests/Http/SendOnceTest.cpp
@@ -0,0 +1,137 @@
+#include "Http/CurlHttpClient.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+namespace {
+
+/// Answers the first request of its first connection and closes the connection
+/// on every later request without an answer.
+class ClosingServer {
+public:
+  ClosingServer(asio::io_context &Context, bool CloseListener)
+      : Acceptor_(Context, {asio::ip::address_v4::loopback(), 0}),
+        CloseListener_(CloseListener) {
+    asio::co_spawn(Context, acceptAll(), asio::detached);
+  }
+
+  [[nodiscard]] std::string url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor_.local_endpoint().port()) + "/";
+  }
+
+  int Received = 0;
+
+private:
+  asio::awaitable<void> acceptAll() {
+    try {
+      for (;;) {
+        auto Socket = co_await Acceptor_.async_accept(asio::use_awaitable);
+        asio::co_spawn(Acceptor_.get_executor(), serve(std::move(Socket)),
+                       asio::detached);
+      }
+    } catch (const std::system_error &) {
+    }
+  }
+
+  asio::awaitable<void> serve(asio::ip::tcp::socket Socket) {
+    try {
+      for (;;) {
+        std::string Text;
+        const std::size_t Size =
+            co_await asio::async_read_until(Socket, asio::dynamic_buffer(Text),
+                                            "\r\n\r\n", asio::use_awaitable);
+        Text.erase(0, Size);
+        if (++Received > 1) {
+          if (CloseListener_)
+            Acceptor_.close();
+          co_return;
+        }
+        const std::string Reply =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(Socket, asio::buffer(Reply),
+                                   asio::use_awaitable);
+      }
+    } catch (const std::system_error &) {
+    }
+  }
+
+  asio::ip::tcp::acceptor Acceptor_;
+  bool CloseListener_;
+};
+
+/// Sends two requests one after the other and returns the second outcome.
+Result<HttpClientResponse> sendTwo(asio::io_context &Context,
+                                   const std::string &Url, bool SendOnce) {
+  CurlHttpClient Client(Context);
+  Result<HttpClientResponse> Second;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        HttpClientRequest Warm{.Method = "POST", .Url = Url};
+        co_await Client.send(std::move(Warm));
+        HttpClientRequest Request{
+            .Method = "POST", .Url = Url, .SendOnce = SendOnce};
+        Second = co_await Client.send(std::move(Request));
+        Context.stop();
+      },
+      asio::detached);
+  Context.run();
+  return Second;
+}
+
+} // namespace
+
+class SendOnceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SendOnceTest);
+  CPPUNIT_TEST(sendOnceReachesTheServerOnce);
+  CPPUNIT_TEST(withoutSendOnceTheClientRepeats);
+  CPPUNIT_TEST(refusedRepetitionIsNotReportedAsWithoutEffect);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a non-repeatable request that the HTTP client sends again
+  // by itself.
+  void sendOnceReachesTheServerOnce() {
+    asio::io_context Context;
+    ClosingServer Server(Context, false);
+    auto Outcome = sendTwo(Context, Server.url(), true);
+    CPPUNIT_ASSERT(!Outcome);
+    CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
+    CPPUNIT_ASSERT_EQUAL(2, Server.Received);
+  }
+
+  // Shows that the case above is real: without the setting the server receives
+  // the second request twice.
+  void withoutSendOnceTheClientRepeats() {
+    asio::io_context Context;
+    ClosingServer Server(Context, false);
+    auto Outcome = sendTwo(Context, Server.url(), false);
+    CPPUNIT_ASSERT(!Outcome);
+    CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
+    CPPUNIT_ASSERT_EQUAL(3, Server.Received);
+  }
+
+  // Guards against "not run" for a request that was received by a process that
+  // died before it answered.
+  void refusedRepetitionIsNotReportedAsWithoutEffect() {
+    asio::io_context Context;
+    ClosingServer Server(Context, true);
+    auto Outcome = sendTwo(Context, Server.url(), false);
+    CPPUNIT_ASSERT(!Outcome);
+    CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
+    CPPUNIT_ASSERT_EQUAL(2, Server.Received);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SendOnceTest);
+
+} // namespace hickory
