--- /dev/null
+++ b/Source/Jobs/JobManager.cpp
@@ -0,0 +1,147 @@
+#include "Jobs/JobManager.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+namespace {
+
+constexpr std::chrono::milliseconds ReleasePoll{20};
+/// Longest wait for requests and starts in flight before a planned release.
+constexpr std::chrono::seconds ReleaseLimit{15};
+constexpr std::string_view KeyShardPrefix = "keys/";
+
+bool isKeyShard(const std::string &Shard) {
+  return Shard.starts_with(KeyShardPrefix);
+}
+
+} // namespace
+
+JobManager::JobManager(asio::any_io_executor Executor, TimerService &Timers,
+                       ConfigView &Config, OwnershipView &Ownership,
+                       JobTable &Table, RequestService &Requests,
+                       JobRunner &Runner)
+    : Executor_(Executor), Timers_(Timers), Config_(Config),
+      Ownership_(Ownership), Table_(Table), Requests_(Requests),
+      Runner_(Runner), Stopped_(Executor) {
+  Changes_ = Ownership.subscribe(
+      [this](const OwnershipView::Change &Change) { changed(Change); });
+  Releases_ = Ownership.onRelease(
+      [this](std::string Shard, std::function<void()> Done) {
+        asio::co_spawn(Executor_, release(std::move(Shard), std::move(Done)),
+                       asio::detached);
+      });
+}
+
+asio::awaitable<Result<void>> JobManager::run() {
+  asio::co_spawn(Executor_, Runner_.dispatchLoop(), asio::detached);
+  co_await Stopped_.wait();
+  co_return Result<void>();
+}
+
+bool JobManager::accepts(const std::string &Key) const {
+  const std::string Shard = keyShard(Key);
+  return Ownership_.holds(Shard) && Releasing_.count(Shard) == 0;
+}
+
+std::string JobManager::ownerSlot(const std::string &Key) const {
+  const auto Owner = Ownership_.ownerOf(keyShard(Key));
+  return Owner ? Owner->Slot : std::string();
+}
+
+asio::awaitable<peer::SubmitReply>
+JobManager::submit(peer::SubmitRequest Request) {
+  peer::SubmitReply Reply;
+  if (!accepts(Request.key())) {
+    Reply.set_status(peer::STATUS_NOT_OWNER);
+    Reply.set_owner_slot(ownerSlot(Request.key()));
+    co_return Reply;
+  }
+  const auto Class = Config_.jobClass(Request.job_class());
+  if (!Class) {
+    // The entry instance knew the class, so this instance is behind.
+    Reply.set_status(peer::STATUS_UNAVAILABLE);
+    Reply.set_outcome(records::OUTCOME_NOT_RUN);
+    Reply.set_detail("job class " + Request.job_class() +
+                     " is not known here yet");
+    co_return Reply;
+  }
+  if (Request.is_job())
+    co_return co_await Runner_.submit(std::move(Request), *Class);
+  co_return co_await Requests_.submit(std::move(Request), *Class);
+}
+
+asio::awaitable<peer::QueryReply>
+JobManager::query(peer::QueryRequest Request) {
+  peer::QueryReply Reply;
+  if (!accepts(Request.key())) {
+    Reply.set_status(peer::STATUS_NOT_OWNER);
+    Reply.set_owner_slot(ownerSlot(Request.key()));
+    co_return Reply;
+  }
+  Reply = Runner_.query(Request.key());
+  if (Reply.status() == peer::STATUS_NOT_FOUND)
+    Reply = co_await Requests_.query(Request.key());
+  co_return Reply;
+}
+
+asio::awaitable<peer::CancelReply>
+JobManager::cancel(peer::CancelRequest Request) {
+  peer::CancelReply Reply;
+  std::vector<std::string> Keys;
+  for (const std::string &Key : Request.keys()) {
+    if (!accepts(Key)) {
+      Reply.set_status(peer::STATUS_NOT_OWNER);
+      co_return Reply;
+    }
+    Keys.push_back(Key);
+  }
+  Reply.set_cancelled(Runner_.cancel(Keys));
+  co_return Reply;
+}
+
+asio::awaitable<peer::TaskEndedReply>
+JobManager::taskEnded(peer::TaskEndedNotice Notice) {
+  peer::TaskEndedReply Reply;
+  for (const records::TaskEnded &Ended : Notice.ended()) {
+    const std::string Key = Ended.key();
+    if (!Ownership_.holds(keyShard(Key))) {
+      Reply.set_status(peer::STATUS_NOT_OWNER);
+      Reply.add_not_owned(Key);
+      continue;
+    }
+    if (!co_await Runner_.taskEnded(Ended) &&
+        Reply.status() == peer::STATUS_OK)
+      Reply.set_status(peer::STATUS_UNAVAILABLE);
+  }
+  co_return Reply;
+}
+
+void JobManager::changed(const OwnershipView::Change &Change) {
+  if (!isKeyShard(Change.Shard))
+    return;
+  Releasing_.erase(Change.Shard);
+  if (!Change.Acquired) {
+    Runner_.lose(Change.Shard);
+    return;
+  }
+  Runner_.acquire(Change.Shard, Change.PreviousOwnerExpired);
+  asio::co_spawn(Executor_, Requests_.resolveOpenIntents(Change.Shard),
+                 asio::detached);
+}
+
+asio::awaitable<void> JobManager::release(std::string Shard,
+                                          std::function<void()> Done) {
+  if (isKeyShard(Shard)) {
+    Releasing_.insert(Shard);
+    Runner_.suspend(Shard);
+    const Clock::time_point Deadline = Timers_.now() + ReleaseLimit;
+    while (Timers_.now() < Deadline &&
+           (Requests_.inFlight(Shard) > 0 || Runner_.busy(Shard)))
+      co_await Timers_.sleepFor(ReleasePoll);
+  }
+  Done();
+}
+
+} // namespace hickory
