--- /dev/null
+++ b/Tests/StandIns/standin-log.cpp
@@ -0,0 +1,69 @@
+// The platform's log service as one process, for tests. It keeps everything in
+// memory. Usage: see --help; GET /stats, GET and POST /control at run time.
+#include "Base/AsioTimerService.h"
+#include "Http/HttpServer.h"
+#include "StandIns/LogStandIn.h"
+#include "Support/ToolProgram.h"
+
+int main(int Count, const char **Arguments) {
+  using namespace hickory;
+  int Port = 0;
+  char *PortFile = nullptr;
+  char *Outage = nullptr;
+  int SlowMs = 0;
+  double LoseAnswers = 0;
+  double LateAnswers = 0;
+  int LateMs = 10000;
+  int Retention = 100000;
+  double AppendsPerSecond = 500;
+  int MaximumAppendBytes = 16 << 20;
+  long Seed = 1;
+  const poptOption Table[] = {
+      {"port", 0, POPT_ARG_INT, &Port, 0, "port; 0: chosen by the system", "N"},
+      {"port-file", 0, POPT_ARG_STRING, &PortFile, 0,
+       "file that receives the port", "PATH"},
+      {"outage", 0, POPT_ARG_STRING, &Outage, 0, "none, error or hang", "KIND"},
+      {"slow-ms", 0, POPT_ARG_INT, &SlowMs, 0, "delay of every call", "MS"},
+      {"lose-answers", 0, POPT_ARG_DOUBLE, &LoseAnswers, 0,
+       "probability that an append takes effect and is answered 503", "P"},
+      {"late-answers", 0, POPT_ARG_DOUBLE, &LateAnswers, 0,
+       "probability that an append takes effect and is answered late", "P"},
+      {"late-ms", 0, POPT_ARG_INT, &LateMs, 0, "delay of a late answer", "MS"},
+      {"retention", 0, POPT_ARG_INT, &Retention, 0,
+       "entries kept per stream; 0: all", "N"},
+      {"appends-per-s", 0, POPT_ARG_DOUBLE, &AppendsPerSecond, 0,
+       "append rate limit; 0: none", "N"},
+      {"max-append-bytes", 0, POPT_ARG_INT, &MaximumAppendBytes, 0,
+       "largest append", "N"},
+      {"seed", 0, POPT_ARG_LONG, &Seed, 0, "seed of the random faults", "N"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  tool::initLogging(Arguments[0]);
+  tool::parseOptions(Count, Arguments, Table);
+
+  asio::io_context Context(1);
+  AsioTimerService Timers(Context);
+  LogStandIn Log(Timers, {}, static_cast<std::uint64_t>(Seed));
+  const nlohmann::json Initial = {{"outage", Outage ? Outage : "none"},
+                                  {"slow_ms", SlowMs},
+                                  {"lose_answers", LoseAnswers},
+                                  {"late_answers", LateAnswers},
+                                  {"late_ms", LateMs},
+                                  {"retention", Retention},
+                                  {"appends_per_s", AppendsPerSecond}};
+  if (const auto Wrong = Log.change(Initial)) {
+    std::fprintf(stderr, "%s: %s\n", Arguments[0], Wrong->c_str());
+    return 2;
+  }
+  HttpServerOptions Options;
+  Options.Port = static_cast<std::uint16_t>(Port);
+  Options.MaximumBodyBytes = static_cast<std::size_t>(MaximumAppendBytes);
+  Options.MaximumConnections = 8192;
+  HttpServer Server(Context, Options, [&Log](HttpServerRequest Request) {
+    return Log.handle(std::move(Request));
+  });
+  Server.start();
+  tool::writePortFile(PortFile, Server.port());
+  LOG(INFO) << "standin-log: listening on port " << Server.port();
+  tool::runUntilTerminated(Context);
+  return 0;
+}
