--- a/Source/Membership/DomainState.h
+++ b/Source/Membership/DomainState.h
@@ -24,7 +24,7 @@
   struct Member {
     std::string Slot;
     std::uint64_t Incarnation = 0;
-    std::uint64_t JoinOffset = 0;
+    std::uint64_t JoinOrder = 0;           ///< Higher: joined later.
     std::uint64_t LastHeartbeatOffset = 0; ///< Of the last Join or Heartbeat.
     std::uint64_t LastSequence = 0;
     bool Expired = false;
@@ -49,7 +49,8 @@
     Left,
     Claimed,
     Released,
-    Loaded, ///< The whole state was replaced by a snapshot.
+    Snapshot, ///< A snapshot was read; it changes nothing.
+    Loaded,   ///< The whole state was replaced by a snapshot.
     CaughtUp,
   };
   struct Change {
@@ -62,8 +63,17 @@
     bool PreviousOwnerExpired = false;
   };
 
+  /// Protections that tests remove. Never set in a daemon.
+  struct Faults {
+    bool IgnoreBasedOn = false;    ///< Every Expire is valid.
+    bool ApplyVoidRecords = false; ///< Records of expired members count.
+    bool CountDuplicates = false;  ///< A batch appended twice counts twice.
+  };
+
   /// Sink may be null; it must outlive this object.
   explicit DomainState(JobRecordSink *Sink = nullptr) : Sink_(Sink) {}
+  DomainState(JobRecordSink *Sink, Faults Removed)
+      : Sink_(Sink), Faults_(Removed) {}
 
   /// For a sink that is created after this object. Call it before the replay
   /// starts.
@@ -112,9 +122,11 @@
   void notify(const Change &Event);
 
   JobRecordSink *Sink_;
+  Faults Faults_;
   std::map<std::uint64_t, Member> Members_;
   std::map<std::string, Shard> Shards_;
   std::uint64_t Covers_ = 0;
+  std::uint64_t NextJoinOrder_ = 0;
   std::uint64_t RecordsSinceSnapshot_ = 0;
   bool CaughtUp_ = false;
   using Callbacks =
--- a/Source/Membership/InstanceLease.h
+++ b/Source/Membership/InstanceLease.h
@@ -27,11 +27,11 @@
   bool extendByConsent(Clock::time_point Sent, Clock::time_point Now);
 
   /// Ends the lease at once.
-  void revoke() { End_ = Clock::time_point::min() + Length_; }
+  void revoke() { End_ = Clock::time_point(); }
 
 private:
   Clock::duration Length_;
-  Clock::time_point End_ = Clock::time_point::min() + Length_;
+  Clock::time_point End_;
 };
 
 } // namespace hickory
--- a/Source/Membership/OwnershipOptions.h
+++ b/Source/Membership/OwnershipOptions.h
@@ -18,6 +18,8 @@
   bool ExpireWithoutWait = false;  ///< A new process need not wait.
   bool HoldWhileReleasing = false; ///< Keeps holding until Release is read.
   bool ConsentByMajority = false;  ///< One slot without a grant is accepted.
+  bool JudgeLateProbe = false;     ///< Probe results count for whoever is the
+                                   ///< slot's member when they arrive.
 };
 
 struct OwnershipOptions {
@@ -36,8 +38,6 @@
   std::chrono::milliseconds ConsentTimeout{1000};
   /// How long a free shard is left to its preferred owner.
   std::chrono::milliseconds PreferenceWait{1000};
-  /// A claim or Expire that had no effect for this long is written again.
-  std::chrono::milliseconds RepeatAfter{3000};
   /// A shard is held at least this long before it is released for balance, and
   /// its preferred owner must have been a member as long.
   std::chrono::milliseconds RebalanceAfter{10000};
