--- a/Source/Backends/HealthTracker.cpp
+++ b/Source/Backends/HealthTracker.cpp
@@ -37,9 +37,8 @@
     return; // Work that was started before it was set aside.
   if (!Found.Aside && ++Found.Failures < Options_.Threshold)
     return;
-  Found.Pause = Found.Aside
-                    ? std::min(Found.Pause * 2, Options_.MaximumPause)
-                    : Options_.InitialPause;
+  Found.Pause = Found.Aside ? std::min(Found.Pause * 2, Options_.MaximumPause)
+                            : Options_.InitialPause;
   Found.Aside = true;
   Found.Probing = false;
   Found.RetryAt = Timers_.now() + Found.Pause;
--- a/Source/Backends/InstanceList.cpp
+++ b/Source/Backends/InstanceList.cpp
@@ -60,7 +60,9 @@
 }
 
 asio::awaitable<void> InstanceList::poll() {
-  HttpClientRequest Request{.Url = Options_.Url, .Timeout = Options_.Timeout};
+  HttpClientRequest Request;
+  Request.Url = Options_.Url;
+  Request.Timeout = Options_.Timeout;
   auto Reply = co_await Client_.send(std::move(Request));
   if (Stopped_)
     co_return;
@@ -97,8 +99,9 @@
         Listed.emplace(One.Name, std::move(One));
     }
   } catch (const json::exception &Problem) {
-    return fail(ErrorCode::InvalidArgument,
-                fmt::format("the list document is invalid: {}", Problem.what()));
+    return fail(
+        ErrorCode::InvalidArgument,
+        fmt::format("the list document is invalid: {}", Problem.what()));
   }
   if (Version < Version_ && ++OlderLists_ < Options_.OlderListsUntilAccepted)
     return fail(ErrorCode::Unavailable,
--- a/Source/Backends/RackManager.h
+++ b/Source/Backends/RackManager.h
@@ -30,7 +30,20 @@
   std::chrono::milliseconds HeartbeatPeriod{2000};
   std::chrono::milliseconds CallTimeout{1000};
   /// Nothing is started on a worker that has not answered for this long.
-  std::chrono::milliseconds SilenceLimit{5000};
+  std::chrono::milliseconds SilenceLimit{4000};
+  /// Nor on one that has not answered the current message for this long.
+  std::chrono::milliseconds SlowAnswer{250};
+};
+
+/// Switched off only by tests, to show that a protection is needed.
+struct RackProtections {
+  bool CheckCapacity = true;
+  bool LimitStartLease = true;
+  bool Fence = true;
+  bool ReadBeforeCommit = true;
+  bool KeepUnresolvedStarts = true;
+  bool MatchAnswersById = true;
+  bool ExecuteOnce = true;
 };
 
 struct RackManagerOptions {
@@ -42,6 +55,12 @@
   /// the resolution of a lost one. Longer than StartLease plus a heartbeat
   /// would never be needed with a worker that answers.
   std::chrono::milliseconds CallLimit{3000};
+  /// place gives up a worker whose start could not be sent for this long.
+  std::chrono::milliseconds QueuedLimit{400};
+  /// How long the list must have been followed until a task that no listed
+  /// worker has is taken as gone. A worker that vanished from the list before
+  /// may still run it until its run lease ends.
+  std::chrono::milliseconds ListHistory{63000};
   /// Reservations end after this time even if the caller asks for more.
   std::chrono::milliseconds MaximumReservation{10000};
   /// How long fences and the ids of non-repeatable executions are remembered;
@@ -55,6 +74,9 @@
   std::chrono::milliseconds SlotWait{100};
   /// Time without an answer after which the result is asked for.
   std::chrono::milliseconds ExecutePatience{500};
+  /// Time without any sign of an executor after which a repeatable request is
+  /// tried on another one.
+  std::chrono::milliseconds AbandonAfter{2000};
   std::chrono::milliseconds ResultPollInitial{50};
   std::chrono::milliseconds ResultPollMaximum{500};
   /// Longest wait for executions in flight before a planned release.
@@ -63,6 +85,7 @@
   double RetryBurst = 10;
   HealthTrackerOptions Health;
   std::uint64_t Seed = 0; ///< 0: from the operating system.
+  RackProtections Protections;
 };
 
 /// Whose work a task is; not known to the worker that runs it.
--- a/Source/Backends/RetryBudget.h
+++ b/Source/Backends/RetryBudget.h
@@ -17,7 +17,9 @@
       : Options_(Options), Tokens_(Options.Maximum) {}
 
   /// A first try was sent.
-  void earn() { Tokens_ = std::min(Tokens_ + Options_.Share, Options_.Maximum); }
+  void earn() {
+    Tokens_ = std::min(Tokens_ + Options_.Share, Options_.Maximum);
+  }
 
   /// True if a retry may be sent now.
   bool spend() {
--- a/Source/Backends/SignalWait.h
+++ b/Source/Backends/SignalWait.h
@@ -11,8 +11,7 @@
   const auto Delay = Until - Timers.now();
   if (Delay <= Clock::duration::zero())
     co_return;
-  Subscription Timer =
-      Timers.after(Delay, [&Awaited] { Awaited.notify(); });
+  Subscription Timer = Timers.after(Delay, [&Awaited] { Awaited.notify(); });
   co_await Awaited.wait();
 }
 
