--- /dev/null
+++ b/Tests/StandIns/standin-list.cpp
@@ -0,0 +1,59 @@
+// The platform's instance list as one process, for tests. Usage: see --help;
+// GET /v1/instances, GET /stats, POST /control at run time.
+#include "Base/AsioTimerService.h"
+#include "Http/HttpServer.h"
+#include "StandIns/ListStandIn.h"
+#include "Support/ToolProgram.h"
+
+int main(int Count, const char **Arguments) {
+  using namespace hickory;
+  int Port = 0;
+  char *PortFile = nullptr;
+  char *Instances = nullptr;
+  int LagMs = 0;
+  char *Outage = nullptr;
+  const poptOption Table[] = {
+      {"port", 0, POPT_ARG_INT, &Port, 0, "port; 0: chosen by the system", "N"},
+      {"port-file", 0, POPT_ARG_STRING, &PortFile, 0,
+       "file that receives the port", "PATH"},
+      {"instances", 0, POPT_ARG_STRING, &Instances, 0,
+       "JSON document with version and instances", "PATH"},
+      {"lag-ms", 0, POPT_ARG_INT, &LagMs, 0,
+       "time until a change becomes visible", "MS"},
+      {"outage", 0, POPT_ARG_STRING, &Outage, 0, "none, error or hang", "KIND"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  tool::initLogging(Arguments[0]);
+  tool::parseOptions(Count, Arguments, Table);
+  if (Instances == nullptr || LagMs < 0) {
+    std::fprintf(stderr,
+                 "%s: --instances is required and --lag-ms must not be "
+                 "negative (see --help)\n",
+                 Arguments[0]);
+    return 2;
+  }
+
+  asio::io_context Context(1);
+  AsioTimerService Timers(Context);
+  ListStandIn List(Timers, std::chrono::milliseconds(LagMs));
+  const auto Document =
+      nlohmann::json::parse(tool::readFile(Instances), nullptr, false);
+  auto Wrong = List.load(Document);
+  if (!Wrong && Outage != nullptr)
+    Wrong = List.change({{"outage", Outage}});
+  if (Wrong) {
+    std::fprintf(stderr, "%s: %s: %s\n", Arguments[0], Instances,
+                 Wrong->c_str());
+    return 2;
+  }
+  HttpServerOptions Options;
+  Options.Port = static_cast<std::uint16_t>(Port);
+  Options.MaximumConnections = 8192;
+  HttpServer Server(Context, Options, [&List](HttpServerRequest Request) {
+    return List.handle(std::move(Request));
+  });
+  Server.start();
+  tool::writePortFile(PortFile, Server.port());
+  LOG(INFO) << "standin-list: listening on port " << Server.port();
+  tool::runUntilTerminated(Context);
+  return 0;
+}
