--- a/Source/Config/ConfigView.h
+++ b/Source/Config/ConfigView.h
@@ -32,11 +32,18 @@
   std::uint32_t MaximumAttempts = 3;
   std::chrono::milliseconds DefaultTimeout{10000};
   std::chrono::milliseconds MaximumWait{0}; ///< 0: no bound on queueing.
+  std::string Policy;                       ///< Where the values come from.
 };
 
 struct PoolConfig {
   std::string Name;
   std::vector<std::string> FailureDomains; ///< Empty: all.
+  /// Declared capacity; the sum of the quotas of the pool stays within it.
+  /// Without it quotas are not bounded.
+  bool HasCapacity = false;
+  std::uint64_t CpusMilli = 0;
+  std::uint64_t MemoryMb = 0;
+  std::uint32_t Accelerators = 0;
 };
 
 struct QuotaConfig {
--- a/Source/Config/Settings.cpp
+++ b/Source/Config/Settings.cpp
@@ -148,8 +148,6 @@
     if (Table.has("gateway_address"))
       Slot.GatewayAddress =
           Table.text("gateway_address", {.Check = checkEndpoint});
-    else
-      (void)Table.text("gateway_address", {.Default = ""});
     const std::string Place =
         fmt::format("line {} (failure domain \"{}\")", Node.line(), Domain);
     if (const auto [Same, New] = SlotPlaces.emplace(Slot.Name, Place);
--- a/Source/Config/TomlNode.h
+++ b/Source/Config/TomlNode.h
@@ -16,7 +16,7 @@
 public:
   using Array = std::vector<TomlNode>;
   using Table = std::map<std::string, TomlNode>;
-  /// Dates and times are not used in any of our files; they are monostate.
+  /// Monostate stands for dates and times, which parseToml() refuses.
   using Value = std::variant<std::monostate, bool, std::int64_t, double,
                              std::string, Array, Table>;
 
@@ -27,6 +27,9 @@
   template <typename T> [[nodiscard]] const T *as() const {
     return std::get_if<T>(&Content_);
   }
+  template <typename Visitor> void visit(Visitor &&Receiver) const {
+    std::visit(std::forward<Visitor>(Receiver), Content_);
+  }
   [[nodiscard]] std::uint32_t line() const { return Line_; }
   /// Name of the type for error messages, for example "an integer".
   [[nodiscard]] const char *typeName() const;
@@ -36,9 +39,14 @@
   std::uint32_t Line_ = 0;
 };
 
-/// Parses a whole document. The error names Name, line and column.
+/// Parses a whole document. The error names Name, line and column. Dates and
+/// times are refused, because no file of ours has any.
 Result<TomlNode> parseToml(const std::string &Text, const std::string &Name);
 
+/// Text of a table with its keys in sorted order, so that equal tables have
+/// equal text.
+std::string formatToml(const TomlNode &Table);
+
 /// Reads a whole file.
 Result<std::string> readTextFile(const std::string &Path);
 
--- a/Source/Config/TomlTableReader.cpp
+++ b/Source/Config/TomlTableReader.cpp
@@ -37,8 +37,8 @@
   return It == Table_->end() ? nullptr : &It->second;
 }
 
-bool TomlTableReader::has(const std::string &Key) const {
-  return Table_ != nullptr && Table_->contains(Key);
+bool TomlTableReader::has(const std::string &Key) {
+  return find(Key) != nullptr;
 }
 
 std::uint32_t TomlTableReader::lineOf(const std::string &Key) const {
--- a/Source/Config/TomlTableReader.h
+++ b/Source/Config/TomlTableReader.h
@@ -66,7 +66,8 @@
   void refuseUnknownKeys();
 
   void problem(const std::string &Key, const std::string &Message);
-  [[nodiscard]] bool has(const std::string &Key) const;
+  /// Also makes Key a known one, so that an optional key need not be read.
+  [[nodiscard]] bool has(const std::string &Key);
   [[nodiscard]] std::uint32_t lineOf(const std::string &Key) const;
   [[nodiscard]] std::string pathOf(const std::string &Key) const;
 
