--- a/Source/Peers/GrpcPeerClient.cpp
+++ b/Source/Peers/GrpcPeerClient.cpp
@@ -106,12 +106,14 @@
   template <typename Request, typename Reply>
   asio::awaitable<std::shared_ptr<CallState<Reply>>>
   attempt(Channel &Target, const Request &Message,
-          Method<Request, Reply> Function, milliseconds Timeout) {
+          Method<Request, Reply> Function, milliseconds Timeout,
+          bool WaitForConnection) {
     const auto Executor = co_await asio::this_coro::executor;
     auto State = std::make_shared<CallState<Reply>>(Executor);
     State->Context.set_deadline(
         gpr_time_add(gpr_now(GPR_CLOCK_MONOTONIC),
                      gpr_time_from_millis(Timeout.count(), GPR_TIMESPAN)));
+    State->Context.set_wait_for_ready(WaitForConnection);
     Active->Contexts.insert(&State->Context);
     ++Active->Count;
     // gRPC keeps a reference to Message until the callback runs, so the
@@ -140,8 +142,8 @@
           ErrorCode::NotFound,
           fmt::format("slot {} is not in the settings of this cell", Slot));
     const auto Start = std::chrono::steady_clock::now();
-    auto State =
-        co_await attempt<Request, Reply>(*Target, Message, Function, Timeout);
+    auto State = co_await attempt<Request, Reply>(*Target, Message, Function,
+                                                  Timeout, false);
     // gRPC may have answered from the failure of an earlier attempt to connect.
     // Only a new connection shows the state after the call was made.
     if (neverSent(State->Status)) {
@@ -156,10 +158,11 @@
                        fmt::format("slot {} refused the connection to {}", Slot,
                                    Target->Address));
       if (Probed == ProbeResult::Connected && Left.count() > 0) {
-        // Not a repetition: the first attempt was not sent.
+        // Not a repetition: the first attempt was not sent. Without waiting it
+        // would fail like the first one, as reconnection takes a moment.
         grpc::experimental::ChannelResetConnectionBackoff(Target->Link.get());
-        State =
-            co_await attempt<Request, Reply>(*Target, Message, Function, Left);
+        State = co_await attempt<Request, Reply>(*Target, Message, Function,
+                                                 Left, true);
       }
     }
     if (!neverSent(State->Status))
