--- a/Source/Daemon/ConfigSnapshotter.cpp
+++ b/Source/Daemon/ConfigSnapshotter.cpp
@@ -31,9 +31,9 @@
   while (!Stopping_) {
     co_await Wake_.waitFor(Timers_, Options_.Check);
     const std::uint64_t Version = Config_.version();
-    const bool Due = Version >= LastVersion + Options_.Changes ||
-                     (Version > LastVersion &&
-                      Timers_.now() - LastTime >= Options_.Period);
+    const bool Due =
+        Version >= LastVersion + Options_.Changes ||
+        (Version > LastVersion && Timers_.now() - LastTime >= Options_.Period);
     if (Stopping_ || !Due || !responsible() || !Config_.caughtUp())
       continue;
     const auto Snapshot = Config_.save();
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -115,8 +115,8 @@
       Summaries_({.Period = Settings_.Sharing.SummaryPeriod},
                  Context.get_executor(), Timers_, Ownership_,
                  Settings_.Directory, Peers_, Racks_, Cell_, Shares_, Config_),
-      ConfigSnapshots_({}, Context.get_executor(), Timers_,
-                       Settings_.Directory, Domain_, Config_, ConfigWriter_),
+      ConfigSnapshots_({}, Context.get_executor(), Timers_, Settings_.Directory,
+                       Domain_, Config_, ConfigWriter_),
       DomainReaderPart_("domain-log", DomainReader_),
       ConfigReaderPart_("config-log", ConfigReader_),
       Gateway_(Context, gatewayOptions(Settings_),
@@ -133,12 +133,11 @@
                                    .Upstreams = Upstreams_,
                                    .Cell = Cell_,
                                    .Ready = [this] { return ready(); },
-                                   .RequestDrain =
-                                       [this] { requestDrain(); }}),
-      PeerServer_(Context,
-                  fmt::format("{}:{}", Settings_.Peer.Address,
-                              Settings_.Peer.Port),
-                  *this),
+                                   .RequestDrain = [this] { requestDrain(); }}),
+      PeerServer_(
+          Context,
+          fmt::format("{}:{}", Settings_.Peer.Address, Settings_.Peer.Port),
+          *this),
       Supervisor_(Context.get_executor(), Timers_) {
   Racks_.setOriginLookup(
       [this](const std::string &Key) -> std::optional<TaskOrigin> {
@@ -229,18 +228,16 @@
 }
 
 void Daemon::registerGauges() {
-  Counters_.gauge("hickory_config_version", [this] {
-    return static_cast<double>(Config_.version());
-  });
+  Counters_.gauge("hickory_config_version",
+                  [this] { return static_cast<double>(Config_.version()); });
   Counters_.gauge("hickory_held_shards", [this] {
     return static_cast<double>(Ownership_.heldShards().size());
   });
   Counters_.gauge("hickory_queued_tasks", [this] {
     return static_cast<double>(Runner_.view().QueuedWork);
   });
-  Counters_.gauge("hickory_jobs", [this] {
-    return static_cast<double>(Runner_.view().Jobs);
-  });
+  Counters_.gauge("hickory_jobs",
+                  [this] { return static_cast<double>(Runner_.view().Jobs); });
   Counters_.gauge("hickory_known_keys",
                   [this] { return static_cast<double>(Table_.size()); });
   Counters_.gauge("hickory_log_reachable",
--- a/Source/Daemon/SummaryExchange.cpp
+++ b/Source/Daemon/SummaryExchange.cpp
@@ -59,8 +59,8 @@
   if (ForOtherDomain && Loads.size() > Options_.RacksToOtherDomains) {
     std::partial_sort(
         Loads.begin(),
-        Loads.begin() + static_cast<std::ptrdiff_t>(
-                            Options_.RacksToOtherDomains),
+        Loads.begin() +
+            static_cast<std::ptrdiff_t>(Options_.RacksToOtherDomains),
         Loads.end(),
         [](const peer::RackLoad &Left, const peer::RackLoad &Right) {
           return std::make_pair(Left.free_slots(), Left.free().cpus_milli()) >
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -180,10 +180,9 @@
                                  .ContentType = "text/plain; version=0.0.4"};
   if (Route == "GET /v1/events") {
     const std::string From = queryParameter(Request.Query, "from");
-    co_return HttpServerResponse{
-        .Body =
-            Uses_.Events.linesFrom(std::strtoull(From.c_str(), nullptr, 10)),
-        .ContentType = "application/x-ndjson"};
+    co_return HttpServerResponse{.Body = Uses_.Events.linesFrom(
+                                     std::strtoull(From.c_str(), nullptr, 10)),
+                                 .ContentType = "application/x-ndjson"};
   }
   if (Route == "GET /v1/status")
     co_return status();
@@ -258,11 +257,11 @@
                             "job class " + Class->Name + " belongs to member " +
                                 Class->Member);
   if (IsJob == (Class->Kind == WorkKind::Request))
-    co_return errorResponse(400, "wrong_kind",
-                            IsJob ? "job class " + Class->Name +
-                                        " is for requests; use /v1/requests"
-                                  : "job class " + Class->Name +
-                                        " is for jobs; use /v1/jobs");
+    co_return errorResponse(
+        400, "wrong_kind",
+        IsJob
+            ? "job class " + Class->Name + " is for requests; use /v1/requests"
+            : "job class " + Class->Name + " is for jobs; use /v1/jobs");
   if (Request.key().empty()) {
     if (IsJob || Class->NonRepeatable)
       co_return errorResponse(400, "missing_key",
--- a/Source/Gateway/SubmitBody.cpp
+++ b/Source/Gateway/SubmitBody.cpp
@@ -52,8 +52,8 @@
       return Default;
     const json &Value = Object_[Name];
     if (!Value.is_number_unsigned() || Value.get<std::uint64_t>() > Maximum) {
-      note("out_of_range",
-           fmt::format("{} must be a whole number from 0 to {}", Name, Maximum));
+      note("out_of_range", fmt::format("{} must be a whole number from 0 to {}",
+                                       Name, Maximum));
       return Default;
     }
     return Value.get<std::uint64_t>();
@@ -115,8 +115,8 @@
     PerTask.set_memory_mb(Fields.number("memory_mb", 0, MaximumQuantity));
     PerTask.set_accelerators(
         static_cast<std::uint32_t>(Fields.number("accelerators", 0, 1000000)));
-    Request.set_declared_run_ms(static_cast<std::int64_t>(
-        Fields.number("run_ms", 0, MaximumQuantity)));
+    Request.set_declared_run_ms(
+        static_cast<std::int64_t>(Fields.number("run_ms", 0, MaximumQuantity)));
   } else {
     Request.set_payload(
         Fields.text("payload", std::numeric_limits<std::size_t>::max()));
--- a/Source/Jobs/CellView.cpp
+++ b/Source/Jobs/CellView.cpp
@@ -87,8 +87,8 @@
       if (Load.rack() == Rack) {
         subtractFrom(*Load.mutable_free(), Used);
         subtractFrom(*Load.mutable_largest_free(), Used);
-        Load.set_free_slots(static_cast<std::uint32_t>(
-            subtract(Load.free_slots(), Slots)));
+        Load.set_free_slots(
+            static_cast<std::uint32_t>(subtract(Load.free_slots(), Slots)));
       }
 }
 
--- a/Source/Jobs/JobManager.cpp
+++ b/Source/Jobs/JobManager.cpp
@@ -111,8 +111,7 @@
       Reply.add_not_owned(Key);
       continue;
     }
-    if (!co_await Runner_.taskEnded(Ended) &&
-        Reply.status() == peer::STATUS_OK)
+    if (!co_await Runner_.taskEnded(Ended) && Reply.status() == peer::STATUS_OK)
       Reply.set_status(peer::STATUS_UNAVAILABLE);
   }
   co_return Reply;
--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -211,17 +211,17 @@
 
 void JobRunner::enqueueTask(const JobPointer &Owner, std::uint32_t Index) {
   Owner->Tasks[Index].State = Phase::Queued;
-  PendingWork Work{
-      .Key = taskName(Owner->Accepted.key(), Index),
-      .Member = Owner->Accepted.member(),
-      .Team = Owner->Accepted.team(),
-      .Priority = Owner->Priority,
-      .PerTask = Resources::fromRecord(Owner->Accepted.per_task()),
-      .EstimatedRun = Owner->Accepted.service()
-                          ? Clock::duration::max()
-                          : Clock::duration(milliseconds(
-                                Owner->Accepted.declared_run_ms())),
-      .Evictable = false};
+  PendingWork Work{.Key = taskName(Owner->Accepted.key(), Index),
+                   .Member = Owner->Accepted.member(),
+                   .Team = Owner->Accepted.team(),
+                   .Priority = Owner->Priority,
+                   .PerTask = Resources::fromRecord(Owner->Accepted.per_task()),
+                   .EstimatedRun =
+                       Owner->Accepted.service()
+                           ? Clock::duration::max()
+                           : Clock::duration(milliseconds(
+                                 Owner->Accepted.declared_run_ms())),
+                   .Evictable = false};
   if (const auto Queued = Queue_.enqueue(std::move(Work)); !Queued) {
     LOG(WARNING) << "jobs: " << Queued.error().Message;
     asio::co_spawn(Executor_, requeueLater(Owner, Index), asio::detached);
@@ -230,15 +230,15 @@
 }
 
 void JobRunner::enqueueGang(const JobPointer &Owner) {
-  PendingWork Work{
-      .Key = taskName(Owner->Accepted.key(), 0),
-      .Member = Owner->Accepted.member(),
-      .Team = Owner->Accepted.team(),
-      .Priority = Owner->Priority,
-      .PerTask = Resources::fromRecord(Owner->Accepted.per_task()),
-      .Tasks = Owner->Accepted.tasks(),
-      .EstimatedRun = milliseconds(Owner->Accepted.declared_run_ms()),
-      .Evictable = false};
+  PendingWork Work{.Key = taskName(Owner->Accepted.key(), 0),
+                   .Member = Owner->Accepted.member(),
+                   .Team = Owner->Accepted.team(),
+                   .Priority = Owner->Priority,
+                   .PerTask = Resources::fromRecord(Owner->Accepted.per_task()),
+                   .Tasks = Owner->Accepted.tasks(),
+                   .EstimatedRun =
+                       milliseconds(Owner->Accepted.declared_run_ms()),
+                   .Evictable = false};
   if (const auto Queued = Queue_.enqueue(std::move(Work)); !Queued)
     LOG(WARNING) << "jobs: " << Queued.error().Message;
   Wake_.notify();
@@ -249,9 +249,9 @@
   Task &Current = Owner->Tasks[Index];
   Current.State = Phase::Queued;
   const std::uint32_t Doublings = std::min(Current.Refusals++, 10U);
-  co_await Timers_.sleepFor(std::min(Options_.InitialRetryDelay *
-                                         (1U << Doublings),
-                                     Options_.MaximumRetryDelay));
+  co_await Timers_.sleepFor(
+      std::min(Options_.InitialRetryDelay * (1U << Doublings),
+               Options_.MaximumRetryDelay));
   if (Owner->Lost || Owner->Tasks[Index].State != Phase::Queued)
     co_return;
   if (Owner->Cancelled) {
@@ -442,8 +442,7 @@
   }
   if (Complete && held(*Owner)) {
     for (std::uint32_t Index = 0; Index < Racks.size(); ++Index) {
-      const std::uint64_t Reservation =
-          Reservations[Racks[Index].Load.rack()];
+      const std::uint64_t Reservation = Reservations[Racks[Index].Load.rack()];
       asio::co_spawn(Executor_,
                      startTask(Owner, Index, Racks[Index], Reservation),
                      asio::detached);
@@ -517,10 +516,9 @@
     if (!Open.empty())
       co_await Timers_.sleepFor(StatusInterval);
   }
-  Events_.emit("jobs", "task_never_started",
-               {{"key", Owner->Accepted.key()},
-                {"task", Index},
-                {"attempt", Attempt}});
+  Events_.emit(
+      "jobs", "task_never_started",
+      {{"key", Owner->Accepted.key()}, {"task", Index}, {"attempt", Attempt}});
   co_await requeueLater(Owner, Index);
 }
 
@@ -632,8 +630,8 @@
                {{"key", Owner->Accepted.key()},
                 {"outcome", records::OutcomeKind_Name(Outcome.outcome())}});
   const std::string Key = Owner->Accepted.key();
-  const Result<void> Queued = Writer_.enqueue(
-      std::move(Record), [this, Owner, Key](std::uint64_t) {
+  const Result<void> Queued =
+      Writer_.enqueue(std::move(Record), [this, Owner, Key](std::uint64_t) {
         Jobs_.erase(Key);
         FinishedKeys_.emplace_back(Timers_.now(), Key);
       });
@@ -704,10 +702,8 @@
 
 void JobRunner::acquire(const std::string &Shard, bool PreviousOwnerExpired) {
   Suspended_.erase(Shard);
-  const std::vector<std::string> Keys =
-      Table_.unfinished([&](const std::string &Key) {
-        return keyShard(Key) == Shard;
-      });
+  const std::vector<std::string> Keys = Table_.unfinished(
+      [&](const std::string &Key) { return keyShard(Key) == Shard; });
   for (const std::string &Key : Keys) {
     const KeyRecord *Known = Table_.find(Key);
     if (Known->Accepted && findJob(Key) == nullptr)
@@ -774,8 +770,8 @@
   return {.QueuedWork = Queue_.size(),
           .Jobs = Jobs_.size(),
           .Starting = Starting_,
-          .LongestWait = std::chrono::duration_cast<milliseconds>(
-              Queue_.longestWait())};
+          .LongestWait =
+              std::chrono::duration_cast<milliseconds>(Queue_.longestWait())};
 }
 
 } // namespace hickory
--- a/Source/Jobs/RackChooser.cpp
+++ b/Source/Jobs/RackChooser.cpp
@@ -83,34 +83,31 @@
   std::erase_if(Racks, [&](const RackLocation &Rack) {
     return Rack.Load.has_executors() || (OwnDomainOnly && !inOwnDomain(Rack));
   });
-  std::stable_sort(
-      Racks.begin(), Racks.end(),
-      [&](const RackLocation &Left, const RackLocation &Right) {
-        const auto Rank = [&](const RackLocation &Rack) {
-          return std::make_tuple(distance(Rack), Rack.Load.free().cpus_milli());
-        };
-        return Rank(Left) < Rank(Right);
-      });
+  std::stable_sort(Racks.begin(), Racks.end(),
+                   [&](const RackLocation &Left, const RackLocation &Right) {
+                     const auto Rank = [&](const RackLocation &Rack) {
+                       return std::make_tuple(distance(Rack),
+                                              Rack.Load.free().cpus_milli());
+                     };
+                     return Rank(Left) < Rank(Right);
+                   });
   return Racks;
 }
 
-std::vector<RackLocation>
-RackChooser::takeRoom(std::vector<RackLocation> &Known,
-                      const std::optional<PoolConfig> &Pool,
-                      const records::Resources &PerTask,
-                      std::uint32_t Tasks) const {
+std::vector<RackLocation> RackChooser::takeRoom(
+    std::vector<RackLocation> &Known, const std::optional<PoolConfig> &Pool,
+    const records::Resources &PerTask, std::uint32_t Tasks) const {
   std::vector<RackLocation> Chosen;
   std::vector<RackLocation> Changed = Known;
   // Accelerators are kept for work that needs them: racks that have some are
   // used for other work only when nothing else is left.
   for (const bool Wasteful : {false, true})
     for (RackLocation &Rack : Changed) {
-      const bool Wastes = PerTask.accelerators() == 0 &&
-                          Rack.Load.total().accelerators() > 0;
+      const bool Wastes =
+          PerTask.accelerators() == 0 && Rack.Load.total().accelerators() > 0;
       if (Wastes != Wasteful || !inPool(Pool, Rack.FailureDomain))
         continue;
-      while (Chosen.size() < Tasks &&
-             fits(PerTask, Rack.Load.largest_free()) &&
+      while (Chosen.size() < Tasks && fits(PerTask, Rack.Load.largest_free()) &&
              fits(PerTask, Rack.Load.free())) {
         Chosen.push_back(Rack);
         takeFrom(Rack.Load, PerTask);
@@ -123,8 +120,7 @@
   return Chosen;
 }
 
-std::optional<RackLocation>
-RackChooser::locate(const std::string &Rack) const {
+std::optional<RackLocation> RackChooser::locate(const std::string &Rack) const {
   const std::string Shard = rackShard(Rack);
   if (Ownership_.holds(Shard))
     return RackLocation{.Slot = Directory_.SelfSlot,
--- a/Source/Jobs/RackChooser.h
+++ b/Source/Jobs/RackChooser.h
@@ -27,8 +27,7 @@
 
   /// Racks with workers, nearest first and among equals the fullest first, so
   /// that large free blocks are kept.
-  [[nodiscard]] std::vector<RackLocation>
-  workerRacks(bool OwnDomainOnly) const;
+  [[nodiscard]] std::vector<RackLocation> workerRacks(bool OwnDomainOnly) const;
 
   /// Chooses a rack for each of Tasks tasks and takes their room out of Known,
   /// a list from workerRacks(). Returns fewer if there is not enough room.
@@ -46,7 +45,8 @@
   }
 
   /// Current owner of a rack, as far as known.
-  [[nodiscard]] std::optional<RackLocation> locate(const std::string &Rack) const;
+  [[nodiscard]] std::optional<RackLocation>
+  locate(const std::string &Rack) const;
 
   asio::awaitable<Result<peer::ExecuteReply>>
   execute(RackLocation Rack, peer::ExecuteRequest Request);
--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::seconds RecoveryResolveTime{10};
 constexpr milliseconds RetryAfterBusy{1000};
 constexpr std::chrono::seconds DiscardPeriod{30};
+/// Tries to dispatch a request that certainly did not run before.
+constexpr std::uint32_t MaximumDispatchTries = 5;
 
 peer::SubmitReply notRun(peer::Status Status, std::string Detail) {
   peer::SubmitReply Reply;
@@ -150,7 +152,9 @@
   const bool KeepOutcome =
       Class.NonRepeatable || Class.Accept == Acceptance::Logged;
   peer::SubmitReply Last = notRun(peer::STATUS_UNAVAILABLE, "not attempted");
-  for (std::uint32_t Attempt = 1; Attempt <= Class.MaximumAttempts; ++Attempt) {
+  const std::uint32_t Tries =
+      std::max(Class.MaximumAttempts, MaximumDispatchTries);
+  for (std::uint32_t Attempt = 1; Attempt <= Tries; ++Attempt) {
     if (Class.NonRepeatable && !Options_.SkipIntent &&
         !Ownership_.logReachable()) {
       Last = notRun(peer::STATUS_UNAVAILABLE,
@@ -189,9 +193,9 @@
     Call.set_payload(Request.payload());
     Call.set_member(Request.member());
     Call.set_non_repeatable(Class.NonRepeatable);
-    Call.set_timeout_ms(std::chrono::duration_cast<milliseconds>(
-                            Deadline - Timers_.now())
-                            .count());
+    Call.set_timeout_ms(
+        std::chrono::duration_cast<milliseconds>(Deadline - Timers_.now())
+            .count());
     const Result<peer::ExecuteReply> Executed =
         co_await Racks_.execute(*Rack, Call);
     if (Executed && Executed->status() == peer::STATUS_OK) {
@@ -200,9 +204,8 @@
         recordOutcome(Request.key(), Request.member(), Last);
       co_return Last;
     }
-    const bool Certain =
-        Executed ? Executed->status() != peer::STATUS_UNKNOWN
-                 : Executed.error().hadNoEffect();
+    const bool Certain = Executed ? Executed->status() != peer::STATUS_UNKNOWN
+                                  : Executed.error().hadNoEffect();
     if (!Certain) {
       Item->MayHaveRun = true;
       if (Class.NonRepeatable) {
@@ -334,8 +337,8 @@
     const records::Intent Open = *Known->Intent;
     Events_.emit("requests", "intent_recovered",
                  {{"key", Key}, {"rack", Open.rack()}});
-    peer::SubmitReply Reply = co_await resolveIntent(
-        Open, Timers_.now() + RecoveryResolveTime);
+    peer::SubmitReply Reply =
+        co_await resolveIntent(Open, Timers_.now() + RecoveryResolveTime);
     if (!Ownership_.holds(Shard))
       co_return;
     if (Reply.outcome() == records::OUTCOME_UNKNOWN)
--- a/Source/Jobs/SubmitRouter.cpp
+++ b/Source/Jobs/SubmitRouter.cpp
@@ -88,8 +88,8 @@
       Counters_.count("hickory_forwarded_requests_total");
       // A paused owner must not use up the caller's time. A second call for the
       // same key joins the first one at the owner.
-      const Result<peer::SubmitReply> Reply = co_await Peers_.submit(
-          Slot, Request, std::min(Left, AttemptTimeout));
+      const Result<peer::SubmitReply> Reply =
+          co_await Peers_.submit(Slot, Request, std::min(Left, AttemptTimeout));
       if (!Reply) {
         MayHaveArrived = MayHaveArrived || !Reply.error().hadNoEffect();
         continue;
@@ -151,8 +151,7 @@
   const Clock::time_point Deadline = Timers_.now() + Timeout;
   peer::CancelReply Total;
   Total.set_status(peer::STATUS_OK);
-  while (!Keys.empty() &&
-         remaining(Timers_, Deadline) > milliseconds::zero()) {
+  while (!Keys.empty() && remaining(Timers_, Deadline) > milliseconds::zero()) {
     std::map<std::string, std::vector<std::string>> BySlot;
     for (std::string &Key : Keys) {
       const std::vector<std::string> Slots = candidates(Key);
--- a/Source/Programs/hickoryd.cpp
+++ b/Source/Programs/hickoryd.cpp
@@ -85,8 +85,8 @@
   }
   hickory::DaemonFaults Faults;
   if (!removeProtection(Given.RemovedProtection, Faults)) {
-    std::cerr << "hickoryd: no protection is called "
-              << Given.RemovedProtection << "\n";
+    std::cerr << "hickoryd: no protection is called " << Given.RemovedProtection
+              << "\n";
     return 2;
   }
   asio::io_context Context(1);
--- /dev/null
+++ b/Utilities/deployment.sh
@@ -0,0 +1,105 @@
+# Functions that start, address and stop a deployment of separate processes on loopback. Sourced by Utilities/demo and
+# Utilities/prove. Needs: bin (folder with the programs), run (folder for files).
+
+declare -A process_of=()
+
+start_process() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >>"$run/$name.out" 2>>"$run/$name.log" </dev/null &
+  process_of[$name]=$!
+}
+
+wait_for_file() { # PATH
+  local i
+  for ((i = 0; i < 400; i++)); do
+    [ -s "$1" ] && return 0
+    sleep 0.025
+  done
+  echo "file $1 was not written in time" >&2
+  return 1
+}
+
+http() { # METHOD URL [BODY]
+  curl -sS --max-time 5 -X "$1" ${3:+-d "$3"} "$2"
+}
+
+# Reserves ports, writes all files and starts the stand-ins of the platform and the upstreams.
+start_platform() { # MEMBER WORKERS EXECUTORS [EXTRA_SETTINGS_FILE]
+  local extra=()
+  [ -n "${4:-}" ] && extra=(--extra-settings="$4")
+  # The reserver keeps the ports until its input closes.
+  mkfifo "$run/reserver.in"
+  "$bin/port-reserver" --count=60 >"$run/ports.json" <"$run/reserver.in" &
+  process_of[port-reserver]=$!
+  exec {reserver_input}>"$run/reserver.in"
+  wait_for_file "$run/ports.json"
+  "$bin/deployment" --member="$1" --ports-file="$run/ports.json" --out="$run" --workers="$2" --executors="$3" \
+    "${extra[@]}"
+  # shellcheck disable=SC1091
+  source "$run/env"
+  start_process log "$bin/standin-log" --port="$log_port" ${log_options:-}
+  start_process workers "$bin/standin-workers" --config="$run/workers.json" --addresses-file="$run/workers.addresses" \
+    --history="$run/workers.history" --control-port="$workers_control" --seed="${seed:-1}"
+  start_process executors "$bin/standin-executors" --config="$run/executors.json" \
+    --addresses-file="$run/executors.addresses" --history="$run/executors.history" \
+    --control-port="$executors_control" --seed="${seed:-1}" ${executor_options:-}
+  start_process relay "$bin/net-relay" --config="$run/relay.json" --port="$relay_control"
+  wait_for_file "$run/workers.addresses"
+  wait_for_file "$run/executors.addresses"
+  "$bin/deployment" --merge-lists="$run/workers.addresses,$run/executors.addresses,$run/instances.json"
+  start_process list "$bin/standin-list" --instances="$run/instances.json" --port="$list_port" ${list_options:-}
+}
+
+start_instance() { # SLOT
+  start_process "$1" "$bin/hickoryd" --settings="$run/$1.toml" ${daemon_options:-}
+}
+
+gateway_of() { # SLOT -> ip:port
+  local pair
+  for pair in ${gateways//,/ }; do
+    [ "${pair%%=*}" = "$1" ] && echo "${pair#*=}"
+  done
+}
+
+wait_ready() { # SLOT...
+  local slot i
+  for slot in "$@"; do
+    for ((i = 0; i < 600; i++)); do
+      [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 1 "http://$(gateway_of "$slot")/readyz")" = 200 ] && continue 2
+      sleep 0.05
+    done
+    echo "instance $slot did not become ready" >&2
+    return 1
+  done
+}
+
+stop_process() { # NAME SIGNAL
+  local pid=${process_of[$1]:-}
+  [ -n "$pid" ] || return 0
+  kill -"$2" "$pid" 2>/dev/null || true
+}
+
+# Stops everything that was started, entry instances first; kills by id what does not stop.
+stop_all() {
+  local name
+  for name in ${slots:-}; do
+    stop_process "$name" CONT
+    stop_process "$name" TERM
+  done
+  wait_stopped ${slots:-}
+  for name in "${!process_of[@]}"; do stop_process "$name" TERM; done
+  wait_stopped "${!process_of[@]}"
+  for name in "${!process_of[@]}"; do stop_process "$name" KILL; done
+}
+
+wait_stopped() { # NAME...
+  local name i
+  for name in "$@"; do
+    for ((i = 0; i < 400; i++)); do
+      kill -0 "${process_of[$name]:-0}" 2>/dev/null || continue 2
+      [ "${process_of[$name]:-0}" = 0 ] && continue 2
+      sleep 0.05
+    done
+  done
+}
