--- a/Source/Config/ConfigObjects.cpp
+++ b/Source/Config/ConfigObjects.cpp
@@ -1,7 +1,5 @@
 #include "Config/ConfigObjects.h"
 
-#include "Config/TomlTableReader.h"
-
 #include <algorithm>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -154,52 +152,55 @@
   return Kinds;
 }
 
+std::optional<ConfigContent> readConfigContent(const std::string &Kind,
+                                               const std::string &Name,
+                                               const TomlNode &Node,
+                                               TomlProblems &Problems) {
+  const std::size_t Before = Problems.Lines.size();
+  const std::vector<std::string> &Kinds = configKinds();
+  if (std::find(Kinds.begin(), Kinds.end(), Kind) == Kinds.end()) {
+    Problems.add(Node.line(), "",
+                 fmt::format("kind \"{}\" is not known; use one of {}", Kind,
+                             fmt::join(Kinds, ", ")));
+    return std::nullopt;
+  }
+  if (const std::string Wanted = checkName(Name); !Wanted.empty())
+    Problems.add(Node.line(), "",
+                 fmt::format("name \"{}\" is not valid; {}", Name, Wanted));
+  TomlTableReader Table(&Node, "", Problems);
+  ConfigContent Content;
+  if (Kind == "member")
+    Content = readMember(Table);
+  else if (Kind == "pool")
+    Content = readPool(Table, Name, Problems);
+  else if (Kind == "quota")
+    Content = readQuota(Table, Name);
+  else if (Kind == "policy")
+    Content = readPolicy(Table);
+  else
+    Content = readJobClass(Table);
+  Table.refuseUnknownKeys();
+  if (Problems.Lines.size() > Before)
+    return std::nullopt;
+  return Content;
+}
+
 std::optional<ConfigContent>
 parseConfigObject(const records::ConfigObject &Object,
                   std::vector<std::string> &Errors) {
   TomlProblems Problems{.File = Object.kind() + "." + Object.name(),
                         .Lines = {}};
-  const auto Finish = [&] {
-    Errors.insert(Errors.end(), Problems.Lines.begin(), Problems.Lines.end());
-    return std::nullopt;
-  };
-  const std::vector<std::string> &Kinds = configKinds();
-  if (std::find(Kinds.begin(), Kinds.end(), Object.kind()) == Kinds.end()) {
-    Problems.add(0, "",
-                 fmt::format("kind \"{}\" is not known; use one of {}",
-                             Object.kind(), fmt::join(Kinds, ", ")));
-    return Finish();
-  }
-  if (const std::string Wanted = checkName(Object.name()); !Wanted.empty())
-    Problems.add(
-        0, "",
-        fmt::format("name \"{}\" is not valid; {}", Object.name(), Wanted));
-  if (Object.toml().size() > MaximumObjectBytes) {
+  std::optional<ConfigContent> Content;
+  if (Object.toml().size() > MaximumObjectBytes)
     Problems.add(0, "",
                  fmt::format("has {} bytes; write at most {}",
                              Object.toml().size(), MaximumObjectBytes));
-    return Finish();
-  }
-  const Result<TomlNode> Document = parseToml(Object.toml(), Problems.File);
-  if (!Document) {
-    Problems.Lines.push_back(Document.error().Message);
-    return Finish();
-  }
-  TomlTableReader Table(&*Document, "", Problems);
-  ConfigContent Content;
-  if (Object.kind() == "member")
-    Content = readMember(Table);
-  else if (Object.kind() == "pool")
-    Content = readPool(Table, Object.name(), Problems);
-  else if (Object.kind() == "quota")
-    Content = readQuota(Table, Object.name());
-  else if (Object.kind() == "policy")
-    Content = readPolicy(Table);
+  else if (const auto Document = parseToml(Object.toml(), Problems.File))
+    Content =
+        readConfigContent(Object.kind(), Object.name(), *Document, Problems);
   else
-    Content = readJobClass(Table);
-  Table.refuseUnknownKeys();
-  if (!Problems.Lines.empty())
-    return Finish();
+    Problems.Lines.push_back(Document.error().Message);
+  Errors.insert(Errors.end(), Problems.Lines.begin(), Problems.Lines.end());
   return Content;
 }
 
--- a/Source/Config/ConfigObjects.h
+++ b/Source/Config/ConfigObjects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/ConfigView.h"
+#include "Config/TomlTableReader.h"
 #include "Records.pb.h"
 
 #include <map>
@@ -64,6 +65,13 @@
 /// The kinds, in the order in which they may refer to each other.
 const std::vector<std::string> &configKinds();
 
+/// Reads the content of one object from a parsed table. Problems name the file
+/// and the lines of Node.
+std::optional<ConfigContent> readConfigContent(const std::string &Kind,
+                                               const std::string &Name,
+                                               const TomlNode &Node,
+                                               TomlProblems &Problems);
+
 /// Reads the TOML text of one object. Problems are appended to Errors as
 /// "kind.name:line: key: what to write instead".
 std::optional<ConfigContent>
--- /dev/null
+++ b/Source/Ctl/TableWriter.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace hickory {
+
+/// Renders an answer of the HTTP API for people: single values as lines, each
+/// array of objects as a table with one column per field.
+std::string formatTables(const nlohmann::json &Value);
+
+} // namespace hickory
