--- a/Tests/Tools/deployment.cpp
+++ b/Tests/Tools/deployment.cpp
@@ -1,6 +1,7 @@
 // Writes the files of a whole deployment on loopback: settings of each entry
 // instance, the upstreams, the network links with their delays, and the
-// configuration objects. Utilities/demo and Utilities/prove start the processes.
+// configuration objects. Utilities/demo and Utilities/prove start the
+// processes.
 #include "Support/ToolProgram.h"
 
 #include <filesystem>
@@ -224,8 +225,8 @@
           {{"name", fmt::format("{}-{}-{}", Name, Kind, Number)},
            {"kind", Kind},
            {"address", ""},
-           {"rack", fmt::format("{}-{}{}", Name, Kind.substr(0, 1),
-                                Number / RackSize)},
+           {"rack",
+            fmt::format("{}-{}{}", Name, Kind.substr(0, 1), Number / RackSize)},
            {"failure_domain", Name},
            {"state", "live"},
            {"cpus_milli", Kind == "worker" ? Owner_.WorkerCpusMilli : 0},
--- a/Tests/Tools/load-generator.cpp
+++ b/Tests/Tools/load-generator.cpp
@@ -54,8 +54,8 @@
 public:
   LoadGenerator(asio::io_context &Context, LoadOptions Options)
       : Context_(Context), Options_(std::move(Options)), Timers_(Context),
-        Client_(Context, {.MaximumConnections = 512,
-                          .MaximumConnectionsPerHost = 256}),
+        Client_(Context,
+                {.MaximumConnections = 512, .MaximumConnectionsPerHost = 256}),
         Random_(Options_.Seed), History_(Options_.HistoryFile, std::ios::app),
         RunName_(fmt::format("{:x}-{:x}", Options_.Seed,
                              Timers_.wallNow().time_since_epoch().count())) {}
@@ -69,8 +69,11 @@
     constexpr int Services = 6;
     for (int I = 0; I < Services; ++I)
       spawn(service(nextKey("service"), End));
-    const ArrivalRate Rates[] = {{"request", 60}, {"once", 12}, {"batch", 8},
-                                 {"urgent", 3},   {"gang", 0.7}};
+    const ArrivalRate Rates[] = {{"request", 60},
+                                 {"once", 12},
+                                 {"batch", 8},
+                                 {"urgent", 3},
+                                 {"gang", 0.7}};
     for (const ArrivalRate &Arrival : Rates)
       spawn(arrivals(Arrival, End));
     co_await Timers_.sleepFor(Options_.Duration);
@@ -95,9 +98,8 @@
     while (true) {
       const double Wait =
           -std::log(1 - Random_.unit()) / (Arrival.PerSecond * Options_.Rate);
-      co_await Timers_.sleepFor(
-          std::chrono::duration_cast<Clock::duration>(
-              std::chrono::duration<double>(Wait)));
+      co_await Timers_.sleepFor(std::chrono::duration_cast<Clock::duration>(
+          std::chrono::duration<double>(Wait)));
       if (Timers_.now() >= End)
         co_return;
       if (Kind == "request" || Kind == "once")
@@ -150,9 +152,13 @@
                               .Url = "http://" + Address + Path,
                               .Body = std::move(Body),
                               .Timeout = CallTimeout};
-    Result<HttpClientResponse> Reply = co_await Client_.send(std::move(Request));
-    json Event = {{"op", "return"}, {"call", Call},   {"key", Key},
-                  {"kind", Kind},   {"gateway", Address}};
+    Result<HttpClientResponse> Reply =
+        co_await Client_.send(std::move(Request));
+    json Event = {{"op", "return"},
+                  {"call", Call},
+                  {"key", Key},
+                  {"kind", Kind},
+                  {"gateway", Address}};
     if (Reply) {
       Event["status"] = Reply->Status;
       const json Document = json::parse(Reply->Body, nullptr, false);
@@ -183,8 +189,7 @@
               std::chrono::duration<double>(Timers_.now() - Start).count());
           co_return Outcome;
         }
-        if (Reply->Status >= 400 && Reply->Status < 429 &&
-            Reply->Status != 404)
+        if (Reply->Status >= 400 && Reply->Status < 429 && Reply->Status != 404)
           co_return "refused";
         // A non-repeatable request whose outcome is recorded as not run or
         // unknown keeps this outcome.
@@ -273,9 +278,9 @@
     while (Timers_.now() - Start < FinishLimit + Options_.Duration) {
       co_await Timers_.sleepFor(JobPoll);
       const std::string Address = gatewayFor(Key, 1).Address;
-      auto Reply = co_await call("GET", Address,
-                                 "/v1/jobs/" + percentEncode(Key), "", Key,
-                                 "poll-" + Kind);
+      auto Reply =
+          co_await call("GET", Address, "/v1/jobs/" + percentEncode(Key), "",
+                        Key, "poll-" + Kind);
       if (!Reply || Reply->Status != 200)
         continue;
       const json Document = json::parse(Reply->Body, nullptr, false);
