--- a/Tests/Backends/RackHarness.h
+++ b/Tests/Backends/RackHarness.h
@@ -68,9 +68,9 @@
       return One->handle(Request);
     });
   }
-  void addExecutor(const std::string &Name, FakeHttpClient::Server Handler,
+  void addExecutor(const std::string &Name, FakeHttpClient::SlowServer Handler,
                    int Slots = 8) {
-    Client.serve(addressOf(Name), std::move(Handler));
+    Client.serveSlowly(addressOf(Name), std::move(Handler));
     Instances.push_back({{"name", Name},
                          {"kind", "executor"},
                          {"address", addressOf(Name)},
--- a/Tests/Fakes/FakeHttpClient.h
+++ b/Tests/Fakes/FakeHttpClient.h
@@ -1,10 +1,15 @@
 #pragma once
 
+#include "Base/Signal.h"
 #include "Base/TimerService.h"
 #include "Http/HttpClient.h"
 
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +22,9 @@
   /// Handles one request at the receiver.
   using Server = std::function<HttpClientResponse(const HttpClientRequest &)>;
 
+  using SlowServer =
+      std::function<asio::awaitable<HttpClientResponse>(HttpClientRequest)>;
+
   /// What happens to one message.
   struct Fate {
     std::chrono::milliseconds RequestDelay{0};
@@ -28,7 +36,15 @@
   explicit FakeHttpClient(TimerService &Timers) : Timers_(Timers) {}
 
   void serve(const std::string &Address, Server Handler) {
-    Servers_[Address] = std::move(Handler);
+    serveSlowly(Address,
+                [Handler = std::move(Handler)](HttpClientRequest Request)
+                    -> asio::awaitable<HttpClientResponse> {
+                  co_return Handler(Request);
+                });
+  }
+  /// Like serve, for receivers that take time.
+  void serveSlowly(const std::string &Address, SlowServer Handler) {
+    Servers_[Address] = std::make_shared<SlowServer>(std::move(Handler));
   }
   /// Connections to the address are refused from now on.
   void refuse(const std::string &Address) { Servers_.erase(Address); }
@@ -49,13 +65,15 @@
       co_await Timers_.sleepFor(Request.Timeout);
       co_return fail(ErrorCode::Timeout, "no answer");
     }
+    const auto Executor = co_await asio::this_coro::executor;
     if (Chosen.RequestDelay >= Request.Timeout) {
       // Arrives after the sender gave up.
-      Late_.push_back(
-          Timers_.after(Chosen.RequestDelay, [this, Address, Request] {
+      Late_.push_back(Timers_.after(
+          Chosen.RequestDelay, [this, Address, Request, Executor] {
             const auto It = Servers_.find(Address);
             if (It != Servers_.end())
-              It->second(Request);
+              asio::co_spawn(Executor, handle(It->second, Request, nullptr),
+                             asio::detached);
           }));
       co_await Timers_.sleepFor(Request.Timeout);
       co_return fail(ErrorCode::Timeout, "no answer");
@@ -65,14 +83,23 @@
     const auto It = Servers_.find(Address);
     if (It == Servers_.end())
       co_return fail(ErrorCode::Unavailable, "connection reset");
-    const HttpClientResponse Reply = It->second(Request);
-    if (Chosen.LoseReply || Timers_.now() + Chosen.ReplyDelay >= Deadline) {
-      co_await Timers_.sleepFor(Deadline - Timers_.now());
+    // The receiver goes on after the sender's timeout.
+    auto Done = std::make_shared<Pending>(Executor);
+    asio::co_spawn(Executor, handle(It->second, Request, Done), asio::detached);
+    while (!Done->Reply && Timers_.now() < Deadline) {
+      Subscription Limit = Timers_.after(Deadline - Timers_.now(),
+                                         [Done] { Done->Ready.notify(); });
+      co_await Done->Ready.wait();
+    }
+    if (!Done->Reply || Chosen.LoseReply ||
+        Timers_.now() + Chosen.ReplyDelay >= Deadline) {
+      if (Timers_.now() < Deadline)
+        co_await Timers_.sleepFor(Deadline - Timers_.now());
       co_return fail(ErrorCode::Timeout, "no answer");
     }
     if (Chosen.ReplyDelay.count() > 0)
       co_await Timers_.sleepFor(Chosen.ReplyDelay);
-    co_return Reply;
+    co_return std::move(*Done->Reply);
   }
 
   /// The "ip:port" of a URL.
@@ -86,8 +113,25 @@
   }
 
 private:
+  struct Pending {
+    explicit Pending(const asio::any_io_executor &Executor) : Ready(Executor) {}
+    std::optional<HttpClientResponse> Reply;
+    Signal Ready;
+  };
+
+  static asio::awaitable<void> handle(std::shared_ptr<SlowServer> Receiver,
+                                      HttpClientRequest Request,
+                                      std::shared_ptr<Pending> Done) {
+    auto Reply = co_await (*Receiver)(std::move(Request));
+    if (Done) {
+      Done->Reply = std::move(Reply);
+      Done->Ready.notify();
+    }
+  }
+
   TimerService &Timers_;
-  std::map<std::string, Server> Servers_;
+  /// Shared, so that a request in progress may outlast its server.
+  std::map<std::string, std::shared_ptr<SlowServer>> Servers_;
   std::vector<Subscription> Late_;
 };
 
