Fix a dangling reference in the deployment writer

Cause: a range-for over a member of a temporary JSON document left the list of upstreams empty, so no instance claimed any rack. Ruled out: the list stand-in and the relay, which served the empty document. Change: the document is named first.

--- a/Tests/Tools/deployment.cpp
+++ b/Tests/Tools/deployment.cpp
@@ -314,10 +314,11 @@
 void mergeLists(const std::vector<std::string> &Inputs,
                 const std::string &Output) {
   json Merged = {{"version", 1}, {"instances", json::array()}};
-  for (const std::string &Input : Inputs)
-    for (const json &Instance :
-         json::parse(hickory::tool::readFile(Input.c_str()))["instances"])
+  for (const std::string &Input : Inputs) {
+    const json Part = json::parse(hickory::tool::readFile(Input.c_str()));
+    for (const json &Instance : Part["instances"])
       Merged["instances"].push_back(Instance);
+  }
   std::ofstream(Output) << Merged.dump(1);
 }
 
