--- /dev/null
+++ b/Tests/Tools/measure-run.cpp
@@ -0,0 +1,248 @@
+// Measures a running deployment (control cost, waiting time, packing) into one
+// JSON document, and joins the results of several deployments into a summary.
+#include "Http/CurlHttpClient.h"
+#include "Support/ToolProgram.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <filesystem>
+#include <fmt/format.h>
+#include <iostream>
+#include <map>
+#include <unistd.h>
+
+namespace hickory {
+namespace {
+
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+std::vector<std::string> split(const std::string &Text, char Separator) {
+  std::vector<std::string> Parts;
+  std::stringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, Separator);)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+double percentile(std::vector<double> &Values, double Fraction) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  const auto Index = static_cast<std::size_t>(
+      Fraction * static_cast<double>(Values.size() - 1) + 0.5);
+  return Values[Index];
+}
+
+/// Waiting time from acceptance to start, by job class, from the event files.
+json waitingTimes(const fs::path &Run) {
+  std::map<std::string, std::vector<double>> ByClass;
+  for (const auto &File : fs::directory_iterator(Run)) {
+    if (File.path().extension() != ".events")
+      continue;
+    std::ifstream Lines(File.path());
+    for (std::string Line; std::getline(Lines, Line);) {
+      if (Line.find("\"task_placed\"") == std::string::npos)
+        continue;
+      const json Event = json::parse(Line, nullptr, false);
+      if (Event.is_object())
+        ByClass[Event["class"]].push_back(Event["waited_ms"]);
+    }
+  }
+  json Result = json::object();
+  for (auto &[Class, Values] : ByClass)
+    Result[Class] = {{"starts", Values.size()},
+                     {"p50_ms", percentile(Values, 0.5)},
+                     {"p99_ms", percentile(Values, 0.99)},
+                     {"max_ms", percentile(Values, 1)}};
+  return Result;
+}
+
+/// Mean share of all processors in use between the first and the last start.
+double meanProcessorUse(const fs::path &Run) {
+  const json Upstreams =
+      json::parse(tool::readFile((Run / "instances.json").c_str()));
+  double Total = 0;
+  for (const json &Upstream : Upstreams["instances"])
+    Total += Upstream["cpus_milli"].get<double>();
+  std::ifstream Lines(Run / "workers.history");
+  double Used = 0;
+  double Area = 0;
+  double First = 0;
+  double Last = 0;
+  for (std::string Line; std::getline(Lines, Line);) {
+    const json Event = json::parse(Line, nullptr, false);
+    if (!Event.is_object() || !Event.contains("cpus_milli"))
+      continue;
+    const double Now = Event["wall_us"].get<double>();
+    if (First == 0)
+      First = Last = Now;
+    Area += Used * (Now - Last);
+    Last = Now;
+    const double Amount = Event["cpus_milli"].get<double>();
+    Used += Event["event"] == "started" ? Amount : -Amount;
+  }
+  return Last > First && Total > 0 ? Area / (Last - First) / Total : 0;
+}
+
+/// Processor seconds, resident bytes and age of a process.
+json processCost(int Process) {
+  const std::string Stat =
+      tool::readFile(fmt::format("/proc/{}/stat", Process).c_str());
+  // The second field may contain spaces; the rest follows the last ')'.
+  const std::vector<std::string> Fields =
+      split(Stat.substr(Stat.rfind(')') + 2), ' ');
+  constexpr std::size_t UserTicks = 11;
+  constexpr std::size_t SystemTicks = 12;
+  constexpr std::size_t ResidentPages = 21;
+  const double PerSecond = static_cast<double>(sysconf(_SC_CLK_TCK));
+  return {{"cpu_seconds",
+           (std::stod(Fields[UserTicks]) + std::stod(Fields[SystemTicks])) /
+               PerSecond},
+          {"resident_mb", std::stod(Fields[ResidentPages]) *
+                              static_cast<double>(sysconf(_SC_PAGESIZE)) /
+                              (1 << 20)}};
+}
+
+/// Counters whose names start with hickory_, from the metrics text.
+json counters(const std::string &Text) {
+  json Found = json::object();
+  for (const std::string &Line : split(Text, '\n')) {
+    const std::size_t Space = Line.rfind(' ');
+    if (Line.starts_with("hickory_") && Space != std::string::npos)
+      Found[Line.substr(0, Space)] = std::stod(Line.substr(Space + 1));
+  }
+  return Found;
+}
+
+asio::awaitable<void> measure(CurlHttpClient &Client, json Targets,
+                              json &Result) {
+  for (const auto &[Name, Address] : Targets["gateways"].items()) {
+    HttpClientRequest Request{.Url = "http://" + Address.get<std::string>() +
+                                     "/metrics"};
+    const auto Reply = co_await Client.send(std::move(Request));
+    if (Reply)
+      Result["instances"][Name]["metrics"] = counters(Reply->Body);
+  }
+  for (const char *Source : {"relay", "log"}) {
+    if (!Targets.contains(Source))
+      continue;
+    HttpClientRequest Request{
+        .Url = "http://" + Targets[Source].get<std::string>() + "/stats"};
+    const auto Reply = co_await Client.send(std::move(Request));
+    if (Reply)
+      Result[Source] = json::parse(Reply->Body, nullptr, false);
+  }
+}
+
+/// Bytes between places, by kind of link.
+json linkBytes(const json &Relay) {
+  std::map<std::string, double> Bytes;
+  for (const json &Link : Relay["links"]) {
+    const std::string Name = Link["name"];
+    const bool Paid = Link["rate_bytes_per_s"].get<double>() > 0;
+    const std::string Kind = Name.substr(0, Name.find('-'));
+    Bytes[Kind + (Paid ? "_between_regions" : "_within_region")] +=
+        Link["bytes_to_target"].get<double>() +
+        Link["bytes_to_client"].get<double>();
+  }
+  return Bytes;
+}
+
+json lastLine(const fs::path &Path) {
+  std::ifstream File(Path);
+  std::string Last;
+  for (std::string Line; std::getline(File, Line);)
+    if (!Line.empty())
+      Last = Line;
+  return json::parse(Last, nullptr, false);
+}
+
+/// Prints the summary of several runs; returns the exit status.
+int summarize(const std::vector<std::string> &Runs) {
+  json Summary = {{"violations", 0}, {"unaccounted", 0}};
+  bool Complete = true;
+  for (const std::string &Run : Runs) {
+    const fs::path Folder = Run;
+    const json Load = lastLine(Folder / "load.json");
+    const json Check = lastLine(Folder / "check.out");
+    const json Measured = lastLine(Folder / "measure.json");
+    if (!Load.is_object() || !Check.is_object() || !Measured.is_object()) {
+      Complete = false;
+      continue;
+    }
+    json &Member = Summary["members"][Folder.filename().string()];
+    Member["requests_by_outcome"] = Load["outcomes"];
+    Member["answer_seconds"] = Load["answer_seconds"];
+    Member["waiting_ms_by_class"] = Measured["waiting"];
+    Member["processors_in_use"] = Measured["processors_in_use"];
+    Member["control_bytes_by_link"] = Measured["link_bytes"];
+    Member["violations"] = Check["violations"];
+    Summary["violations"] =
+        Summary["violations"].get<int>() + Check["violations_total"].get<int>();
+    Summary["unaccounted"] =
+        Summary["unaccounted"].get<int>() + Load["unaccounted"].get<int>();
+  }
+  Summary["complete"] = Complete;
+  std::cout << Summary.dump() << std::endl;
+  return Complete && Summary["violations"] == 0 && Summary["unaccounted"] == 0
+             ? 0
+             : 1;
+}
+
+} // namespace
+} // namespace hickory
+
+int main(int Count, const char **Arguments) {
+  using namespace hickory;
+  char *Folder = nullptr;
+  char *Gateways = nullptr;
+  char *Relay = nullptr;
+  char *Log = nullptr;
+  char *Processes = nullptr;
+  char *Summary = nullptr;
+  const poptOption Table[] = {
+      {"run", 0, POPT_ARG_STRING, &Folder, 0, "folder of the run", "DIR"},
+      {"gateways", 0, POPT_ARG_STRING, &Gateways, 0, "SLOT=ip:port,...",
+       "LIST"},
+      {"relay", 0, POPT_ARG_STRING, &Relay, 0, "control address of the relay",
+       "ADDRESS"},
+      {"log", 0, POPT_ARG_STRING, &Log, 0, "address of the log stand-in",
+       "ADDRESS"},
+      {"processes", 0, POPT_ARG_STRING, &Processes, 0, "SLOT=pid,...", "LIST"},
+      {"summary", 0, POPT_ARG_STRING, &Summary, 0,
+       "only join the results of these folders", "DIR,DIR"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  tool::initLogging(Arguments[0]);
+  tool::parseOptions(Count, Arguments, Table);
+  if (Summary != nullptr)
+    return summarize(split(Summary, ','));
+  if (Folder == nullptr || Gateways == nullptr) {
+    std::cerr << "give --run and --gateways; see --help\n";
+    return 2;
+  }
+  json Targets = {{"gateways", json::object()}};
+  for (const std::string &Pair : split(Gateways, ','))
+    Targets["gateways"][Pair.substr(0, Pair.find('='))] =
+        Pair.substr(Pair.find('=') + 1);
+  if (Relay != nullptr)
+    Targets["relay"] = Relay;
+  if (Log != nullptr)
+    Targets["log"] = Log;
+  json Result = json::object();
+  asio::io_context Context(1);
+  CurlHttpClient Client(Context);
+  asio::co_spawn(Context, measure(Client, Targets, Result),
+                 [&Context](const std::exception_ptr &) { Context.stop(); });
+  Context.run();
+  if (Processes != nullptr)
+    for (const std::string &Pair : split(Processes, ','))
+      Result["instances"][Pair.substr(0, Pair.find('='))]["process"] =
+          processCost(std::stoi(Pair.substr(Pair.find('=') + 1)));
+  Result["waiting"] = waitingTimes(Folder);
+  Result["processors_in_use"] = meanProcessorUse(Folder);
+  if (Result.contains("relay"))
+    Result["link_bytes"] = linkBytes(Result["relay"]);
+  std::cout << Result.dump() << std::endl;
+  return 0;
+}
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -103,3 +103,44 @@
     done
   done
 }
+
+# Appends to the history of what the driver did.
+record_fault() { # KIND TARGET [EXTRA_JSON_FIELDS]
+  local gateway=
+  gateway=$(client_gateway_of "$2")
+  printf '{"t_us":%s,"fault":"%s","target":"%s","gateway":"%s"%s}\n' "${EPOCHREALTIME/./}" "$1" "$2" "$gateway" \
+    "${3:+,$3}" >>"$run/faults.history"
+}
+
+# Address under which callers reach an instance.
+client_gateway_of() { # SLOT -> ip:port
+  local index=0 slot pair
+  for pair in ${clients//,/ }; do
+    slot=$(echo $slots | cut -d' ' -f$((++index)))
+    [ "$slot" = "$1" ] && echo "${pair#*=}" && return 0
+  done
+  return 0
+}
+
+# Waits until every rack has an owner that has read its workers.
+wait_for_racks() {
+  local i total slot known
+  total=$(grep -c '"kind": "worker"' "$run/instances.json")
+  for ((i = 0; i < 300; i++)); do
+    known=0
+    for slot in $slots; do
+      known=$((known + $(http GET "http://$(gateway_of "$slot")/v1/workers" | grep -o '"state_read":true' | wc -l)))
+    done
+    [ "$known" -ge "$total" ] && return 0
+    sleep 0.1
+  done
+  echo "only $known of $total workers were read in time" >&2
+  return 1
+}
+
+# SLOT=pid,... of the entry instances.
+process_list() {
+  local slot list=
+  for slot in $slots; do list+="$slot=${process_of[$slot]},"; done
+  echo "${list%,}"
+}
