--- a/Tests/StandIns/standin-list.cpp
+++ b/Tests/StandIns/standin-list.cpp
@@ -33,6 +33,7 @@
   }
 
   asio::io_context Context(1);
+  const tool::TerminationSignals Signals(Context);
   AsioTimerService Timers(Context);
   ListStandIn List(Timers, std::chrono::milliseconds(LagMs));
   const auto Document =
@@ -54,6 +55,6 @@
   Server.start();
   tool::writePortFile(PortFile, Server.port());
   LOG(INFO) << "standin-list: listening on port " << Server.port();
-  tool::runUntilTerminated(Context);
+  Context.run();
   return 0;
 }
--- a/Tests/StandIns/standin-log.cpp
+++ b/Tests/StandIns/standin-log.cpp
@@ -41,6 +41,7 @@
   tool::parseOptions(Count, Arguments, Table);
 
   asio::io_context Context(1);
+  const tool::TerminationSignals Signals(Context);
   AsioTimerService Timers(Context);
   LogStandIn Log(Timers, {}, static_cast<std::uint64_t>(Seed));
   const nlohmann::json Initial = {{"outage", Outage ? Outage : "none"},
@@ -64,6 +65,6 @@
   Server.start();
   tool::writePortFile(PortFile, Server.port());
   LOG(INFO) << "standin-log: listening on port " << Server.port();
-  tool::runUntilTerminated(Context);
+  Context.run();
   return 0;
 }
--- a/Tests/Support/ToolProgram.h
+++ b/Tests/Support/ToolProgram.h
@@ -65,14 +65,20 @@
   return Text.str();
 }
 
-/// Runs the context until SIGTERM or SIGINT.
-inline void runUntilTerminated(asio::io_context &Context) {
-  asio::signal_set Signals(Context, SIGTERM, SIGINT);
-  Signals.async_wait([&Context](const std::error_code &Code, int /*Number*/) {
-    if (!Code)
-      Context.stop();
-  });
-  Context.run();
-}
+/// Stops the context on SIGTERM or SIGINT. Construct it before anything tells
+/// a test that the program is ready, or an early signal kills the program.
+class TerminationSignals {
+public:
+  explicit TerminationSignals(asio::io_context &Context)
+      : Signals_(Context, SIGTERM, SIGINT) {
+    Signals_.async_wait([&Context](const std::error_code &Code, int) {
+      if (!Code)
+        Context.stop();
+    });
+  }
+
+private:
+  asio::signal_set Signals_;
+};
 
 } // namespace hickory::tool
--- a/Tests/Tools/net-relay.cpp
+++ b/Tests/Tools/net-relay.cpp
@@ -27,6 +27,7 @@
   }
 
   asio::io_context Context(1);
+  const tool::TerminationSignals Signals(Context);
   AsioTimerService Timers(Context);
   NetRelay Relay(Context, Timers);
   const auto Document =
@@ -43,6 +44,6 @@
   Server.start();
   tool::writePortFile(PortFile, Server.port());
   LOG(INFO) << "net-relay: control interface on port " << Server.port();
-  tool::runUntilTerminated(Context);
+  Context.run();
   return 0;
 }
--- a/Tests/Tools/port-reserver.cpp
+++ b/Tests/Tools/port-reserver.cpp
@@ -27,6 +27,7 @@
   }
 
   asio::io_context Context(1);
+  const tool::TerminationSignals Signals(Context);
   std::vector<tcp::socket> Sockets;
   nlohmann::json Reserved = nlohmann::json::array();
   for (int I = 0; I < Ports; ++I) {
@@ -65,6 +66,6 @@
     Input.assign(::dup(STDIN_FILENO));
     ReadNext();
   }
-  tool::runUntilTerminated(Context);
+  Context.run();
   return 0;
 }
