Tighten scheduling tests that missed a removed protection

Cause: trial with 20 protections removed one at a time; 16 made a test fail, four passed: cooldown after a hold, a used-up resource in entitlements(), debt below the entitlement, wrapping sums. Change: the four tests now fail without their protection; seen in the same trial. The other 16: tree maximum, band order, set-aside, update() check, cancelled, expired and accepted work, ageing of served teams, refused sizes, earlier summaries, implausible summaries, three preemption limits, reserve memory, estimator window.

--- a/Tests/Scheduling/FairShareTest.cpp
+++ b/Tests/Scheduling/FairShareTest.cpp
@@ -157,6 +157,14 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.9, Entitled["a"], 1e-9);
     Entitled = Shares.entitlements({{"a", All}, {"b", All}});
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, Entitled["a"], 1e-9);
+    // A member that needs nothing of a used-up resource goes on growing.
+    Shares.setQuotas({{"a", "", {80000, 0, 0}}, {"b", "", {20000, 0, 0}}});
+    Entitled =
+        Shares.entitlements({{"a", {200000, 0, 0}}, {"b", {0, 400000, 0}}});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Entitled["a"], 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Entitled["b"], 1e-9);
+    Shares.setQuotas(
+        {{"a", "", {50000, 200000, 0}}, {"b", "", {50000, 200000, 0}}});
     Shares.hold("a", "t", {90000, 100000, 0});
     Shares.hold("b", "t", {10000, 10000, 0});
     CPPUNIT_ASSERT(Shares.memberRatio("b") < Shares.memberRatio("a"));
@@ -175,11 +183,11 @@
     Timers.advance(10min);
     CPPUNIT_ASSERT(Shares.debt("a").count() > 60);
     CPPUNIT_ASSERT(Shares.release("a", "t", {60000, 0, 0}).has_value());
-    Shares.hold("a", "t", {29000, 0, 0});
+    Shares.hold("a", "t", {29700, 0, 0});
     Shares.hold("b", "t", {29900, 0, 0});
     CPPUNIT_ASSERT(Shares.memberRatio("a") < Shares.memberRatio("b"));
     // Both borrow now: the one that borrowed before comes second.
-    Shares.hold("a", "t", {4000, 0, 0});
+    Shares.hold("a", "t", {3300, 0, 0});
     Shares.hold("b", "t", {3500, 0, 0});
     CPPUNIT_ASSERT(Shares.memberShare("a") < Shares.memberShare("b"));
     CPPUNIT_ASSERT(Shares.memberRatio("a") > Shares.memberRatio("b"));
--- a/Tests/Scheduling/JobQueueTest.cpp
+++ b/Tests/Scheduling/JobQueueTest.cpp
@@ -231,10 +231,12 @@
     int Next = 0;
     Clock::time_point LastServed = Timers.now();
     Clock::duration LongestGap{0};
+    int SecondsServed = 0;
     for (int Second = 0; Second < 3600; ++Second) {
       PendingWork Long = work("long" + std::to_string(Next++));
       Long.EstimatedRun = std::chrono::hours(1);
       CPPUNIT_ASSERT(Queue.enqueue(Long).has_value());
+      const int Before = Served;
       Queue.dispatch([&](const PendingWork &Work) {
         if (Work.PerTask.CpusMilli > 32000)
           return PlaceVerdict::NoRoom;
@@ -243,10 +245,13 @@
         LastServed = Timers.now();
         return PlaceVerdict::Placed;
       });
+      SecondsServed += Served > Before ? 1 : 0;
       Timers.advance(1s);
     }
     CPPUNIT_ASSERT(Served > 3500);
     CPPUNIT_ASSERT(LongestGap <= 41s);
+    // Window and cooldown together are as long as the longest hold.
+    CPPUNIT_ASSERT(SecondsServed >= 3600 / 2 - 40);
   }
 
   // Guards against cancellation waves that reorder what stays, or that let
--- a/Tests/Scheduling/ResourcesTest.cpp
+++ b/Tests/Scheduling/ResourcesTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <limits>
 #include <rapidcheck.h>
+#include <vector>
 
 namespace hickory {
 
@@ -32,6 +33,17 @@
                     RC_ASSERT(First.minusClamped(Second).CpusMilli ==
                               (A > B ? A - B : 0));
                   }));
+    constexpr auto Largest = std::numeric_limits<std::uint64_t>::max();
+    for (const auto &[Full, More] :
+         std::vector<std::pair<Resources, Resources>>{
+             {{Largest, 0, 0}, {1, 0, 0}},
+             {{0, Largest, 0}, {0, 1, 0}},
+             {{0, 0, Largest}, {0, 0, 1}}}) {
+      Resources Sum = Full;
+      CPPUNIT_ASSERT(!Sum.add(More).has_value());
+      CPPUNIT_ASSERT(Sum == Full);
+      CPPUNIT_ASSERT(!Sum.times(2).has_value());
+    }
     const Resources Huge{std::numeric_limits<std::uint64_t>::max(), 1, 0};
     CPPUNIT_ASSERT(!Huge.times(2).has_value());
     CPPUNIT_ASSERT(Huge.times(1).value() == Huge);
