--- a/Tests/Membership/OwnershipPropertyTest.cpp
+++ b/Tests/Membership/OwnershipPropertyTest.cpp
@@ -165,9 +165,9 @@
                   World.stopReads(0, 40s);
                   World.cutPeers(0, 1, 9500ms);
                   World.cutPeers(0, 2, 9500ms);
-                  World.advance(6s);
-                  World.stopReads(2, 6s);
-                  World.advance(2500ms + step(Choice, 1000));
+                  World.advance(1s);
+                  World.stopReads(2, 11s);
+                  World.advance(7500ms + step(Choice, 1000));
                   World.kill(1, 30s);
                   World.advance(10s);
                 });
