--- a/Tests/Membership/DomainSimulation.cpp
+++ b/Tests/Membership/DomainSimulation.cpp
@@ -378,6 +378,14 @@
   LogDownUntil_ = Now_ + Length;
 }
 
+void DomainSimulation::stopAppends(std::size_t Index, Duration Length) {
+  AppendDownUntil_[Index] = Now_ + Length;
+}
+
+void DomainSimulation::stopReads(std::size_t Index, Duration Length) {
+  ReadDownUntil_[Index] = Now_ + Length;
+}
+
 void DomainSimulation::cutPeers(std::size_t Left, std::size_t Right,
                                 Duration Length) {
   PeersCutUntil_[std::minmax(Left, Right)] = Now_ + Length;
@@ -542,6 +550,7 @@
     const Process &From, const std::string &Slot,
     std::function<std::function<void()>(Process &)> Deliver,
     std::function<void()> Refused) {
+  ++Totals_.Calls;
   const std::size_t Source = From.Index;
   const std::uint64_t Caller = From.Id;
   const auto Target = static_cast<std::size_t>(Slot.front() - 'a');
--- a/Tests/Membership/DomainSimulation.h
+++ b/Tests/Membership/DomainSimulation.h
@@ -65,6 +65,8 @@
   void pause(std::size_t Index, Clock::duration Length);
   void drain(std::size_t Index);
   void stopLog(Clock::duration Length);
+  void stopAppends(std::size_t Index, Clock::duration Length);
+  void stopReads(std::size_t Index, Clock::duration Length);
   void cutPeers(std::size_t Left, std::size_t Right, Clock::duration Length);
   /// Number of shards that the instance holds now.
   [[nodiscard]] std::size_t heldBy(std::size_t Index) const;
@@ -79,6 +81,7 @@
     std::uint64_t Drains = 0;
     std::uint64_t Snapshots = 0;
     std::uint64_t Duplicates = 0;
+    std::uint64_t Calls = 0; ///< Between instances.
   };
   [[nodiscard]] const Totals &totals() const { return Totals_; }
   [[nodiscard]] const std::vector<records::RecordBatch> &log() const {
