Report a start as uncertain when its worker restarted meanwhile

Cause: A start whose answer was lost was taken as not run when the worker's next report did not list it, even if the worker had restarted in between: it may have run before the restart. Change: Such a start ends as failed ("worker restarted"), place answers STATUS_UNKNOWN, and nobody is told that it was not run.

--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -587,6 +587,9 @@
     switch (Known.Task->State) {
     case Phase::Running:
     case Phase::Ended:
+      if (!Known.Task->Confirmed)
+        co_return placeReply(peer::STATUS_UNKNOWN, Known.Task->End.detail(),
+                             Worker);
       Context_->Counters.observe(
           "hickory_place_seconds",
           std::chrono::duration<double>(Context_->Timers.now() - Begun)
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -450,10 +450,15 @@
       const bool Processed =
           std::find(Answered.Starts.begin(), Answered.Starts.end(), Task) !=
           Answered.Starts.end();
-      if (Processed) {
+      if (!Processed && !startHasLapsed(*Task))
+        continue;
+      if (Task->BootId != BootId_) {
+        // It may have run until the restart.
+        ended(Task, records::OUTCOME_FAILED, "worker restarted", true);
+      } else if (Processed) {
         Context_->WorkerHealth.failed(Worker_.Name);
         notStarted(Task, "the worker did not run the start");
-      } else if (startHasLapsed(*Task)) {
+      } else {
         notStarted(Task, "the start did not reach the worker in time");
       }
     } else {
@@ -513,6 +518,7 @@
 }
 
 void WorkerSession::confirmRunning(const TaskPointer &Task) {
+  Task->Confirmed = true;
   Task->RunningSince = Context_->Timers.now();
   Task->BootId = BootId_;
   Task->enter(Phase::Running);
--- a/Source/Backends/WorkerTask.h
+++ b/Source/Backends/WorkerTask.h
@@ -31,6 +31,7 @@
   std::chrono::milliseconds RunTime{0};
   Phase State = Phase::Queued;
   bool Adopted = false;
+  bool Confirmed = false; ///< The worker listed it as running or ended.
   Clock::time_point CommittedAt;
   Clock::time_point SentAt;
   Clock::time_point RunningSince;
