--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -1,7 +1,7 @@
 # Functions that start, address and stop a deployment of separate processes on loopback. Sourced by Utilities/demo and
 # Utilities/prove. Needs: bin (folder with the programs), run (folder for files).
 
-declare -A process_of=()
+declare -gA process_of=()
 
 start_process() { # NAME COMMAND...
   local name=$1
@@ -129,7 +129,7 @@
   for ((i = 0; i < 300; i++)); do
     known=0
     for slot in $slots; do
-      known=$((known + $(http GET "http://$(gateway_of "$slot")/v1/workers" | grep -o '"state_read":true' | wc -l)))
+      known=$((known + $(http GET "http://$(gateway_of "$slot")/v1/workers" | { grep -o '"state_read":true' || true; } | wc -l)))
     done
     [ "$known" -ge "$total" ] && return 0
     sleep 0.1
