--- a/Tests/Tools/load-generator.cpp
+++ b/Tests/Tools/load-generator.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::seconds CallTimeout{10};
 /// How long after the load's end a caller waits for its jobs.
 constexpr std::chrono::seconds FinishLimit{60};
+constexpr milliseconds ProbePeriod{250};
 
 struct Gateway {
   std::string Domain;
@@ -43,6 +44,8 @@
   double Rate = 1; ///< Factor on all rates.
   std::uint64_t Seed = 1;
   std::string HistoryFile;
+  std::vector<Gateway> Probes; ///< Slot and direct address of each instance.
+  std::string ProbeFile;
 };
 
 struct ArrivalRate {
@@ -57,6 +60,7 @@
         Client_(Context,
                 {.MaximumConnections = 512, .MaximumConnectionsPerHost = 256}),
         Random_(Options_.Seed), History_(Options_.HistoryFile, std::ios::app),
+        ProbeHistory_(Options_.ProbeFile, std::ios::app),
         RunName_(fmt::format("{:x}-{:x}", Options_.Seed,
                              Timers_.wallNow().time_since_epoch().count())) {}
 
@@ -76,6 +80,8 @@
                                  {"gang", 0.7}};
     for (const ArrivalRate &Arrival : Rates)
       spawn(arrivals(Arrival, End));
+    for (const Gateway &Probed : Options_.Probes)
+      asio::co_spawn(Context_, probe(Probed), asio::detached);
     co_await Timers_.sleepFor(Options_.Duration);
     while (Active_ > 0)
       co_await Timers_.sleepFor(milliseconds(20));
@@ -273,6 +279,31 @@
     }
   }
 
+  /// Records which configuration an instance shows, until the run ends.
+  asio::awaitable<void> probe(Gateway Probed) {
+    while (true) {
+      co_await Timers_.sleepFor(ProbePeriod);
+      HttpClientRequest Request{.Url =
+                                    "http://" + Probed.Address + "/v1/status",
+                                .Timeout = milliseconds(1000)};
+      const auto Reply = co_await Client_.send(std::move(Request));
+      if (!Reply || Reply->Status != 200)
+        continue;
+      const json Status = json::parse(Reply->Body, nullptr, false);
+      if (!Status.is_object())
+        continue;
+      const auto Now = std::chrono::duration_cast<std::chrono::microseconds>(
+          Timers_.wallNow().time_since_epoch());
+      ProbeHistory_ << json{{"t_us", Now.count()},
+                            {"slot", Probed.Domain},
+                            {"ready", Status["ready"]},
+                            {"config_version", Status["config_version"]}}
+                           .dump()
+                    << '\n'
+                    << std::flush;
+    }
+  }
+
   asio::awaitable<std::string> awaitJob(std::string Key, std::string Kind) {
     const Clock::time_point Start = Timers_.now();
     while (Timers_.now() - Start < FinishLimit + Options_.Duration) {
@@ -334,6 +365,7 @@
   CurlHttpClient Client_;
   Random Random_;
   std::ofstream History_;
+  std::ofstream ProbeHistory_;
   std::string RunName_;
   std::uint64_t NextKey_ = 0;
   std::uint64_t NextCall_ = 0;
@@ -351,6 +383,16 @@
   return Parts;
 }
 
+/// Parses NAME=ip:port,...
+std::vector<Gateway> parsePairs(const std::string &Text) {
+  std::vector<Gateway> Pairs;
+  for (const std::string &Pair : split(Text)) {
+    const std::size_t Equals = Pair.find('=');
+    Pairs.push_back({Pair.substr(0, Equals), Pair.substr(Equals + 1)});
+  }
+  return Pairs;
+}
+
 } // namespace
 } // namespace hickory
 
@@ -360,6 +402,8 @@
   char *Member = nullptr;
   char *Classes = nullptr;
   char *History = nullptr;
+  char *Probes = nullptr;
+  char *ProbeFile = nullptr;
   int Seconds = 20;
   double Rate = 1;
   long Seed = 1;
@@ -371,6 +415,10 @@
        "job classes: batch,urgent,gang,service,request,non-repeatable", "LIST"},
       {"history", 0, POPT_ARG_STRING, &History, 0,
        "file that receives the calls and answers", "FILE"},
+      {"probes", 0, POPT_ARG_STRING, &Probes, 0,
+       "SLOT=ip:port of instances whose configuration is recorded", "LIST"},
+      {"probe-history", 0, POPT_ARG_STRING, &ProbeFile, 0,
+       "file that receives these records", "FILE"},
       {"seconds", 0, POPT_ARG_INT, &Seconds, 0, "duration of the load", "N"},
       {"rate", 0, POPT_ARG_DOUBLE, &Rate, 0, "factor on all rates", "X"},
       {"seed", 0, POPT_ARG_LONG, &Seed, 0, "seed", "N"},
@@ -383,17 +431,15 @@
     std::cerr << "give --gateways, --member and six --classes; see --help\n";
     return 2;
   }
-  LoadOptions Options{.Member = Member,
+  LoadOptions Options{.Gateways = parsePairs(Gateways),
+                      .Member = Member,
                       .Classes = split(Classes),
                       .Duration = std::chrono::seconds(Seconds),
                       .Rate = Rate,
                       .Seed = static_cast<std::uint64_t>(Seed),
-                      .HistoryFile = History == nullptr ? "" : History};
-  for (const std::string &Pair : split(Gateways)) {
-    const std::size_t Equals = Pair.find('=');
-    Options.Gateways.push_back(
-        {Pair.substr(0, Equals), Pair.substr(Equals + 1)});
-  }
+                      .HistoryFile = History == nullptr ? "" : History,
+                      .Probes = parsePairs(Probes == nullptr ? "" : Probes),
+                      .ProbeFile = ProbeFile == nullptr ? "" : ProbeFile};
   asio::io_context Context(1);
   LoadGenerator Generator(Context, std::move(Options));
   Generator.start();
--- a/Tests/Tools/measure-run.cpp
+++ b/Tests/Tools/measure-run.cpp
@@ -190,6 +190,44 @@
              : 1;
 }
 
+/// Joins the checks of many seeds into one line. With a protection removed, the
+/// proof succeeds if a violation was found.
+int summarizeProof(const fs::path &Results, const std::string &Removed) {
+  json Summary = {
+      {"histories", 0},           {"operations", 0},
+      {"faults", json::object()}, {"violations", json::object()},
+      {"unaccounted", 0},         {"incomplete_seeds", json::array()}};
+  std::uint64_t Violations = 0;
+  for (const auto &Entry : fs::directory_iterator(Results)) {
+    if (!Entry.is_directory())
+      continue;
+    const json Check = lastLine(Entry.path() / "check.out");
+    const json Load = lastLine(Entry.path() / "load.json");
+    if (!Check.is_object() || !Load.is_object()) {
+      Summary["incomplete_seeds"].push_back(Entry.path().filename().string());
+      continue;
+    }
+    Summary["histories"] = Summary["histories"].get<int>() + 1;
+    Summary["operations"] =
+        Summary["operations"].get<int>() + Check["operations"].get<int>();
+    Summary["unaccounted"] =
+        Summary["unaccounted"].get<int>() + Load["unaccounted"].get<int>();
+    for (const char *Field : {"faults", "violations"})
+      for (const auto &[Name, Number] : Check[Field].items())
+        Summary[Field][Name] =
+            Summary[Field].value(Name, 0) + Number.get<int>();
+    Violations += Check["violations_total"].get<std::uint64_t>();
+  }
+  if (!Removed.empty())
+    Summary["removed_protection"] = Removed;
+  Summary["violations_total"] = Violations;
+  std::cout << Summary.dump() << std::endl;
+  if (!Summary["incomplete_seeds"].empty() || Summary["histories"] == 0)
+    return 1;
+  const bool Clean = Violations == 0 && Summary["unaccounted"] == 0;
+  return Clean == Removed.empty() ? 0 : 1;
+}
+
 } // namespace
 } // namespace hickory
 
@@ -201,6 +239,8 @@
   char *Log = nullptr;
   char *Processes = nullptr;
   char *Summary = nullptr;
+  char *Proof = nullptr;
+  char *Removed = nullptr;
   const poptOption Table[] = {
       {"run", 0, POPT_ARG_STRING, &Folder, 0, "folder of the run", "DIR"},
       {"gateways", 0, POPT_ARG_STRING, &Gateways, 0, "SLOT=ip:port,...",
@@ -212,11 +252,17 @@
       {"processes", 0, POPT_ARG_STRING, &Processes, 0, "SLOT=pid,...", "LIST"},
       {"summary", 0, POPT_ARG_STRING, &Summary, 0,
        "only join the results of these folders", "DIR,DIR"},
+      {"proof", 0, POPT_ARG_STRING, &Proof, 0,
+       "only join the checks of the seeds in this folder", "DIR"},
+      {"removed", 0, POPT_ARG_STRING, &Removed, 0,
+       "with --proof: the protection that was removed, if any", "NAME"},
       POPT_AUTOHELP POPT_TABLEEND};
   tool::initLogging(Arguments[0]);
   tool::parseOptions(Count, Arguments, Table);
   if (Summary != nullptr)
     return summarize(split(Summary, ','));
+  if (Proof != nullptr)
+    return summarizeProof(Proof, Removed == nullptr ? "" : Removed);
   if (Folder == nullptr || Gateways == nullptr) {
     std::cerr << "give --run and --gateways; see --help\n";
     return 2;
