--- /dev/null
+++ b/Tests/Http/HttpLimitsTest.cpp
@@ -0,0 +1,138 @@
+#include "Http/CurlHttpClient.h"
+#include "Http/HttpServer.h"
+
+#include "Base/AsioTimerService.h"
+#include "Support/RunCoroutine.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that counts the requests that reach its handler.
+struct Bench {
+  explicit Bench(HttpServerOptions Options = {})
+      : Timers(Context), Server(Context, Options,
+                                [this](HttpServerRequest Request) {
+                                  return handle(std::move(Request));
+                                }),
+        Client(Context) {
+    Server.start();
+  }
+
+  asio::awaitable<HttpServerResponse> handle(HttpServerRequest Request) {
+    ++Handled;
+    if (Request.Path == "/slow")
+      co_await Timers.sleepFor(400ms);
+    co_return HttpServerResponse{.Body = std::move(Request.Body)};
+  }
+
+  Result<HttpClientResponse> send(const std::string &Path, std::string Body,
+                                  std::chrono::milliseconds Timeout = 20s) {
+    HttpClientRequest Request{
+        .Method = "POST",
+        .Url = fmt::format("http://127.0.0.1:{}{}", Server.port(), Path),
+        .Body = std::move(Body),
+        .Timeout = Timeout};
+    return runCoroutine(Context, Client.send(std::move(Request)));
+  }
+
+  asio::io_context Context;
+  AsioTimerService Timers;
+  HttpServer Server;
+  CurlHttpClient Client;
+  int Handled = 0;
+};
+
+} // namespace
+
+class HttpLimitsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpLimitsTest);
+  CPPUNIT_TEST(oversizedBodyDoesNotReachHandler);
+  CPPUNIT_TEST(oversizedHeaderDoesNotReachHandler);
+  CPPUNIT_TEST(slowAnswerIsTimeout);
+  CPPUNIT_TEST(silentServerIsTimeout);
+  CPPUNIT_TEST(idleConnectionIsClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against memory use without bound by one caller.
+  void oversizedBodyDoesNotReachHandler() {
+    HttpServerOptions Options;
+    Options.MaximumBodyBytes = 10000;
+    Bench Setup(Options);
+    const auto Fits = Setup.send("/a", std::string(10000, 'x'));
+    CPPUNIT_ASSERT(Fits && Fits->Body.size() == 10000);
+    for (const std::size_t Size : {10001, 100000, 5000000}) {
+      const auto Reply = Setup.send("/a", std::string(Size, 'x'));
+      CPPUNIT_ASSERT(!Reply || Reply->Status == 413);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Handled);
+    CPPUNIT_ASSERT(Setup.send("/a", "x").has_value());
+  }
+
+  // The same for the header.
+  void oversizedHeaderDoesNotReachHandler() {
+    Bench Setup;
+    const auto Reply = Setup.send("/" + std::string(100000, 'a'), "");
+    CPPUNIT_ASSERT(!Reply || Reply->Status >= 400);
+    CPPUNIT_ASSERT_EQUAL(0, Setup.Handled);
+  }
+
+  // Guards against a request that ran but is reported as certain not to have.
+  void slowAnswerIsTimeout() {
+    Bench Setup;
+    const auto Reply = Setup.send("/slow", "x", 100ms);
+    CPPUNIT_ASSERT(!Reply && Reply.error().Code == ErrorCode::Timeout);
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Handled);
+    CPPUNIT_ASSERT(Setup.send("/slow", "x").has_value());
+  }
+
+  // The same for a server that accepts the connection and reads nothing.
+  void silentServerIsTimeout() {
+    Bench Setup;
+    asio::ip::tcp::acceptor Silent(
+        Setup.Context,
+        asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    HttpClientRequest Request{
+        .Url =
+            fmt::format("http://127.0.0.1:{}/", Silent.local_endpoint().port()),
+        .Timeout = 100ms};
+    const auto Reply =
+        runCoroutine(Setup.Context, Setup.Client.send(std::move(Request)));
+    CPPUNIT_ASSERT(!Reply && Reply.error().Code == ErrorCode::Timeout);
+  }
+
+  // Guards against connections that stay open for ever without a request.
+  void idleConnectionIsClosed() {
+    HttpServerOptions Options;
+    Options.IdleTimeout = 1s;
+    Bench Setup(Options);
+    const auto Work = [&]() -> asio::awaitable<std::error_code> {
+      asio::ip::tcp::socket Idle(Setup.Context);
+      std::error_code Code;
+      const asio::ip::tcp::endpoint Where(asio::ip::address_v4::loopback(),
+                                          Setup.Server.port());
+      co_await Idle.async_connect(
+          Where, asio::redirect_error(asio::use_awaitable, Code));
+      char Byte = 0;
+      co_await Idle.async_read_some(
+          asio::buffer(&Byte, 1),
+          asio::redirect_error(asio::use_awaitable, Code));
+      co_return Code;
+    };
+    CPPUNIT_ASSERT(runCoroutine(Setup.Context, Work()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpLimitsTest);
+
+} // namespace hickory
--- a/Tests/StandIns/LogStandIn.h
+++ b/Tests/StandIns/LogStandIn.h
@@ -37,6 +37,8 @@
     std::int64_t Retention = 100000;
     /// Over all streams; 0 is unlimited.
     double AppendsPerSecond = 500;
+    /// Larger appends are answered 413.
+    std::int64_t MaximumAppendBytes = 16 << 20;
   };
 
   LogStandIn(TimerService &Timers, Settings Initial, std::uint64_t Seed)
@@ -87,6 +89,8 @@
           Next.Retention = Value.get<std::int64_t>();
         else if (Key == "appends_per_s")
           Next.AppendsPerSecond = Value.get<double>();
+        else if (Key == "max_append_bytes")
+          Next.MaximumAppendBytes = Value.get<std::int64_t>();
         else
           return "unknown setting " + Key;
       }
@@ -101,9 +105,8 @@
       return "lose_answers and late_answers must be at least 0 and together at "
              "most 1";
     if (Next.SlowMs < 0 || Next.LateMs < 0 || Next.AppendsPerSecond < 0 ||
-        Next.Retention < 0)
-      return "slow_ms, late_ms, retention and appends_per_s must not be "
-             "negative";
+        Next.Retention < 0 || Next.MaximumAppendBytes < 0)
+      return "numbers must not be negative";
     Settings_ = Next;
     Tokens_ = burst();
     TokensAt_ = Timers_.now();
@@ -195,6 +198,10 @@
     const bool Refused = co_await refusedByOutage();
     Stream &Of = Streams_[Name];
     Of.BytesIn += Payload.size();
+    if (std::ssize(Payload) > Settings_.MaximumAppendBytes) {
+      ++Of.Refused;
+      co_return error(413, "the append exceeds max_append_bytes");
+    }
     if (Refused || !takeToken()) {
       ++Of.Refused;
       co_return error(Refused ? 503 : 429,
@@ -296,7 +303,8 @@
             {"late_answers", Settings_.LateAnswers},
             {"late_ms", Settings_.LateMs},
             {"retention", Settings_.Retention},
-            {"appends_per_s", Settings_.AppendsPerSecond}};
+            {"appends_per_s", Settings_.AppendsPerSecond},
+            {"max_append_bytes", Settings_.MaximumAppendBytes}};
   }
 
   /// Byte counts are of bodies, without HTTP headers.
--- a/Tests/StandIns/standin-log.cpp
+++ b/Tests/StandIns/standin-log.cpp
@@ -50,14 +50,17 @@
                                   {"late_answers", LateAnswers},
                                   {"late_ms", LateMs},
                                   {"retention", Retention},
-                                  {"appends_per_s", AppendsPerSecond}};
+                                  {"appends_per_s", AppendsPerSecond},
+                                  {"max_append_bytes", MaximumAppendBytes}};
   if (const auto Wrong = Log.change(Initial)) {
     std::fprintf(stderr, "%s: %s\n", Arguments[0], Wrong->c_str());
     return 2;
   }
   HttpServerOptions Options;
   Options.Port = static_cast<std::uint16_t>(Port);
-  Options.MaximumBodyBytes = static_cast<std::size_t>(MaximumAppendBytes);
+  // The HTTP server closes the connection above its limit; the stand-in
+  // answers 413 above its own.
+  Options.MaximumBodyBytes = 64 << 20;
   Options.MaximumConnections = 8192;
   HttpServer Server(Context, Options, [&Log](HttpServerRequest Request) {
     return Log.handle(std::move(Request));
--- a/Tests/ToolTests/NetRelayTest.cpp
+++ b/Tests/ToolTests/NetRelayTest.cpp
@@ -160,6 +160,9 @@
       std::string Got = co_await Bench::read(Client, 100000);
       Setup.control({{"link", "a-b"}, {"delay_ms", 0}});
       Got += co_await Bench::read(Client, Sent.size() - Got.size());
+      // The relay counts bytes after the client could read them.
+      while (Setup.stats()["bytes_to_client"].get<std::size_t>() < Sent.size())
+        co_await Setup.Timers.sleepFor(1ms);
       co_return Got;
     };
     CPPUNIT_ASSERT(runCoroutine(Setup.Context, Work()) == Sent);
