--- a/Source/Scheduling/JobQueue.h
+++ b/Source/Scheduling/JobQueue.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -126,7 +127,12 @@
     std::uint64_t Accelerators = 0;
     std::uint32_t Tasks = 0;
     bool Urgent = false;
-    auto operator<=>(const LaneKey &) const = default;
+    bool operator<(const LaneKey &Other) const {
+      return std::tie(Member, Team, CpusMilli, MemoryMb, Accelerators, Tasks,
+                      Urgent) <
+             std::tie(Other.Member, Other.Team, Other.CpusMilli, Other.MemoryMb,
+                      Other.Accelerators, Other.Tasks, Other.Urgent);
+    }
   };
   struct Lane;
   struct Entry {
@@ -152,7 +158,11 @@
     double MemberRatio = 0;
     double TeamRatio = 0;
     Position Place;
-    auto operator<=>(const Standing &) const = default;
+    bool operator<(const Standing &Other) const {
+      return std::tie(NegativeLevel, MemberRatio, TeamRatio, Place) <
+             std::tie(Other.NegativeLevel, Other.MemberRatio, Other.TeamRatio,
+                      Other.Place);
+    }
   };
   struct Candidate {
     Standing Rating;
--- a/Source/Scheduling/PlacementCost.h
+++ b/Source/Scheduling/PlacementCost.h
@@ -2,8 +2,8 @@
 
 #include "Scheduling/Resources.h"
 
-#include <compare>
 #include <cstddef>
+#include <tuple>
 
 namespace hickory {
 
@@ -12,7 +12,11 @@
 struct PlacementCost {
   std::uint64_t AcceleratorRank = 0;
   double Fit = 0;
-  auto operator<=>(const PlacementCost &) const = default;
+  bool operator==(const PlacementCost &) const = default;
+  bool operator<(const PlacementCost &Other) const {
+    return std::tie(AcceleratorRank, Fit) <
+           std::tie(Other.AcceleratorRank, Other.Fit);
+  }
 };
 
 /// The rule by which best fit compares workers. A worker's free resources fall
@@ -26,7 +30,7 @@
   static constexpr std::size_t Bands = 16;
 
   /// Amounts that count as equally large.
-  Resources Unit{.CpusMilli = 32000, .MemoryMb = 128 * 1024};
+  Resources Unit{.CpusMilli = 32000, .MemoryMb = 131072};
   /// Penalty per difference of ratios, in units, where the scarce resource
   /// would be left over, and where the plentiful one would. Packing of 100
   /// workers, relative to its bound, with round, odd and memory-heavy sizes:
--- a/Tests/Scheduling/JobQueueTest.cpp
+++ b/Tests/Scheduling/JobQueueTest.cpp
@@ -90,6 +90,7 @@
   FixedShares Shares;
   JobQueue Queue(Timers, Shares, Options);
   std::vector<Clock::time_point> Ends;
+  Ends.reserve(8);
   int Next = 0;
   const Clock::time_point Start = Timers.now();
   PendingWork Gang = work("gang");
--- a/Tests/Scheduling/PreemptionTest.cpp
+++ b/Tests/Scheduling/PreemptionTest.cpp
@@ -22,8 +22,9 @@
   void victimsAreAllowedAndSufficient() {
     CPPUNIT_ASSERT(rc::check("victims", [](std::uint64_t Seed) {
       Random Numbers(Seed);
-      std::vector<RunningTask> Running;
       const std::uint64_t Tasks = Numbers.below(10);
+      std::vector<RunningTask> Running;
+      Running.reserve(Tasks);
       for (std::uint64_t Number = 0; Number < Tasks; ++Number)
         Running.push_back(
             {.Id = std::to_string(Number),
@@ -82,6 +83,7 @@
   // Guards against one urgent task that stops a whole worker's work.
   void numberOfVictimsIsBounded() {
     std::vector<RunningTask> Running;
+    Running.reserve(10);
     for (int Number = 0; Number < 10; ++Number)
       Running.push_back(
           {.Id = std::to_string(Number), .Priority = 100, .Held = {100, 0, 0}});
