Check the wait after a takeover in the simulation

Cause: an owner that releases a shard just after taking it over would hide from the next owner that start commands of an expired owner may still be on their way. Change: rule in the simulation, and a test that finds the violation when TakeoverWait is 0.

--- a/Source/Membership/Ownership.cpp
+++ b/Source/Membership/Ownership.cpp
@@ -37,7 +37,7 @@
                      OwnershipOptions Options)
     : Executor_(std::move(Executor)), Timers_(Timers), State_(State),
       Writer_(Writer), Peers_(Peers), Directory_(Directory),
-      Counters_(Counters), Events_(Events), Generator_(std::move(Generator)),
+      Counters_(Counters), Events_(Events), Generator_(Generator),
       Options_(Options), Wake_(Executor_), Lease_(Options.Lease),
       Subscribers_(
           std::make_shared<Callbacks<std::function<void(const Change &)>>>()),
@@ -72,6 +72,7 @@
   Draining_ = true;
   Events_.emit("ownership", "drain", {{"incarnation", Incarnation_}});
   std::vector<std::string> Shards;
+  Shards.reserve(Held_.size());
   for (const auto &[Shard, Since] : Held_)
     Shards.push_back(Shard);
   for (const std::string &Shard : Shards)
@@ -752,6 +753,7 @@
       Keys.push_back("keys/" + std::to_string(Range));
     assignPreferred(Keys);
     std::vector<std::string> Racks;
+    Racks.reserve(Racks_.size());
     for (const std::string &Rack : Racks_)
       Racks.push_back(rackShard(Rack));
     assignPreferred(Racks);
--- a/Tests/Membership/DomainSimulation.cpp
+++ b/Tests/Membership/DomainSimulation.cpp
@@ -267,9 +267,9 @@
 }
 
 DomainSimulation::DomainSimulation(SimulationOptions Options)
-    : Options_(std::move(Options)), Random_(Options_.Seed),
-      Processes_(Instances), StartAt_(Instances, Now_),
-      AppendDownUntil_(Instances), ReadDownUntil_(Instances) {
+    : Options_(Options), Random_(Options_.Seed), Processes_(Instances),
+      StartAt_(Instances, Now_), AppendDownUntil_(Instances),
+      ReadDownUntil_(Instances) {
   const auto Draw = [this] {
     const double Choices[] = {0, 0.5, 1, 3};
     return Choices[Random_.below(4)];
@@ -407,10 +407,9 @@
   Subject.Owner->setRacks({"r1"});
   Subject.Changes = Subject.Owner->subscribe(
       [this, &Subject](const OwnershipView::Change &Event) {
-        if (Event.Acquired) {
-          Subject.Told.insert(Event.Shard);
-          ++Totals_.Acquired;
-        } else
+        if (Event.Acquired)
+          onAcquired(Subject, Event.Shard, Event.PreviousOwnerExpired);
+        else
           Subject.Told.erase(Event.Shard);
       });
   Subject.Releases = Subject.Owner->onRelease(
@@ -609,6 +608,27 @@
   });
 }
 
+void DomainSimulation::onAcquired(Process &Subject, const std::string &Shard,
+                                  bool Expired) {
+  Subject.Told.insert(Shard);
+  ++Totals_.Acquired;
+  const std::uint64_t Epoch = Subject.State->shard(Shard).Epoch;
+  if (Expired) {
+    TakenOver_[Shard] = {Epoch, Now_};
+    return;
+  }
+  // Start commands of an expired owner may arrive for 2 s. Whoever is told that
+  // the shard was released starts work at once. An instance that lags may also
+  // read an earlier claim of its own now.
+  const auto Last = TakenOver_.find(Shard);
+  if (Last != TakenOver_.end() && Last->second.first < Epoch &&
+      Now_ - Last->second.second < 2s)
+    Violation_ = fmt::format(
+        "seed {}: {} acquired {} as released, but its last owner but one may "
+        "still have start commands on the way",
+        Options_.Seed, Subject.Directory.SelfSlot, Shard);
+}
+
 void DomainSimulation::checkRules(const std::string &After) {
   if (Violation_)
     return;
--- a/Tests/Membership/DomainSimulation.h
+++ b/Tests/Membership/DomainSimulation.h
@@ -104,6 +104,7 @@
   void injectFaults();
   void runProcess(Process &Subject);
   void readLog(Process &Subject);
+  void onAcquired(Process &Subject, const std::string &Shard, bool Expired);
   void checkRules(const std::string &After);
   void compareWithReplay(const Process &Subject);
   [[nodiscard]] Process *findProcess(std::size_t Index, std::uint64_t Id);
@@ -133,6 +134,9 @@
   std::map<std::pair<std::size_t, std::size_t>, Time> PeersCutUntil_;
 
   std::vector<std::string> Shards_;
+  /// Epoch and time at which a shard was last acquired from an owner that had
+  /// not released it.
+  std::map<std::string, std::pair<std::uint64_t, Time>> TakenOver_;
   std::optional<std::string> Violation_;
   Totals Totals_;
 };
--- a/Tests/Membership/OwnershipPropertyTest.cpp
+++ b/Tests/Membership/OwnershipPropertyTest.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(findsEvidenceAgainstSuccessor);
   CPPUNIT_TEST(findsMissingClockRateMargin);
   CPPUNIT_TEST(findsExpireThatIgnoresHeartbeats);
+  CPPUNIT_TEST(findsReleaseSoonAfterTakeover);
   CPPUNIT_TEST(findsRecordsOfExpiredIncarnations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -263,6 +264,22 @@
                 });
   }
 
+  // An instance that drains just after it took a shard over.
+  void findsReleaseSoonAfterTakeover() {
+    SimulationOptions Options = usualOptions();
+    Options.Rates = SimulationRates::none();
+    SimulationOptions Removed = Options;
+    Removed.Ownership.TakeoverWait = 0ms;
+    expectFound("TakeoverWait", Removed, Options, 200,
+                [](DomainSimulation &World, Random &Choice) {
+                  World.advance(15s + step(Choice, 2000));
+                  World.kill(0, 60s);
+                  World.advance(2s + step(Choice, 2000));
+                  World.drain(1);
+                  World.advance(8s);
+                });
+  }
+
   void findsRecordsOfExpiredIncarnations() {
     DomainState::Faults Removed;
     Removed.ApplyVoidRecords = true;
