--- a/Source/Backends/HealthTracker.cpp
+++ b/Source/Backends/HealthTracker.cpp
@@ -1,6 +1,7 @@
 #include "Backends/HealthTracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickory {
 
@@ -29,10 +30,38 @@
   Found.RetryAt = Timers_.now() + Found.Pause;
 }
 
-void HealthTracker::succeeded(const std::string &Name) { Entries_.erase(Name); }
+HealthTracker::JobRecord &HealthTracker::recordOf(const std::string &Job) {
+  const auto [It, New] = Jobs_.try_emplace(Job);
+  if (New) {
+    JobOrder_.push_back(Job);
+    if (JobOrder_.size() > Options_.MaximumJobs) {
+      Jobs_.erase(JobOrder_.front());
+      JobOrder_.pop_front();
+    }
+  }
+  return It->second;
+}
 
-void HealthTracker::failed(const std::string &Name) {
+void HealthTracker::succeeded(const std::string &Name, const std::string &Job) {
+  Entries_.erase(Name);
+  if (!Job.empty() && Options_.BlameJobAfter > 0)
+    recordOf(Job).Succeeded = true;
+}
+
+void HealthTracker::failed(const std::string &Name, const std::string &Job) {
   Entry &Found = Entries_[Name];
+  if (!Job.empty() && Options_.BlameJobAfter > 0) {
+    JobRecord &Work = recordOf(Job);
+    if (!Work.Succeeded) {
+      Work.FailedOn.insert(Name);
+      if (Work.FailedOn.size() >= Options_.BlameJobAfter) {
+        // A probe with this job showed nothing; the next one is due at once.
+        if (std::exchange(Found.Probing, false))
+          Found.RetryAt = Timers_.now();
+        return;
+      }
+    }
+  }
   if (Found.Aside && !Found.Probing)
     return; // Work that was started before it was set aside.
   if (!Found.Aside && ++Found.Failures < Options_.Threshold)
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -424,7 +424,7 @@
     if (!Task->HealthReported && Context_->Timers.now() - Task->RunningSince >=
                                      Context_->Options.ShortRun) {
       Task->HealthReported = true;
-      Context_->WorkerHealth.succeeded(Worker_.Name);
+      Context_->WorkerHealth.succeeded(Worker_.Name, Id->Key);
     }
     return;
   }
@@ -568,9 +568,9 @@
       Context_->Timers.now() - Task->SentAt <
       Context_->Options.ShortRun + Context_->Options.Lease.HeartbeatPeriod;
   if (Outcome == records::OUTCOME_COMPLETED)
-    Context_->WorkerHealth.succeeded(Worker_.Name);
+    Context_->WorkerHealth.succeeded(Worker_.Name, Task->Id.Key);
   else if (Outcome == records::OUTCOME_FAILED && Short)
-    Context_->WorkerHealth.failed(Worker_.Name);
+    Context_->WorkerHealth.failed(Worker_.Name, Task->Id.Key);
 }
 
 void WorkerSession::fillEnd(WorkerTask &Task, records::OutcomeKind Outcome,
--- a/Tests/Backends/RetryTest.cpp
+++ b/Tests/Backends/RetryTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(failedProbeDoublesThePause);
   CPPUNIT_TEST(unreportedProbeIsRepeated);
   CPPUNIT_TEST(lateFailuresDoNotProlongThePause);
+  CPPUNIT_TEST(jobThatFailsEverywhereSetsFewAside);
   CPPUNIT_TEST(taskNamesAreParsedBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,26 @@
     CPPUNIT_ASSERT(Health.state("w") == HealthTracker::State::ProbeDue);
   }
 
+  // Guards against one job that can never run and sets all workers aside.
+  void jobThatFailsEverywhereSetsFewAside() {
+    const auto SetAside = [](std::size_t BlameJobAfter) {
+      FakeTimerService Timers;
+      HealthTrackerOptions Options;
+      Options.BlameJobAfter = BlameJobAfter;
+      HealthTracker Health(Options, Timers);
+      int Aside = 0;
+      for (int Worker = 0; Worker < 10; ++Worker) {
+        const std::string Name = "w" + std::to_string(Worker);
+        for (int I = 0; I < 8; ++I)
+          Health.failed(Name, "job");
+        Aside += Health.state(Name) == HealthTracker::State::SetAside ? 1 : 0;
+      }
+      return Aside;
+    };
+    CPPUNIT_ASSERT_EQUAL(2, SetAside(3));
+    CPPUNIT_ASSERT_EQUAL(10, SetAside(0));
+  }
+
   void taskNamesAreParsedBack() {
     const TaskId Id{"perth-north/a#b", 12, 3};
     CPPUNIT_ASSERT(TaskId::parse(Id.wireName(), 3) == Id);
