Keep a request's entry alive while its run starts; start jobs accepted before a takeover

(1) A daemon aborted with heap corruption and 55 first calls were answered with 409: co_spawn runs a request at once, a request that fails at once leaves the table, and submit() then read through the erased iterator. (2) Three jobs stayed pending for ever: their acceptance was written by an owner that lost the shard before it read the record back, after the successor had loaded the shard's jobs. Ruled out: digests of different requests (the payloads were equal); lost records (the log held the acceptances). Change: submit() holds the entry; an acceptance read from the log starts the job if this instance holds its shard.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -711,6 +711,14 @@
   }
 }
 
+void JobRunner::keyChanged(const std::string &Key) {
+  const KeyRecord *Known = Table_.find(Key);
+  if (Known == nullptr || !Known->Accepted || Known->Outcome ||
+      findJob(Key) != nullptr || !Ownership_.holds(keyShard(Key)))
+    return;
+  startJob(Key, false);
+}
+
 void JobRunner::lose(const std::string &Shard) {
   std::erase_if(Jobs_, [&](const auto &Pair) {
     const JobPointer &Owner = Pair.second;
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -63,6 +63,9 @@
   void lose(const std::string &Shard);
   /// True while a start of a task of the shard is in progress.
   [[nodiscard]] bool busy(const std::string &Shard) const;
+  /// The log told something new of a key: starts a job that a former owner of
+  /// the shard had accepted just before this instance acquired it.
+  void keyChanged(const std::string &Key);
   void suspend(const std::string &Shard) { Suspended_.insert(Shard); }
 
   /// Runs until the context ends.
--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -91,23 +91,25 @@
   const std::string Digest = requestDigest(Request);
   const Clock::time_point Deadline =
       Timers_.now() + milliseconds(Request.timeout_ms());
-  auto It = Entries_.find(Key);
-  if (It == Entries_.end()) {
+  std::shared_ptr<Entry> Item;
+  if (const auto It = Entries_.find(Key); It != Entries_.end()) {
+    Item = It->second;
+  } else {
     if (const KeyRecord *Known = Table_.find(Key)) {
       if (Known->Outcome)
         co_return replyFromOutcome(*Known->Outcome);
       if (Known->Intent)
         co_return co_await resolveIntent(*Known->Intent, Deadline);
     }
-    auto Item = std::make_shared<Entry>(Executor_);
+    Item = std::make_shared<Entry>(Executor_);
     Item->Digest = Digest;
     Item->Shard = keyShard(Key);
-    It = Entries_.emplace(Key, Item).first;
-    // The work goes on when the caller or its connection goes away.
+    Entries_.emplace(Key, Item);
+    // The work goes on when the caller or its connection goes away. It may
+    // finish, and leave Entries_, before co_spawn returns.
     asio::co_spawn(Executor_, run(Item, Request, std::move(Class)),
                    asio::detached);
   }
-  const std::shared_ptr<Entry> Item = It->second;
   if (Item->Digest != Digest) {
     peer::SubmitReply Reply;
     Reply.set_status(peer::STATUS_CONFLICT);
