--- a/Source/Log/LogReader.cpp
+++ b/Source/Log/LogReader.cpp
@@ -72,8 +72,7 @@
                         .Maximum = Options_.MaximumEntries,
                         .Wait = CaughtUp_ ? Options_.Wait
                                           : std::chrono::milliseconds(0)};
-    Result<LogPage> Page =
-        co_await Client_.read(Options_.Stream, std::move(Read));
+    Result<LogPage> Page = co_await Client_.read(Options_.Stream, Read);
     if (Stopping_)
       break;
     Counters_.count("hickory_log_reads_total", 1, Labels_);
--- a/Tests/Fakes/FakeLogClient.h
+++ b/Tests/Fakes/FakeLogClient.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "Base/Random.h"
-#include "Base/Signal.h"
 #include "Base/TimerService.h"
 #include "Log/LogClient.h"
+#include "Support/WaiterList.h"
 
 #include <algorithm>
 #include <deque>
 #include <map>
-#include <memory>
 #include <optional>
 
 namespace hickory {
@@ -47,7 +46,7 @@
 
   void releaseAppends() {
     HoldAppends = false;
-    wake(Held_);
+    Held_.wakeAll();
   }
 
   /// Appends without a call, for example what another writer wrote.
@@ -58,7 +57,7 @@
       To.Entries.pop_front();
       ++To.Earliest;
     }
-    wake(To.Waiting);
+    To.Waiting.wakeAll();
     return To.end() - 1;
   }
 
@@ -87,7 +86,7 @@
                                                 std::string Payload) override {
     ++Appends;
     if (HoldAppends)
-      co_await waitIn(Held_, std::nullopt);
+      co_await Held_.wait(Timers_, std::nullopt);
     if (Options.Latency > Clock::duration(0))
       co_await Timers_.sleepFor(Options.Latency);
     if (Outage)
@@ -107,7 +106,7 @@
       co_await Timers_.sleepFor(Options.Latency);
     if (!Outage && Read.From >= Streams_[Stream].end() &&
         Read.Wait > std::chrono::milliseconds(0))
-      co_await waitIn(Streams_[Stream].Waiting, Read.Wait);
+      co_await Streams_[Stream].Waiting.wait(Timers_, Read.Wait);
     if (Outage)
       co_return tl::unexpected<Error>(*Outage);
     const Content &From = Streams_[Stream];
@@ -123,43 +122,19 @@
   }
 
 private:
-  /// Owned by the waiting coroutine, so that nothing here outlives the Asio
-  /// context.
-  using Waiters = std::vector<std::weak_ptr<Signal>>;
-
   struct Content {
     [[nodiscard]] std::uint64_t end() const {
       return Earliest + Entries.size();
     }
     std::uint64_t Earliest = 0;
     std::deque<std::string> Entries;
-    Waiters Waiting;
+    WaiterList Waiting;
   };
 
-  static void wake(Waiters &Waiting) {
-    for (const std::weak_ptr<Signal> &Weak : std::exchange(Waiting, {}))
-      if (const auto Alive = Weak.lock())
-        Alive->notify();
-  }
-
-  asio::awaitable<void> waitIn(Waiters &Waiting,
-                               std::optional<Clock::duration> Limit) {
-    auto Wake = std::make_shared<Signal>(co_await asio::this_coro::executor);
-    const std::weak_ptr<Signal> Weak = Wake;
-    Waiting.push_back(Weak);
-    Subscription Timer;
-    if (Limit)
-      Timer = Timers_.after(*Limit, [Weak] {
-        if (const auto Alive = Weak.lock())
-          Alive->notify();
-      });
-    co_await Wake->wait();
-  }
-
   TimerService &Timers_;
   Random Numbers_;
   std::map<std::string, Content> Streams_;
-  Waiters Held_;
+  WaiterList Held_;
 };
 
 } // namespace hickory
--- a/Tests/StandIns/LogStandIn.h
+++ b/Tests/StandIns/LogStandIn.h
@@ -198,7 +198,7 @@
     const bool Refused = co_await refusedByOutage();
     Stream &Of = Streams_[Name];
     Of.BytesIn += Payload.size();
-    if (std::ssize(Payload) > Settings_.MaximumAppendBytes) {
+    if (!Refused && std::ssize(Payload) > Settings_.MaximumAppendBytes) {
       ++Of.Refused;
       co_return error(413, "the append exceeds max_append_bytes");
     }
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -29,6 +29,7 @@
     for (const int Descriptor : {In[0], In[1], Out[0], Out[1]})
       posix_spawn_file_actions_addclose(&Actions, Descriptor);
     std::vector<char *> Arguments;
+    Arguments.reserve(Command.size() + 1);
     for (std::string &Text : Command)
       Arguments.push_back(Text.data());
     Arguments.push_back(nullptr);
