--- a/Tests/Log/LogWriterTest.cpp
+++ b/Tests/Log/LogWriterTest.cpp
@@ -81,7 +81,10 @@
   CPPUNIT_TEST(queueIsBounded);
   CPPUNIT_TEST(restartDropsOldRecordsAndTellsCallbacks);
   CPPUNIT_TEST(oldAppendDoesNotCompleteNewRecord);
+  CPPUNIT_TEST(oldAppendDoesNotChangeReachability);
   CPPUNIT_TEST(restartWhileRefusedIsCertainlyNotWritten);
+  CPPUNIT_TEST(restartAfterLostAnswerIsUncertain);
+  CPPUNIT_TEST(refusalAfterLostAnswerDoesNotDropBatch);
   CPPUNIT_TEST(refusedBatchIsDroppedAndSequenceUsedAgain);
   CPPUNIT_TEST(flushSkipsLingerAndWaits);
   CPPUNIT_TEST(flushEndsAtDeadline);
@@ -346,6 +349,21 @@
     CPPUNIT_ASSERT(Offset == std::uint64_t(1));
   }
 
+  // Guards against use of the writer's state by an append that ends after the
+  // restart.
+  void oldAppendDoesNotChangeReachability() {
+    Bench Setup;
+    Setup.Log.HoldAppends = true;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(keyRecord("old")));
+    Setup.run(25ms);
+    Setup.Writer.restart(8);
+    Setup.Log.makeUnavailable();
+    Setup.Log.releaseAppends();
+    Setup.run(5000ms);
+    CPPUNIT_ASSERT(Setup.Writer.reachable());
+    CPPUNIT_ASSERT_EQUAL(1, Setup.Log.Appends);
+  }
+
   // Guards against an uncertain answer where every attempt was refused before
   // anything was sent.
   void restartWhileRefusedIsCertainlyNotWritten() {
@@ -362,6 +380,43 @@
     CPPUNIT_ASSERT(Told == ErrorCode::Cancelled);
   }
 
+  // Guards against "not written" for a record that was written, while the
+  // writer waits between two attempts.
+  void restartAfterLostAnswerIsUncertain() {
+    Bench Setup;
+    Setup.Log.Options.LostAnswers = 1;
+    std::optional<ErrorCode> Told;
+    CPPUNIT_ASSERT(
+        Setup.Writer.enqueue(keyRecord("a"), [&](Result<std::uint64_t> Offset) {
+          Told = Offset.error().Code;
+        }));
+    Setup.run(21ms);
+    CPPUNIT_ASSERT(Setup.Log.Appends >= 1);
+    // Later attempts are refused, so that only the first can have written.
+    Setup.Log.Outage = Error{ErrorCode::Refused, "connection refused"};
+    Setup.run(1000ms);
+    Setup.Writer.restart(8);
+    CPPUNIT_ASSERT(Told == ErrorCode::Unavailable);
+  }
+
+  // The same for a batch that the service refuses after the answer to its
+  // first attempt was lost: its sequence must not be used for another batch.
+  void refusalAfterLostAnswerDoesNotDropBatch() {
+    Bench Setup;
+    Setup.Log.Options.LostAnswers = 1;
+    std::optional<Result<std::uint64_t>> Told;
+    CPPUNIT_ASSERT(Setup.Writer.enqueue(
+        keyRecord("a"), [&](Result<std::uint64_t> Offset) { Told = Offset; }));
+    Setup.run(21ms);
+    Setup.Log.Outage = Error{ErrorCode::InvalidArgument, "body too large"};
+    Setup.run(1000ms);
+    CPPUNIT_ASSERT(!Told);
+    Setup.Log.Options.LostAnswers = 0;
+    Setup.Log.makeAvailable();
+    Setup.run(3000ms);
+    CPPUNIT_ASSERT(Told && *Told);
+  }
+
   // Guards against a batch that the service never accepts and that blocks the
   // stream for ever.
   void refusedBatchIsDroppedAndSequenceUsedAgain() {
