--- a/Tests/Bench/SharingBench.h
+++ b/Tests/Bench/SharingBench.h
@@ -80,7 +80,7 @@
     static constexpr int Settled = 300;
     static constexpr int CutOff = 900;
     static constexpr int WorkStops = 960;
-    static constexpr int WorkReturns = 1080;
+    static constexpr int WorkReturns = 1120;
     static constexpr int Healed = 1140;
     static constexpr int End = 2400;
     static constexpr int Window = 60;
