Drop stale summaries while cut off too

Cause: summaries expired only when another one was merged, so an instance cut off from all others counted them for ever. Change: hold() drops them too; the test fails without it.

--- a/Source/Scheduling/FairShare.cpp
+++ b/Source/Scheduling/FairShare.cpp
@@ -68,6 +68,8 @@
 
 void FairShare::hold(const std::string &Member, const std::string &Team,
                      const Resources &Amount) {
+  // Not only in merge(): an instance that is cut off receives no summary.
+  dropStale();
   const auto [It, New] = Accounts_.try_emplace(Member);
   if (New)
     rescale();
--- a/Tests/Scheduling/FairShareTest.cpp
+++ b/Tests/Scheduling/FairShareTest.cpp
@@ -221,6 +221,10 @@
     Timers.advance(2min);
     CPPUNIT_ASSERT(Shares.merge("live", Uses).has_value());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, Shares.memberShare("a"), 1e-9);
+    // Also while cut off, when no summary arrives.
+    Timers.advance(2min);
+    Shares.hold("b", "t", {1000, 0, 0});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, Shares.memberShare("a"), 1e-9);
   }
 
   // Guards against a faulty peer whose report wraps or aborts the process.
