Start accepted jobs after a lapsed instance lease came back

The owner was paused while the log hung; its lease lapsed and came back with its own heartbeat, without a change of ownership. The acceptance was read in between, when holds() was false. Change: such keys are remembered and started once the shard is held again. Conclusion: events alone do not tell when holds() becomes true again.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -265,6 +265,7 @@
   while (true) {
     co_await Wake_.waitFor(Timers_, Options_.DispatchPeriod);
     takeCancelled();
+    startUnstarted();
     while (!FinishedKeys_.empty() &&
            FinishedKeys_.front().first + Options_.KeepOutcomes <
                Timers_.now()) {
@@ -714,12 +715,34 @@
 void JobRunner::keyChanged(const std::string &Key) {
   const KeyRecord *Known = Table_.find(Key);
   if (Known == nullptr || !Known->Accepted || Known->Outcome ||
-      findJob(Key) != nullptr || !Ownership_.holds(keyShard(Key)))
+      findJob(Key) != nullptr)
     return;
-  startJob(Key, false);
+  const auto Owner = Ownership_.ownerOf(keyShard(Key));
+  if (!Owner || Owner->Incarnation != Ownership_.incarnation())
+    return;
+  Unstarted_.insert(Key);
+  startUnstarted();
+}
+
+void JobRunner::startUnstarted() {
+  for (auto It = Unstarted_.begin(); It != Unstarted_.end();) {
+    const std::string Key = *It;
+    const KeyRecord *Known = Table_.find(Key);
+    const bool Obsolete =
+        Known == nullptr || Known->Outcome || findJob(Key) != nullptr;
+    if (!Obsolete && !Ownership_.holds(keyShard(Key))) {
+      ++It;
+      continue;
+    }
+    It = Unstarted_.erase(It);
+    if (!Obsolete)
+      startJob(Key, false);
+  }
 }
 
 void JobRunner::lose(const std::string &Shard) {
+  std::erase_if(Unstarted_,
+                [&](const std::string &Key) { return keyShard(Key) == Shard; });
   std::erase_if(Jobs_, [&](const auto &Pair) {
     const JobPointer &Owner = Pair.second;
     if (Owner->Shard != Shard)
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -107,6 +107,7 @@
   };
   using JobPointer = std::shared_ptr<Job>;
 
+  void startUnstarted();
   void startJob(const std::string &Key, bool MayRunUnassigned);
   void enqueueTask(const JobPointer &Owner, std::uint32_t Index);
   void enqueueGang(const JobPointer &Owner);
@@ -151,6 +152,10 @@
   std::unordered_map<std::string, JobPointer> Jobs_;
   /// Jobs whose acceptance is being written, with the waiting callers.
   std::unordered_map<std::string, std::shared_ptr<Signal>> Accepting_;
+  /// Accepted jobs of owned shards that could not be started because the
+  /// instance lease had lapsed when their acceptance was read. The lease may
+  /// come back without any change of ownership.
+  std::set<std::string> Unstarted_;
   std::set<std::string> Suspended_;
   std::deque<std::pair<Clock::time_point, std::string>> FinishedKeys_;
   std::size_t Starting_ = 0;
