--- a/Source/Membership/DomainState.cpp
+++ b/Source/Membership/DomainState.cpp
@@ -188,6 +188,13 @@
   return std::nullopt;
 }
 
+LastSequences DomainState::lastSequences() const {
+  LastSequences Known;
+  for (const auto &[Incarnation, Entry] : Members_)
+    Known.emplace(Incarnation, Entry.LastSequence);
+  return Known;
+}
+
 void DomainState::onCaughtUp(std::uint64_t /*Next*/) {
   CaughtUp_ = true;
   notify({.Kind = ChangeKind::CaughtUp});
--- a/Source/Membership/DomainState.h
+++ b/Source/Membership/DomainState.h
@@ -83,6 +83,7 @@
                const records::RecordBatch &Batch) override;
   std::optional<std::uint64_t>
   loadSnapshot(const records::RecordBatch &Batch) override;
+  [[nodiscard]] LastSequences lastSequences() const override;
   void onCaughtUp(std::uint64_t Next) override;
 
   /// The state at the last delivered offset.
