--- a/Tests/Membership/DomainSimulation.cpp
+++ b/Tests/Membership/DomainSimulation.cpp
@@ -1,6 +1,7 @@
 #include "DomainSimulation.h"
 
 #include "Base/Signal.h"
+#include "Fakes/FakePeerClient.h"
 #include "Fakes/PausableTimerService.h"
 #include "Membership/Ownership.h"
 #include "RecordingSink.h"
@@ -59,7 +60,7 @@
   bool Reachable_ = true;
 };
 
-class DomainSimulation::Peers final : public PeerClient {
+class DomainSimulation::Peers final : public FakePeerClient {
 public:
   Peers(DomainSimulation &World, Process &Self) : World_(World), Self_(Self) {}
 
@@ -69,56 +70,7 @@
   consent(std::string Slot, peer::ConsentRequest Request,
           Millis Timeout) override;
 
-  // Ownership makes no other calls.
-  asio::awaitable<Result<peer::SubmitReply>>
-  submit(std::string, peer::SubmitRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::QueryReply>>
-  query(std::string, peer::QueryRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::CancelReply>>
-  cancel(std::string, peer::CancelRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::PlaceReply>>
-  place(std::string, peer::PlaceRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::ReserveReply>>
-  reserve(std::string, peer::ReserveRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::TaskStatusReply>>
-  taskStatus(std::string, peer::TaskStatusRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::StopTaskReply>>
-  stopTask(std::string, peer::StopTaskRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::TaskEndedReply>>
-  taskEnded(std::string, peer::TaskEndedNotice, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::ExecuteReply>>
-  execute(std::string, peer::ExecuteRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::SummaryReply>>
-  summary(std::string, peer::SummaryRequest, Millis) override {
-    co_return unused();
-  }
-  asio::awaitable<Result<peer::ConfigTailReply>>
-  configTail(std::string, peer::ConfigTailRequest, Millis) override {
-    co_return unused();
-  }
-
 private:
-  static tl::unexpected<Error> unused() {
-    return fail(ErrorCode::Internal, "not simulated");
-  }
   template <typename Reply>
   asio::awaitable<Result<Reply>> call(std::string Slot, Millis Timeout,
                                       std::function<Reply(Ownership &)> Handle);
