--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -578,6 +578,7 @@
       Task.Size = Need;
       Task.Member = Request.member();
       Task.Team = Request.team();
+      Task.NonRepeatable = Request.non_repeatable();
       if (!Request.service())
         Task.RunTime = milliseconds(Request.run_ms());
       Known.Task = Known.Session->start(std::move(Task));
@@ -861,6 +862,8 @@
         Summary.Rack = Name;
         Summary.Member = Task->Member;
         Summary.Size = Task->Size;
+        Summary.UsedCpusMilli = Task->UsedCpusMilli;
+        Summary.UsedMemoryMb = Task->UsedMemoryMb;
         Summaries.push_back(std::move(Summary));
       }
   return Summaries;
--- a/Source/Backends/RackManager.h
+++ b/Source/Backends/RackManager.h
@@ -29,9 +29,8 @@
   double ClockRateMargin = 0.05;
   std::chrono::milliseconds HeartbeatPeriod{2000};
   std::chrono::milliseconds CallTimeout{1000};
-  /// Nothing is started on a worker that has not answered for this long.
-  std::chrono::milliseconds SilenceLimit{4000};
-  /// Nor on one that has not answered the current message for this long.
+  /// Nothing is started on a worker that has not answered the current message
+  /// for this long, or that has not been heard for two heartbeat periods.
   std::chrono::milliseconds SlowAnswer{250};
 };
 
@@ -148,6 +147,9 @@
     std::string Rack;
     std::string Member;
     Capacity Size;
+    /// As the worker reported it, which may lag.
+    std::int64_t UsedCpusMilli = 0;
+    std::int64_t UsedMemoryMb = 0;
   };
   [[nodiscard]] std::vector<WorkerView> workers() const;
   [[nodiscard]] std::vector<TaskSummary> tasks() const;
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -3,6 +3,7 @@
 #include "Backends/Backoff.h"
 #include "Backends/SignalWait.h"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <fmt/format.h>
@@ -97,7 +98,8 @@
     return true;
   const auto &Lease = Context_->Options.Lease;
   const auto Now = Context_->Timers.now();
-  if (!StateRead_ || !Answering_ || Now > LastReportAt_ + Lease.SilenceLimit ||
+  if (!StateRead_ || !Answering_ ||
+      Now > LastReportAt_ + 2 * Lease.HeartbeatPeriod ||
       (BusySince_ && Now > *BusySince_ + Lease.SlowAnswer))
     return false;
   const auto Health = health();
@@ -203,11 +205,20 @@
     Request.Method = "POST";
     Request.Url = "http://" + Worker_.Address + "/v1/commands";
     Request.Body = Next.Body.dump();
+    // A second copy of a start could run after a restart of the worker.
+    Request.SendOnce =
+        std::any_of(Next.Starts.begin(), Next.Starts.end(),
+                    [](const auto &Task) { return Task->NonRepeatable; });
   }
+  Context_->Counters.count("hickory_worker_bytes_total",
+                           static_cast<double>(Request.Body.size()));
   BusySince_ = Context_->Timers.now();
   auto Reply = co_await Context_->Client.send(std::move(Request));
   BusySince_.reset();
   Context_->Counters.count("hickory_worker_exchanges_total");
+  if (Reply)
+    Context_->Counters.count("hickory_worker_bytes_total",
+                             static_cast<double>(Reply->Body.size()));
   if (Closed_)
     co_return false;
   if (!Reply) {
--- a/Source/Backends/WorkerTask.h
+++ b/Source/Backends/WorkerTask.h
@@ -29,6 +29,7 @@
   std::string Member;
   std::string Team;
   std::chrono::milliseconds RunTime{0};
+  bool NonRepeatable = false;
   Phase State = Phase::Queued;
   bool Adopted = false;
   bool Confirmed = false; ///< The worker listed it as running or ended.
--- a/Tests/Backends/RackManagerTest.cpp
+++ b/Tests/Backends/RackManagerTest.cpp
@@ -39,6 +39,10 @@
   CPPUNIT_TEST(failingWorkerIsSetAside);
   CPPUNIT_TEST(releaseWaitsForStartsOnTheirWay);
   CPPUNIT_TEST(loadAndUseCountCommittedTasks);
+  CPPUNIT_TEST(nonRepeatableStartIsSentOnce);
+  CPPUNIT_TEST(startLostInRestartIsNotReportedAsNotRun);
+  CPPUNIT_TEST(drainWaitsForCallsInProgress);
+  CPPUNIT_TEST(originOfAdoptedTaskIsLookedUp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -484,6 +488,86 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.375, Uses[0].dominant_share(), 1e-9);
   }
 
+  // Guards against a second copy of a start that the HTTP client sends after
+  // the worker restarted.
+  void nonRepeatableStartIsSentOnce() {
+    RackWorld World;
+    World.addWorker("w1");
+    RackOwner Owner(World);
+    Owner.own();
+    auto Request = Owner.placeRequest("a");
+    Request.set_non_repeatable(true);
+    Owner.place(Request);
+    int Once = 0;
+    for (const auto &Sent : World.Client.Sent) {
+      const bool Start = Sent.Body.find("start") != std::string::npos;
+      CPPUNIT_ASSERT_EQUAL(Start, Sent.SendOnce);
+      Once += Sent.SendOnce ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Once);
+  }
+
+  // Guards against "not run" for a task that ran until its worker restarted.
+  void startLostInRestartIsNotReportedAsNotRun() {
+    RackWorld World;
+    FakeWorker &Worker = World.addWorker("w1");
+    RackOwner Owner(World);
+    Owner.own();
+    bool Lossy = true;
+    World.Client.ChooseFate = [&](const HttpClientRequest &) {
+      return FakeHttpClient::Fate{.LoseReply = Lossy};
+    };
+    auto Placed = Owner.beginPlace(Owner.placeRequest("a"));
+    World.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(1, World.History.Starts);
+    Worker.restart();
+    Lossy = false;
+    World.run(5s);
+    CPPUNIT_ASSERT(Placed->has_value());
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_UNKNOWN, (*Placed)->status());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_FAILED,
+                         Owner.Ends.Ended.at(0).outcome());
+    CPPUNIT_ASSERT_EQUAL(1, World.History.Starts);
+  }
+
+  // Guards against a planned stop that cuts off a start.
+  void drainWaitsForCallsInProgress() {
+    RackWorld World;
+    World.addWorker("w1");
+    RackOwner Owner(World);
+    Owner.own();
+    World.Client.ChooseFate = [](const HttpClientRequest &) {
+      return FakeHttpClient::Fate{.RequestDelay = 500ms};
+    };
+    auto Placed = Owner.beginPlace(Owner.placeRequest("a"));
+    bool Drained = false;
+    asio::co_spawn(World.Context, Owner.Manager.drain(),
+                   [&](const std::exception_ptr &) { Drained = true; });
+    World.run(100ms);
+    CPPUNIT_ASSERT(!Drained);
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_UNAVAILABLE,
+                         Owner.place(Owner.placeRequest("b")).status());
+    World.run(1s);
+    CPPUNIT_ASSERT(Drained);
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_OK, (*Placed)->status());
+  }
+
+  // Guards against shares that forget a member's tasks after a takeover.
+  void originOfAdoptedTaskIsLookedUp() {
+    RackWorld World;
+    World.addWorker("w1").startHere("old#0", 1, 1000, 100);
+    RackOwner Owner(World);
+    Owner.Manager.setOriginLookup([](const std::string &Key) {
+      return Key == "old" ? std::optional(TaskOrigin{"karri", "hire"})
+                          : std::nullopt;
+    });
+    Owner.own(true);
+    const auto Uses = Owner.Manager.memberUse();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Uses.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("karri"), Uses[0].member());
+    CPPUNIT_ASSERT_EQUAL(std::string("hire"), Uses[0].team());
+  }
+
 private:
   static int startsAfterDelay(bool LimitStartLease) {
     RackWorld World;
--- a/Tests/Bench/rack-load.cpp
+++ b/Tests/Bench/rack-load.cpp
@@ -240,9 +240,10 @@
         Counters_.counterValue("hickory_answers_crossed_total"),
         Counters_.counterValue("hickory_execute_retries_total"));
     std::cout << fmt::format(
-        "worker exchanges {}  failed {}\n",
+        "worker exchanges {}  failed {}  body bytes {}\n",
         Counters_.counterValue("hickory_worker_exchanges_total"),
-        Counters_.counterValue("hickory_worker_exchange_failures_total"));
+        Counters_.counterValue("hickory_worker_exchange_failures_total"),
+        Counters_.counterValue("hickory_worker_bytes_total"));
   }
 
   Settings Options_;
