--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -127,8 +127,9 @@
   void stop();
 
   asio::awaitable<peer::PlaceReply> place(peer::PlaceRequest Request);
-  peer::ReserveReply reserve(const peer::ReserveRequest &Request);
-  peer::TaskStatusReply taskStatus(const peer::TaskStatusRequest &Request);
+  asio::awaitable<peer::ReserveReply> reserve(peer::ReserveRequest Request);
+  asio::awaitable<peer::TaskStatusReply>
+  taskStatus(peer::TaskStatusRequest Request);
   asio::awaitable<peer::StopTaskReply> stopTask(peer::StopTaskRequest Request);
   asio::awaitable<peer::ExecuteReply> execute(peer::ExecuteRequest Request);
   [[nodiscard]] std::vector<peer::RackLoad> rackLoads() const;
@@ -613,8 +614,8 @@
   co_return Reply;
 }
 
-peer::ReserveReply
-RackManager::Implementation::reserve(const peer::ReserveRequest &Request) {
+asio::awaitable<peer::ReserveReply>
+RackManager::Implementation::reserve(peer::ReserveRequest Request) {
   peer::ReserveReply Reply;
   const Check Checked = checkWork(Request.rack(), Request.target_incarnation());
   Reply.set_status(Checked.Status);
@@ -623,10 +624,10 @@
     if (const auto It = Racks_.find(Request.rack()); It != Racks_.end())
       releaseReservation(*It->second, Request.release());
     Reply.set_status(peer::STATUS_OK);
-    return Reply;
+    co_return Reply;
   }
   if (Checked.Status != peer::STATUS_OK)
-    return Reply;
+    co_return Reply;
   const Capacity Need = Capacity::from(Request.per_task());
   Reservation Held;
   for (std::uint32_t I = 0; I < Request.tasks(); ++I) {
@@ -638,7 +639,7 @@
   }
   if (Held.Pieces.empty()) {
     Reply.set_status(peer::STATUS_NO_CAPACITY);
-    return Reply;
+    co_return Reply;
   }
   const std::uint64_t Id = NextReservation_++;
   const auto Valid =
@@ -652,28 +653,28 @@
   Reply.set_reservation(Id);
   Reply.set_tasks(static_cast<std::uint32_t>(Held.Pieces.size()));
   Checked.Rack->Reservations.emplace(Id, std::move(Held));
-  return Reply;
+  co_return Reply;
 }
 
-peer::TaskStatusReply RackManager::Implementation::taskStatus(
-    const peer::TaskStatusRequest &Request) {
+asio::awaitable<peer::TaskStatusReply>
+RackManager::Implementation::taskStatus(peer::TaskStatusRequest Request) {
   peer::TaskStatusReply Reply;
   const Check Checked = checkRack(Request.rack());
   Reply.set_status(Checked.Status);
   if (Checked.Status != peer::STATUS_OK)
-    return Reply;
+    co_return Reply;
   const TaskId Id{Request.key(), Request.task(), Request.attempt()};
   if (Request.fence())
     Fences_[Id] = Context_->Timers.now();
   if (!Checked.Rack->Ready) {
     Reply.set_status(peer::STATUS_UNAVAILABLE);
-    return Reply;
+    co_return Reply;
   }
   const Found Known = findIn(*Checked.Rack, Id);
   if (!Known.Task) {
     Reply.set_status(allTasksKnown(*Checked.Rack) ? peer::STATUS_NOT_FOUND
                                                   : peer::STATUS_UNKNOWN);
-    return Reply;
+    co_return Reply;
   }
   Reply.set_worker(Known.Session->worker().Name);
   if (Request.fence())
@@ -685,13 +686,13 @@
     break;
   case Phase::NotStarted:
     Reply.set_status(peer::STATUS_NOT_FOUND);
-    return Reply;
+    co_return Reply;
   case Phase::Running:
   case Phase::Ended:
     break;
   }
   Reply.set_state(stateName(*Known.Task));
-  return Reply;
+  co_return Reply;
 }
 
 asio::awaitable<peer::StopTaskReply>
@@ -914,11 +915,11 @@
 }
 asio::awaitable<peer::ReserveReply>
 RackManager::reserve(peer::ReserveRequest Request) {
-  co_return Implementation_->reserve(Request);
+  return Implementation_->reserve(std::move(Request));
 }
 asio::awaitable<peer::TaskStatusReply>
 RackManager::taskStatus(peer::TaskStatusRequest Request) {
-  co_return Implementation_->taskStatus(Request);
+  return Implementation_->taskStatus(std::move(Request));
 }
 asio::awaitable<peer::StopTaskReply>
 RackManager::stopTask(peer::StopTaskRequest Request) {
--- a/Source/Backends/TaskId.h
+++ b/Source/Backends/TaskId.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <charconv>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace hickory {
 
@@ -14,7 +14,11 @@
   std::uint32_t Task = 0;
   std::uint32_t Attempt = 0;
 
-  friend auto operator<=>(const TaskId &, const TaskId &) = default;
+  friend bool operator==(const TaskId &, const TaskId &) = default;
+  friend bool operator<(const TaskId &Left, const TaskId &Right) {
+    return std::tie(Left.Key, Left.Task, Left.Attempt) <
+           std::tie(Right.Key, Right.Task, Right.Attempt);
+  }
 
   /// The task's name on workers: `<key>#<index>`.
   [[nodiscard]] std::string wireName() const {
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -501,11 +501,10 @@
     return;
   const auto Current = Tasks_;
   for (const auto &[Id, Task] : Current) {
-    if (Task->State == Phase::Running)
-      ended(Task, records::OUTCOME_FAILED, "worker lost", true);
-    else if (Task->State == Phase::Sent &&
-             Now >= Task->SentAt + withRateMargin(Lease.RunLease))
-      // It may have run until its lease ended.
+    // A start that was sent may have taken effect and run until now.
+    if (Task->State == Phase::Running ||
+        (Task->State == Phase::Sent &&
+         Now >= Task->SentAt + withRateMargin(Lease.RunLease)))
       ended(Task, records::OUTCOME_FAILED, "worker lost", true);
   }
 }
--- a/Tests/Backends/ExecuteTest.cpp
+++ b/Tests/Backends/ExecuteTest.cpp
@@ -30,7 +30,7 @@
           },
           Slots);
     }
-    Owner = std::make_unique<RackOwner>(World, std::move(Options));
+    Owner = std::make_unique<RackOwner>(World, Options);
     Owner->own();
   }
 
@@ -229,6 +229,7 @@
     for (auto &[Name, One] : Rack.Executors)
       One->Work = 300ms;
     std::vector<std::shared_ptr<std::optional<peer::ExecuteReply>>> Calls;
+    Calls.reserve(10);
     for (int I = 0; I < 10; ++I)
       Calls.push_back(Rack.Owner->begin(Rack.Owner->Manager.execute(
           Rack.request("k" + std::to_string(I) + "#1"))));
@@ -317,6 +318,7 @@
     Rack.Executors["e1"]->Cross = true;
     std::vector<std::shared_ptr<std::optional<peer::ExecuteReply>>> Calls;
     constexpr int Requests = 8;
+    Calls.reserve(Requests);
     for (int I = 0; I < Requests; ++I)
       Calls.push_back(Rack.Owner->begin(Rack.Owner->Manager.execute(
           Rack.request("k" + std::to_string(I) + "#1"))));
--- a/Tests/Backends/RackHarness.h
+++ b/Tests/Backends/RackHarness.h
@@ -123,9 +123,8 @@
         Upstreams({.Url = "http://list:1/v1/instances", .FailureDomain = "d"},
                   World.Context.get_executor(), World.Timers, World.Client,
                   Ownership, Counters, Events),
-        Manager(withSeed(std::move(Options)), World.Context.get_executor(),
-                World.Timers, World.Client, Ownership, Upstreams, Ends,
-                Counters, Events) {
+        Manager(withSeed(Options), World.Context.get_executor(), World.Timers,
+                World.Client, Ownership, Upstreams, Ends, Counters, Events) {
     CPPUNIT_ASSERT(Upstreams.apply(World.list()).has_value());
     asio::co_spawn(World.Context, Manager.run(), asio::detached);
     World.pollAll();
--- a/Tests/Bench/health-variants.cpp
+++ b/Tests/Bench/health-variants.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 /// How a variant judges a worker.
