Close connections after each response while draining

Ruled out: requests in progress, which the drain waits for; the relay, which forwards the close unchanged. Change: from the start of the drain every response closes its connection; the drain waits for every request in flight, not only submissions. Conclusion: a client that reuses an idle connection at the very moment of the close can still meet it; a retry is safe there for any key.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -151,10 +151,11 @@
 
 asio::awaitable<void> Gateway::drain() {
   Draining_ = true;
+  Server_.closeAfterResponse();
   co_await Uses_.Timers.sleepFor(Options_.DrainDelay);
   Refusing_ = true;
   const Clock::time_point Deadline = Uses_.Timers.now() + Options_.DrainLimit;
-  while (Admission_.inProgress() > 0 && Uses_.Timers.now() < Deadline)
+  while (Server_.requestsInFlight() > 0 && Uses_.Timers.now() < Deadline)
     co_await Uses_.Timers.sleepFor(DrainPoll);
 }
 
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -89,6 +89,8 @@
     Open_ = true;
   }
 
+  void closeAfterResponse() { CloseAfterResponse_ = true; }
+
   void stop() {
     if (!Open_)
       return;
@@ -113,6 +115,8 @@
     if (Reply.RetryAfter.count() > 0)
       Response.append_header(restinio::http_field::retry_after,
                              std::to_string(Reply.RetryAfter.count()));
+    if (CloseAfterResponse_)
+      Response.connection_close();
     Response.set_body(std::move(Reply.Body));
     Response.done();
     --InFlight_;
@@ -125,6 +129,7 @@
   std::uint16_t Port_ = 0;
   std::size_t InFlight_ = 0;
   bool Open_ = false;
+  bool CloseAfterResponse_ = false;
 };
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
@@ -133,6 +138,7 @@
           Context, std::move(Options), std::move(OnRequest))) {}
 HttpServer::~HttpServer() = default;
 void HttpServer::start() { Implementation_->start(); }
+void HttpServer::closeAfterResponse() { Implementation_->closeAfterResponse(); }
 void HttpServer::stop() { Implementation_->stop(); }
 std::uint16_t HttpServer::port() const { return Implementation_->port(); }
 std::size_t HttpServer::requestsInFlight() const {
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -47,6 +47,10 @@
 
   /// Binds and listens; throws std::system_error if the address is in use.
   void start();
+  /// From now on each response closes its connection, so that clients send
+  /// their next request elsewhere instead of on a connection that stop() is
+  /// about to close.
+  void closeAfterResponse();
   /// Closes the listener; requests in flight may finish.
   void stop();
   [[nodiscard]] std::uint16_t port() const;
