Keep sessions alive for their spawned coroutines; end calls before a test's owner

The test harness destroyed an owner while calls that refer to it were still in progress, and network fault callbacks outlived their variables. Change: The harness ends the faults and lets calls finish first. Spawned coroutines now own their session from the start instead of from their first step.

--- a/Source/Backends/ExecutorPool.cpp
+++ b/Source/Backends/ExecutorPool.cpp
@@ -200,7 +200,8 @@
     Context_->OnceSent[Item->Id] = {Session->executor().Name,
                                     Context_->Timers.now()};
   asio::co_spawn(Context_->Executor,
-                 Session->call(Item, Item->Tries.size() - 1), asio::detached);
+                 Session->call(Session, Item, Item->Tries.size() - 1),
+                 asio::detached);
   co_return std::nullopt;
 }
 
--- a/Source/Backends/ExecutorSession.cpp
+++ b/Source/Backends/ExecutorSession.cpp
@@ -46,9 +46,10 @@
          Health != HealthTracker::State::Probing;
 }
 
-asio::awaitable<void> ExecutorSession::call(std::shared_ptr<Execution> Item,
-                                            std::size_t Index) {
-  const auto Self = shared_from_this();
+asio::awaitable<void>
+ExecutorSession::call(std::shared_ptr<ExecutorSession> Self,
+                      std::shared_ptr<Execution> Item, std::size_t Index) {
+  CHECK(Self.get() == this);
   Occupied_.insert(Item->Id);
   ++Calls_;
   Context_->ExecutorHealth.started(Executor_.Name);
@@ -196,11 +197,14 @@
 
 void ExecutorSession::watchSlot(const std::shared_ptr<Execution> &Item) {
   if (Occupied_.contains(Item->Id))
-    asio::co_spawn(Context_->Executor, watch(Item), asio::detached);
+    asio::co_spawn(Context_->Executor, watch(shared_from_this(), Item),
+                   asio::detached);
 }
 
-asio::awaitable<void> ExecutorSession::watch(std::shared_ptr<Execution> Item) {
-  const auto Self = shared_from_this();
+asio::awaitable<void>
+ExecutorSession::watch(std::shared_ptr<ExecutorSession> Self,
+                       std::shared_ptr<Execution> Item) {
+  CHECK(Self.get() == this);
   BackoffOptions Pauses{.Initial = Context_->Options.ResultPollMaximum,
                         .Maximum = milliseconds(5000)};
   Backoff Pause(Pauses, Context_->Source);
--- a/Source/Backends/ExecutorSession.h
+++ b/Source/Backends/ExecutorSession.h
@@ -32,7 +32,9 @@
   [[nodiscard]] bool mayExecute() const;
 
   /// Sends the execute call of Item.Tries[Index] and stores its outcome there.
-  asio::awaitable<void> call(std::shared_ptr<Execution> Item,
+  /// Self keeps the session alive, also before the coroutine runs.
+  asio::awaitable<void> call(std::shared_ptr<ExecutorSession> Self,
+                             std::shared_ptr<Execution> Item,
                              std::size_t Index);
 
   enum class ResultState { Unreachable, NotKnown, Running, Done };
@@ -56,7 +58,8 @@
   void handleStatus(const std::shared_ptr<Execution> &Item, Execution::Try &Own,
                     const HttpClientResponse &Reply);
   void release(const std::string &Id);
-  asio::awaitable<void> watch(std::shared_ptr<Execution> Item);
+  asio::awaitable<void> watch(std::shared_ptr<ExecutorSession> Self,
+                              std::shared_ptr<Execution> Item);
 
   std::shared_ptr<RackContext> Context_;
   Upstream Executor_;
--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -147,9 +147,12 @@
   };
 
   void acquire(const std::string &Shard, bool PreviousOwnerExpired);
-  asio::awaitable<void> makeReady(RackPointer Rack, bool PreviousOwnerExpired);
+  /// Self keeps this alive, also before the coroutine runs; so in release.
+  asio::awaitable<void> makeReady(std::shared_ptr<Implementation> Self,
+                                  RackPointer Rack, bool PreviousOwnerExpired);
   void lose(const std::string &Shard);
-  asio::awaitable<void> release(std::string Shard, std::function<void()> Done);
+  asio::awaitable<void> release(std::shared_ptr<Implementation> Self,
+                                std::string Shard, std::function<void()> Done);
   static void closeRack(const RackPointer &Rack);
   void sync(const RackPointer &Rack);
   void syncAll();
@@ -214,9 +217,10 @@
   Subscriptions_.push_back(Context_->Ownership.onRelease(
       [this](std::string Shard, std::function<void()> Done) {
         if (Shard.starts_with(RackPrefix))
-          asio::co_spawn(Context_->Executor,
-                         release(std::move(Shard), std::move(Done)),
-                         asio::detached);
+          asio::co_spawn(
+              Context_->Executor,
+              release(shared_from_this(), std::move(Shard), std::move(Done)),
+              asio::detached);
         else
           Done();
       }));
@@ -269,14 +273,16 @@
                         {{"rack", Name},
                          {"previous_owner_expired", PreviousOwnerExpired},
                          {"incarnation", Context_->Ownership.incarnation()}});
-  asio::co_spawn(Context_->Executor, makeReady(Rack, PreviousOwnerExpired),
+  asio::co_spawn(Context_->Executor,
+                 makeReady(shared_from_this(), Rack, PreviousOwnerExpired),
                  asio::detached);
 }
 
 asio::awaitable<void>
-RackManager::Implementation::makeReady(RackPointer Rack,
+RackManager::Implementation::makeReady(std::shared_ptr<Implementation> Self,
+                                       RackPointer Rack,
                                        bool PreviousOwnerExpired) {
-  const auto Self = shared_from_this();
+  CHECK(Self.get() == this);
   if (PreviousOwnerExpired)
     co_await Context_->Timers.sleepFor(Context_->Options.TakeoverWait);
   if (!isCurrent(Rack))
@@ -318,9 +324,10 @@
 }
 
 asio::awaitable<void>
-RackManager::Implementation::release(std::string Shard,
+RackManager::Implementation::release(std::shared_ptr<Implementation> Self,
+                                     std::string Shard,
                                      std::function<void()> Done) {
-  const auto Self = shared_from_this();
+  CHECK(Self.get() == this);
   const auto It = Racks_.find(Shard.substr(RackPrefix.size()));
   if (It != Racks_.end()) {
     const RackPointer Rack = It->second;
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -215,12 +215,12 @@
   BusySince_ = Context_->Timers.now();
   auto Reply = co_await Context_->Client.send(std::move(Request));
   BusySince_.reset();
+  if (Closed_)
+    co_return false;
   Context_->Counters.count("hickory_worker_exchanges_total");
   if (Reply)
     Context_->Counters.count("hickory_worker_bytes_total",
                              static_cast<double>(Reply->Body.size()));
-  if (Closed_)
-    co_return false;
   if (!Reply) {
     Context_->Counters.count("hickory_worker_exchange_failures_total");
     if (Reply.error().hadNoEffect())
@@ -547,7 +547,8 @@
   fillEnd(*Task, records::OUTCOME_NOT_RUN, Detail);
   Task->enter(Phase::NotStarted);
   if (Task->OutcomeOpen)
-    asio::co_spawn(Context_->Executor, report(Task), asio::detached);
+    asio::co_spawn(Context_->Executor, report(shared_from_this(), Task),
+                   asio::detached);
   else
     dropIfDone(Task);
 }
@@ -566,7 +567,8 @@
   fillEnd(*Task, Outcome, Detail);
   Task->enter(Phase::Ended);
   if (!std::exchange(Task->Reporting, true))
-    asio::co_spawn(Context_->Executor, report(Task), asio::detached);
+    asio::co_spawn(Context_->Executor, report(shared_from_this(), Task),
+                   asio::detached);
 }
 
 void WorkerSession::noteHealthAtEnd(const TaskPointer &Task,
@@ -599,8 +601,9 @@
   Task.End.set_detail(Detail);
 }
 
-asio::awaitable<void> WorkerSession::report(TaskPointer Task) {
-  const auto Self = shared_from_this();
+asio::awaitable<void> WorkerSession::report(std::shared_ptr<WorkerSession> Self,
+                                            TaskPointer Task) {
+  CHECK(Self.get() == this);
   BackoffOptions Pauses{.Initial = milliseconds(200),
                         .Maximum = milliseconds(5000)};
   Backoff Pause(Pauses, Context_->Source);
--- a/Source/Backends/WorkerSession.h
+++ b/Source/Backends/WorkerSession.h
@@ -87,7 +87,9 @@
   void noteHealthAtEnd(const TaskPointer &Task, records::OutcomeKind Outcome);
   void fillEnd(WorkerTask &Task, records::OutcomeKind Outcome,
                const std::string &Detail);
-  asio::awaitable<void> report(TaskPointer Task);
+  /// Self keeps the session alive, also before the coroutine runs.
+  asio::awaitable<void> report(std::shared_ptr<WorkerSession> Self,
+                               TaskPointer Task);
   void dropIfDone(const TaskPointer &Task);
   void applyOrigin(WorkerTask &Task);
   [[nodiscard]] nlohmann::json fields(const WorkerTask &Task) const;
--- a/Tests/Backends/RackHarness.h
+++ b/Tests/Backends/RackHarness.h
@@ -129,9 +129,12 @@
     asio::co_spawn(World.Context, Manager.run(), asio::detached);
     World.pollAll();
   }
+  /// Lets all calls in progress end, because they refer to this object. The
+  /// test's network faults end first; their variables may be gone already.
   ~RackOwner() {
+    World.Client.ChooseFate = nullptr;
     Manager.stop();
-    World.run(10ms);
+    World.run(10s, 100ms);
   }
 
   /// Becomes the owner and waits until the workers have been read.
