--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -118,8 +118,8 @@
     if (CloseAfterResponse_)
       Response.connection_close();
     Response.set_body(std::move(Reply.Body));
-    Response.done();
-    --InFlight_;
+    // The response is only queued here. It is in flight until it was written.
+    Response.done([this](const asio::error_code &) { --InFlight_; });
   }
 
   asio::io_context &Context_;
--- a/Source/Jobs/JobManager.cpp
+++ b/Source/Jobs/JobManager.cpp
@@ -126,6 +126,7 @@
     Runner_.lose(Change.Shard);
     return;
   }
+  Requests_.acquire(Change.Shard);
   Runner_.acquire(Change.Shard, Change.PreviousOwnerExpired);
   asio::co_spawn(Executor_, Requests_.resolveOpenIntents(Change.Shard),
                  asio::detached);
--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -174,6 +174,10 @@
       Current.Rack = It->second.Assigned.rack();
       Current.Ended = It->second.Ended;
       Current.EndLogged = Current.Ended.has_value();
+      // The log table does not say how earlier attempts ended.
+      Current.MayHaveRun = Current.Attempt > 1 ||
+                           (Current.Ended && Current.Ended->outcome() !=
+                                                 records::OUTCOME_NOT_RUN);
     }
     if (Current.Ended) {
       Current.State = Phase::Ended;
@@ -384,6 +388,7 @@
     co_return; // The task ended before the answer to its start came.
   if (Placed && Placed->status() == peer::STATUS_OK) {
     Current.State = Phase::Running;
+    Current.MayHaveRun = true;
     Current.Worker = Placed->worker();
     Current.Refusals = 0;
     const auto Waited = Timers_.now() - Owner->AcceptedAt;
@@ -500,6 +505,7 @@
       if (Reply->status() == peer::STATUS_OK) {
         // If it has ended, the rack owner reports the end.
         Current.State = Phase::Running;
+        Current.MayHaveRun = true;
         Current.Rack = Rack;
         Current.Worker = Reply->worker();
         Events_.emit("jobs", "task_recovered",
@@ -542,6 +548,8 @@
     Current.Attempt = Ended.attempt();
     Current.Ended = Ended;
     Current.State = Phase::Ended;
+    if (Ended.outcome() != records::OUTCOME_NOT_RUN)
+      Current.MayHaveRun = true;
     records::Record Record;
     *Record.mutable_task_ended() = Ended;
     const std::uint32_t Attempt = Ended.attempt();
@@ -574,7 +582,12 @@
 }
 
 bool JobRunner::shouldRetry(const Job &Owner, const Task &Ended) const {
-  if (Owner.Cancelled || Owner.Accepted.non_repeatable())
+  if (Owner.Cancelled)
+    return false;
+  // The rack owner found out that the attempt never started.
+  if (Ended.Ended && Ended.Ended->outcome() == records::OUTCOME_NOT_RUN)
+    return true;
+  if (Owner.Accepted.non_repeatable())
     return false;
   if (Owner.Accepted.service())
     return true;
@@ -609,7 +622,7 @@
     const bool Completed =
         Member.Ended && Member.Ended->outcome() == records::OUTCOME_COMPLETED;
     AllCompleted = AllCompleted && Completed;
-    AnyStarted = AnyStarted || Member.Ended.has_value();
+    AnyStarted = AnyStarted || Member.MayHaveRun;
     AnyUnknown = AnyUnknown || (Member.Ended && Member.Ended->outcome() ==
                                                     records::OUTCOME_UNKNOWN);
   }
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -90,6 +90,7 @@
     std::optional<records::TaskEnded> Ended;
     bool EndLogged = false;
     std::uint32_t Refusals = 0; ///< In a row, for the retry delay.
+    bool MayHaveRun = false;    ///< Some attempt ran, or it is not known.
     bool ResultKnown = false;   ///< No further attempt will be made.
   };
 
--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -94,6 +94,12 @@
   std::shared_ptr<Entry> Item;
   if (const auto It = Entries_.find(Key); It != Entries_.end()) {
     Item = It->second;
+    // A repeatable request whose outcome could not be determined may run again.
+    if (Item->Done && Item->Reply.outcome() == records::OUTCOME_UNKNOWN &&
+        !Class.NonRepeatable && Item->Digest == Digest) {
+      Item->Done = false;
+      asio::co_spawn(Executor_, run(Item, Request, Class), asio::detached);
+    }
   } else {
     if (const KeyRecord *Known = Table_.find(Key)) {
       if (Known->Outcome)
@@ -129,8 +135,11 @@
                                           peer::SubmitRequest Request,
                                           JobClassConfig Class) {
   const Clock::time_point Start = Timers_.now();
-  peer::SubmitReply Reply =
-      co_await runAttempts(Item, Request, std::move(Class));
+  peer::SubmitReply Reply = co_await runAttempts(Item, Request, Class);
+  if (Reply.outcome() == records::OUTCOME_NOT_RUN && !Class.NonRepeatable &&
+      recentlyAcquired(Item->Shard))
+    Reply = unknownOutcome("this request did not run here now, but an earlier "
+                           "owner of the key may have run it; ask again");
   Item->Reply = Reply;
   Item->Done = true;
   Item->FinishedAt = Timers_.now();
@@ -394,6 +403,19 @@
                  << " not recorded: " << Queued.error().Message;
 }
 
+void RequestService::acquire(const std::string &Shard) {
+  const auto Owner = Ownership_.ownerOf(Shard);
+  // Nobody answered for the shard before its first owner.
+  if (Owner && Owner->Epoch > 1)
+    AcquiredAt_[Shard] = Timers_.now();
+}
+
+bool RequestService::recentlyAcquired(const std::string &Shard) const {
+  const auto It = AcquiredAt_.find(Shard);
+  return It != AcquiredAt_.end() &&
+         Timers_.now() < It->second + Options_.KeepAnswers;
+}
+
 std::size_t RequestService::inFlight(const std::string &Shard) const {
   std::size_t Count = 0;
   for (const auto &[Key, Item] : Entries_)
--- a/Source/Jobs/RequestService.h
+++ b/Source/Jobs/RequestService.h
@@ -42,6 +42,10 @@
   /// Returns STATUS_NOT_FOUND for a key never seen.
   asio::awaitable<peer::QueryReply> query(std::string Key);
 
+  /// Notes that the shard changed hands: what a former owner ran without
+  /// keeping it is not known here.
+  void acquire(const std::string &Shard);
+
   /// Resolves the open intents that a former owner left behind.
   asio::awaitable<void> resolveOpenIntents(std::string Shard);
 
@@ -81,6 +85,8 @@
   void recordOutcome(const std::string &Key, const std::string &Member,
                      const peer::SubmitReply &Reply);
   void discardExpired();
+  /// True if a former owner may have answered callers who still ask again.
+  [[nodiscard]] bool recentlyAcquired(const std::string &Shard) const;
 
   RequestServiceOptions Options_;
   asio::any_io_executor Executor_;
@@ -94,6 +100,7 @@
   EventLog &Events_;
   WaitQueue Waiting_;
   std::unordered_map<std::string, std::shared_ptr<Entry>> Entries_;
+  std::unordered_map<std::string, Clock::time_point> AcquiredAt_;
   Subscription DiscardTimer_;
 };
 
