Judge planned stops by the instance's own last event

Ruled out: a response in flight: the trace shows the instance's "stopped" event at 594.8 ms, the call at 613.8 ms, the driver's note at 620.0 ms. Change: the check ends at the instance's own event, less the one-way delay of the client link. Conclusion: calls that reach a live instance are still held to be answered.

--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -22,6 +22,7 @@
   Events Executors; ///< What the executor stand-in ran.
   Events Faults;    ///< What the driver did: {t_us, fault, target}.
   Events Probes;    ///< {t_us, slot, ready, config_version} read in a loop.
+  Events Stops;     ///< The "stopped" events that the instances recorded.
   nlohmann::json Upstreams; ///< List document with capacities.
 };
 
@@ -31,6 +32,9 @@
   std::int64_t LeavingGraceUs = 5000000;
   /// From the acceptance of a configuration to its being in force everywhere.
   std::int64_t ConfigLimitUs = 18000000;
+  /// One-way delay between a caller and an instance. A call sent less than this
+  /// before the instance ended reaches nobody.
+  std::int64_t ClientDelayUs = 1000;
 };
 
 /// Decides from the recorded histories alone whether each guarantee held.
@@ -257,8 +261,20 @@
       Check(Event, text(Event, "executor"), text(Event, "id"));
   }
 
-  // 7. A planned stop answers every call that it had received. Calls sent
-  // after the instance had ended are refused, which is no cut.
+  /// When the instance recorded that it had stopped, after a drain began.
+  [[nodiscard]] std::optional<std::int64_t>
+  stopAfter(const std::string &Slot, std::int64_t Begin) const {
+    std::optional<std::int64_t> First;
+    for (const json &Event : History_.Stops)
+      if (text(Event, "process") == Slot && time(Event) > Begin &&
+          (!First || time(Event) < *First))
+        First = time(Event);
+    return First;
+  }
+
+  // 7. A planned stop answers every call that reached the instance before it
+  // ended. The end is the instance's own last event: the driver notices it
+  // later, and calls sent in between never reached a process.
   void checkGracefulStop() {
     Finding &Found = Findings_["graceful_stop"];
     struct Stop {
@@ -271,9 +287,8 @@
       const std::string Fault = text(Event, "fault");
       const std::string Gateway = text(Event, "gateway");
       if (Fault == "drain")
-        Stops[Gateway] = {time(Event), std::nullopt};
-      else if (Fault == "drained" && Stops.count(Gateway) != 0)
-        Stops[Gateway].End = time(Event);
+        Stops[Gateway] = {time(Event),
+                          stopAfter(text(Event, "target"), time(Event))};
       else if (Fault == "kill" || Fault == "cut" || Fault == "pause")
         Killed.insert(Gateway);
       if (Fault == "drain_failed")
@@ -294,8 +309,10 @@
           !Event.contains("call"))
         continue;
       const json &Call = Calls[Event["call"].get<std::uint64_t>()];
-      const bool During = time(Event) >= It->second.Begin &&
-                          (!It->second.End || time(Call) <= *It->second.End);
+      const bool During =
+          time(Event) >= It->second.Begin &&
+          (!It->second.End ||
+           time(Call) + Options_.ClientDelayUs <= *It->second.End);
       if (!During)
         continue;
       ++Found.Checked;
--- a/Tests/Tools/history-checker.cpp
+++ b/Tests/Tools/history-checker.cpp
@@ -21,6 +21,19 @@
   return Events;
 }
 
+/// The "stopped" events of all instances.
+hickory::RunHistory::Events readStops(const std::filesystem::path &Run) {
+  hickory::RunHistory::Events Stops;
+  for (const auto &File : std::filesystem::directory_iterator(Run)) {
+    if (File.path().extension() != ".events")
+      continue;
+    for (nlohmann::json &Event : readEvents(File.path()))
+      if (Event.value("event", "") == "stopped")
+        Stops.push_back(std::move(Event));
+  }
+  return Stops;
+}
+
 } // namespace
 
 int main(int Count, const char **Arguments) {
@@ -41,6 +54,7 @@
                      .Executors = readEvents(Run / "executors.history"),
                      .Faults = readEvents(Run / "faults.history"),
                      .Probes = readEvents(Run / "probes.history"),
+                     .Stops = readStops(Run),
                      .Upstreams = nlohmann::json::parse(
                          tool::readFile((Run / "instances.json").c_str()))};
   const std::size_t Operations = History.Client.size() / 2;
