Add a harness for the job owner and tests of RequestService

The harness wires JobTable, RequestService, JobRunner and JobManager with fakes and feeds appended records back, as DomainState does.

--- a/Tests/Fakes/FakeOwnershipView.h
+++ b/Tests/Fakes/FakeOwnershipView.h
@@ -25,6 +25,8 @@
   }
   [[nodiscard]] std::optional<ShardOwner>
   ownerOf(const std::string &Shard) const override {
+    if (const auto Other = Others.find(Shard); Other != Others.end())
+      return Other->second;
     if (!Held_.contains(Shard))
       return std::nullopt;
     return ShardOwner{"slot-1", Incarnation, 1};
@@ -32,7 +34,7 @@
   [[nodiscard]] std::vector<std::string> heldShards() const override {
     return {Held_.begin(), Held_.end()};
   }
-  [[nodiscard]] bool logReachable() const override { return true; }
+  [[nodiscard]] bool logReachable() const override { return LogReachable; }
   [[nodiscard]] Subscription
   subscribe(std::function<void(const Change &)> Callback) override {
     Changes_->emplace(++NextId_, std::move(Callback));
@@ -65,6 +67,8 @@
   }
 
   std::uint64_t Incarnation = 7;
+  bool LogReachable = true;
+  std::map<std::string, ShardOwner> Others; ///< Shards of other instances.
   std::vector<std::string> Racks;
 
 private:
--- /dev/null
+++ b/Tests/Fakes/FakeRackService.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "Backends/RackService.h"
+#include "Base/TimerService.h"
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace hickory {
+
+/// Keeps the calls that it receives. Every call succeeds unless the test sets
+/// another answer.
+class FakeRackService final : public RackService {
+public:
+  explicit FakeRackService(TimerService &Timers) : Timers_(Timers) {}
+
+  /// What a call has as its effect at once is told after a delay.
+  template <typename Reply> struct Answer {
+    // Implicit, so that handlers may return a reply.
+    Answer(Reply Message, Clock::duration Delay = Clock::duration(0))
+        : Message(std::move(Message)), Delay(Delay) {}
+    Reply Message;
+    Clock::duration Delay;
+  };
+  template <typename Request, typename Reply>
+  using Handler = std::function<Answer<Reply>(const Request &)>;
+
+  std::vector<peer::RackLoad> Loads;
+  std::vector<peer::PlaceRequest> Placed;
+  std::vector<peer::ReserveRequest> Reserved;
+  std::vector<peer::TaskStatusRequest> Asked;
+  std::vector<peer::StopTaskRequest> Stopped;
+  std::vector<peer::ExecuteRequest> Executed;
+
+  Handler<peer::PlaceRequest, peer::PlaceReply> OnPlace;
+  Handler<peer::ReserveRequest, peer::ReserveReply> OnReserve;
+  Handler<peer::TaskStatusRequest, peer::TaskStatusReply> OnStatus;
+  Handler<peer::StopTaskRequest, peer::StopTaskReply> OnStop;
+  Handler<peer::ExecuteRequest, peer::ExecuteReply> OnExecute;
+
+  asio::awaitable<peer::PlaceReply> place(peer::PlaceRequest Request) override {
+    Placed.push_back(Request);
+    if (OnPlace) {
+      auto Given = OnPlace(Request);
+      co_return co_await deliver(std::move(Given));
+    }
+    peer::PlaceReply Reply;
+    Reply.set_worker("w1");
+    co_return Reply;
+  }
+  asio::awaitable<peer::ReserveReply>
+  reserve(peer::ReserveRequest Request) override {
+    Reserved.push_back(Request);
+    if (OnReserve) {
+      auto Given = OnReserve(Request);
+      co_return co_await deliver(std::move(Given));
+    }
+    peer::ReserveReply Reply;
+    if (Request.release() == 0) {
+      Reply.set_reservation(Reserved.size());
+      Reply.set_tasks(Request.tasks());
+    }
+    co_return Reply;
+  }
+  asio::awaitable<peer::TaskStatusReply>
+  taskStatus(peer::TaskStatusRequest Request) override {
+    Asked.push_back(Request);
+    if (OnStatus) {
+      auto Given = OnStatus(Request);
+      co_return co_await deliver(std::move(Given));
+    }
+    co_return peer::TaskStatusReply();
+  }
+  asio::awaitable<peer::StopTaskReply>
+  stopTask(peer::StopTaskRequest Request) override {
+    Stopped.push_back(Request);
+    if (OnStop) {
+      auto Given = OnStop(Request);
+      co_return co_await deliver(std::move(Given));
+    }
+    co_return peer::StopTaskReply();
+  }
+  asio::awaitable<peer::ExecuteReply>
+  execute(peer::ExecuteRequest Request) override {
+    Executed.push_back(Request);
+    if (OnExecute) {
+      auto Given = OnExecute(Request);
+      co_return co_await deliver(std::move(Given));
+    }
+    peer::ExecuteReply Reply;
+    Reply.set_answer("answer to " + Request.payload());
+    co_return Reply;
+  }
+  [[nodiscard]] std::vector<peer::RackLoad> rackLoads() const override {
+    return Loads;
+  }
+  [[nodiscard]] std::vector<peer::MemberUse> memberUse() const override {
+    return {};
+  }
+
+  /// Adds a rack of workers to the loads.
+  void addWorkerRack(const std::string &Name, std::uint64_t CpusMilli) {
+    peer::RackLoad Load;
+    Load.set_rack(Name);
+    for (records::Resources *Amount :
+         {Load.mutable_free(), Load.mutable_total(),
+          Load.mutable_largest_free(), Load.mutable_largest_worker()}) {
+      Amount->set_cpus_milli(CpusMilli);
+      Amount->set_memory_mb(1000000);
+    }
+    Loads.push_back(Load);
+  }
+  void addExecutorRack(const std::string &Name, std::uint32_t Slots) {
+    peer::RackLoad Load;
+    Load.set_rack(Name);
+    Load.set_has_executors(true);
+    Load.set_free_slots(Slots);
+    Loads.push_back(Load);
+  }
+  /// Executions other than resolve_only.
+  [[nodiscard]] std::size_t dispatches() const {
+    std::size_t Count = 0;
+    for (const peer::ExecuteRequest &Request : Executed)
+      if (!Request.resolve_only())
+        ++Count;
+    return Count;
+  }
+
+private:
+  template <typename Reply>
+  asio::awaitable<Reply> deliver(Answer<Reply> Given) {
+    if (Given.Delay > Clock::duration(0))
+      co_await Timers_.sleepFor(Given.Delay);
+    co_return std::move(Given.Message);
+  }
+
+  TimerService &Timers_;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Tests/Jobs/RequestServiceTest.cpp
@@ -0,0 +1,288 @@
+#include "Jobs/RequestService.h"
+
+#include "Jobs/JobsHarness.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+namespace {
+
+class RequestServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestServiceTest);
+  CPPUNIT_TEST(testRefusedAtOnceLeavesNoEntry);
+  CPPUNIT_TEST(testIntentIsReadBackBeforeDispatch);
+  CPPUNIT_TEST(testIntentOfAnotherOwnerComesFirst);
+  CPPUNIT_TEST(testLeaseLostWhileIntentIsWritten);
+  CPPUNIT_TEST(testSecondCallJoinsFirst);
+  CPPUNIT_TEST(testOtherPayloadIsConflict);
+  CPPUNIT_TEST(testKeyOfJobIsConflict);
+  CPPUNIT_TEST(testUnknownRepeatableIsTriedAgain);
+  CPPUNIT_TEST(testUnknownNonRepeatableIsResolved);
+  CPPUNIT_TEST(testUnresolvedNonRepeatableIsUnknown);
+  CPPUNIT_TEST(testOpenIntentOfDeadOwnerIsResolved);
+  CPPUNIT_TEST(testUnresolvableIntentOfDeadOwnerIsUnknown);
+  CPPUNIT_TEST(testRetryWhileIntentMayStillBeWritten);
+  CPPUNIT_TEST(testFullLineTurnsAwayLeastUrgent);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// The entry of a request that was refused before its first suspension was
+  /// used after it was erased, which corrupted the heap; the first call of a
+  /// key then could answer STATUS_CONFLICT.
+  void testRefusedAtOnceLeavesNoEntry() {
+    JobsHarness Domain;
+    Domain.owner().Ownership.LogReachable = false;
+    for (int I = 0; I < 200; ++I) {
+      const std::string Key = "k" + std::to_string(I);
+      const auto Reply =
+          Domain.finish(Domain.submit(JobsHarness::request(Key, "once")));
+      CPPUNIT_ASSERT_EQUAL(peer::STATUS_UNAVAILABLE, Reply.status());
+      CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, Reply.outcome());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                           Domain.owner().Requests.inFlight(keyShard(Key)));
+    }
+    CPPUNIT_ASSERT(Domain.Racks.Executed.empty());
+    // A dangling entry would make another payload a conflict.
+    Domain.owner().Ownership.LogReachable = true;
+    const auto Reply = Domain.finish(
+        Domain.submit(JobsHarness::request("k0", "once", "other")));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_OK, Reply.status());
+    CPPUNIT_ASSERT_EQUAL(std::string("answer to other"), Reply.answer());
+  }
+
+  /// An intent that is written but not read back may not be the first.
+  void testIntentIsReadBackBeforeDispatch() {
+    JobsHarness Domain;
+    Domain.owner().HoldReads = true;
+    const auto Reply = Domain.submit(JobsHarness::request("k", "once"));
+    Domain.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Domain.Log.end("d"));
+    CPPUNIT_ASSERT(Domain.Racks.Executed.empty());
+    Domain.owner().HoldReads = false;
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED,
+                         Domain.finish(Reply).outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Executed.size());
+  }
+
+  /// Two owners in turn may both write the first intent of a key; only the
+  /// first in the log may dispatch.
+  void testIntentOfAnotherOwnerComesFirst() {
+    JobsHarness Domain;
+    records::RecordBatch Batch;
+    Batch.set_incarnation(99);
+    Batch.set_sequence(1);
+    records::Intent &Intent = *Batch.add_records()->mutable_intent();
+    Intent.set_key("k");
+    Intent.set_attempt(1);
+    Intent.set_incarnation(99);
+    Domain.owner().HoldReads = true;
+    const auto Reply = Domain.submit(JobsHarness::request("k", "once"));
+    Domain.Log.put("d", Batch.SerializeAsString());
+    Domain.run(100ms);
+    Domain.owner().HoldReads = false;
+    CPPUNIT_ASSERT(Domain.finish(Reply).outcome() !=
+                   records::OUTCOME_COMPLETED);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Domain.Racks.dispatches());
+  }
+
+  /// The lease is checked again after the intent was written, because another
+  /// instance may own the key by then.
+  void testLeaseLostWhileIntentIsWritten() {
+    JobsHarness Domain;
+    Domain.Log.HoldAppends = true;
+    const auto Reply = Domain.submit(JobsHarness::request("k", "once"));
+    Domain.run(100ms);
+    Domain.owner().Ownership.setLeaseEnd(Domain.Timers.now());
+    Domain.Log.releaseAppends();
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN,
+                         Domain.finish(Reply).outcome());
+    CPPUNIT_ASSERT(Domain.Racks.Executed.empty());
+  }
+
+  void testSecondCallJoinsFirst() {
+    JobsHarness Domain;
+    Domain.Racks.OnExecute = [](const peer::ExecuteRequest &) {
+      peer::ExecuteReply Reply;
+      Reply.set_answer("the answer");
+      return FakeRackService::Answer(Reply, 500ms);
+    };
+    const auto First = Domain.submit(JobsHarness::request("k", "repeat"));
+    Domain.run(100ms);
+    const auto Second = Domain.submit(JobsHarness::request("k", "repeat"));
+    CPPUNIT_ASSERT_EQUAL(std::string("the answer"),
+                         Domain.finish(First).answer());
+    CPPUNIT_ASSERT_EQUAL(std::string("the answer"),
+                         Domain.finish(Second).answer());
+    const auto Third = Domain.submit(JobsHarness::request("k", "repeat"));
+    CPPUNIT_ASSERT_EQUAL(std::string("the answer"),
+                         Domain.finish(Third).answer());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Executed.size());
+  }
+
+  void testOtherPayloadIsConflict() {
+    JobsHarness Domain;
+    (void)Domain.finish(
+        Domain.submit(JobsHarness::request("k", "repeat", "one")));
+    const auto Reply = Domain.finish(
+        Domain.submit(JobsHarness::request("k", "repeat", "two")));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_CONFLICT, Reply.status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Executed.size());
+  }
+
+  /// A request under the key of a job would record the outcome of the job, and
+  /// a job under the key of a request would never be started.
+  void testKeyOfJobIsConflict() {
+    JobsHarness Domain;
+    (void)Domain.finish(Domain.submit(JobsHarness::job("j")));
+    auto Reply =
+        Domain.finish(Domain.submit(JobsHarness::request("j", "once")));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_CONFLICT, Reply.status());
+    (void)Domain.finish(Domain.submit(JobsHarness::request("q", "once")));
+    Domain.run(100ms);
+    Reply = Domain.finish(Domain.submit(JobsHarness::job("q")));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_CONFLICT, Reply.status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+  }
+
+  void testUnknownRepeatableIsTriedAgain() {
+    JobsHarness Domain;
+    answerUnknownOnce(Domain);
+    const auto Reply =
+        Domain.finish(Domain.submit(JobsHarness::request("k", "repeat")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, Reply.outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Domain.Racks.dispatches());
+    CPPUNIT_ASSERT_EQUAL(std::string("k#1"), Domain.Racks.Executed[0].id());
+    CPPUNIT_ASSERT_EQUAL(std::string("k#2"), Domain.Racks.Executed[1].id());
+  }
+
+  void testUnknownNonRepeatableIsResolved() {
+    JobsHarness Domain;
+    answerUnknownOnce(Domain);
+    const auto Reply =
+        Domain.finish(Domain.submit(JobsHarness::request("k", "once")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, Reply.outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Domain.Racks.Executed.size());
+    CPPUNIT_ASSERT(Domain.Racks.Executed[1].resolve_only());
+    CPPUNIT_ASSERT_EQUAL(std::string("k#1"), Domain.Racks.Executed[1].id());
+  }
+
+  void testUnresolvedNonRepeatableIsUnknown() {
+    JobsHarness Domain;
+    Domain.Racks.OnExecute = [](const peer::ExecuteRequest &) {
+      peer::ExecuteReply Reply;
+      Reply.set_status(peer::STATUS_UNKNOWN);
+      return Reply;
+    };
+    for (int Call = 0; Call < 2; ++Call) {
+      const auto Reply =
+          Domain.finish(Domain.submit(JobsHarness::request("k", "once")));
+      CPPUNIT_ASSERT_EQUAL(records::OUTCOME_UNKNOWN, Reply.outcome());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+  }
+
+  void testOpenIntentOfDeadOwnerIsResolved() {
+    JobsHarness Domain;
+    leaveOpenIntent(Domain);
+    Domain.Racks.OnExecute = nullptr;
+    Domain.takeOver(8);
+    Domain.run(500ms);
+    const KeyRecord *Known = Domain.owner().Table.find("k");
+    CPPUNIT_ASSERT(Known != nullptr && Known->Outcome);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, Known->Outcome->outcome());
+    const auto Reply =
+        Domain.finish(Domain.submit(JobsHarness::request("k", "once")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, Reply.outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+  }
+
+  void testUnresolvableIntentOfDeadOwnerIsUnknown() {
+    JobsHarness Domain;
+    leaveOpenIntent(Domain);
+    Domain.takeOver(8);
+    const auto Reply =
+        Domain.finish(Domain.submit(JobsHarness::request("k", "once")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_UNKNOWN, Reply.outcome());
+    Domain.run(20s);
+    const KeyRecord *Known = Domain.owner().Table.find("k");
+    CPPUNIT_ASSERT(Known != nullptr && Known->Outcome);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_UNKNOWN, Known->Outcome->outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+  }
+
+  /// The outcome "not run" is queued behind an intent whose write was not
+  /// confirmed in time. A second call that dispatched on that intent would run
+  /// a request that the log calls "not run".
+  void testRetryWhileIntentMayStillBeWritten() {
+    JobsHarness Domain;
+    Domain.Log.makeUnavailable();
+    const auto First =
+        Domain.finish(Domain.submit(JobsHarness::request("k", "once")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, First.outcome());
+    const auto Second = Domain.submit(JobsHarness::request("k", "once"));
+    Domain.run(100ms);
+    Domain.Log.makeAvailable();
+    const auto Reply = Domain.finish(Second);
+    Domain.run(5s);
+    const KeyRecord *Known = Domain.owner().Table.find("k");
+    CPPUNIT_ASSERT(Known != nullptr && Known->Outcome);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, Known->Outcome->outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Domain.Racks.dispatches());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, Reply.outcome());
+  }
+
+  void testFullLineTurnsAwayLeastUrgent() {
+    JobsHarness Domain({.Requests = {.MaximumWaiting = 2}, .Runner = {}});
+    Domain.Config.Classes["urgent"] = {.Name = "urgent",
+                                       .Kind = WorkKind::Request,
+                                       .Accept = Acceptance::Synchronous,
+                                       .Priority = 1000};
+    Domain.Racks.Loads.front().set_free_slots(0);
+    const auto First = Domain.submit(JobsHarness::request("a", "repeat"));
+    const auto Second = Domain.submit(JobsHarness::request("b", "repeat"));
+    Domain.run(20ms);
+    const auto Urgent = Domain.submit(JobsHarness::request("c", "urgent"));
+    Domain.run(100ms);
+    CPPUNIT_ASSERT(!First->has_value());
+    CPPUNIT_ASSERT(Second->has_value());
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_OVERLOADED, (*Second)->status());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, (*Second)->outcome());
+    CPPUNIT_ASSERT(!Urgent->has_value());
+    Domain.Racks.Loads.front().set_free_slots(1);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED,
+                         Domain.finish(Urgent).outcome());
+    CPPUNIT_ASSERT_EQUAL(std::string("c#1"), Domain.Racks.Executed[0].id());
+  }
+
+private:
+  static void answerUnknownOnce(JobsHarness &Domain) {
+    Domain.Racks.OnExecute = [&Domain](const peer::ExecuteRequest &Request) {
+      peer::ExecuteReply Reply;
+      if (Domain.Racks.Executed.size() == 1)
+        Reply.set_status(peer::STATUS_UNKNOWN);
+      else
+        Reply.set_answer("answer to " + Request.id());
+      return Reply;
+    };
+  }
+  /// The owner of a dispatched request dies before it has the answer.
+  static void leaveOpenIntent(JobsHarness &Domain) {
+    Domain.Racks.OnExecute = [](const peer::ExecuteRequest &) {
+      peer::ExecuteReply Reply;
+      Reply.set_status(peer::STATUS_UNKNOWN);
+      return Reply;
+    };
+    (void)Domain.submit(JobsHarness::request("k", "once"));
+    Domain.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.dispatches());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestServiceTest);
+
+} // namespace
+
+} // namespace hickory
