Refuse a key that was used for the other kind of work

Cause: a non-repeatable or logged request under the key of a job was run, and its outcome was recorded as that of the job; a job under the key of a request was accepted although its outcome could never be recorded. Change: both answer STATUS_CONFLICT. Conclusion: testKeyOfJobIsConflict guards it.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -81,15 +81,18 @@
     co_await Progress->waitFor(Timers_, ReadBackInterval);
   }
   peer::SubmitReply Reply;
-  if (const KeyRecord *Known = Table_.find(Key); Known && Known->Accepted) {
-    if (!sameJob(*Known->Accepted, Request)) {
+  const KeyRecord *Existing = Table_.find(Key);
+  const bool OfRequest = Existing != nullptr && !Existing->Accepted &&
+                         (Existing->Intent || Existing->Outcome);
+  if (OfRequest || (Existing != nullptr && Existing->Accepted)) {
+    if (OfRequest || !sameJob(*Existing->Accepted, Request)) {
       Reply.set_status(peer::STATUS_CONFLICT);
       Reply.set_detail("this idempotency key was used for another job; use a "
                        "new key");
       co_return Reply;
     }
-    Reply.set_outcome(Known->Outcome ? Known->Outcome->outcome()
-                                     : records::OUTCOME_PENDING);
+    Reply.set_outcome(Existing->Outcome ? Existing->Outcome->outcome()
+                                        : records::OUTCOME_PENDING);
     co_return Reply;
   }
   if (Request.tasks() == 0 || Request.tasks() > Options_.MaximumTasksPerJob)
--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -50,6 +50,14 @@
   return Reply;
 }
 
+peer::SubmitReply keyConflict() {
+  peer::SubmitReply Reply;
+  Reply.set_status(peer::STATUS_CONFLICT);
+  Reply.set_detail("this idempotency key was used for another request; use a "
+                   "new key");
+  return Reply;
+}
+
 std::string requestDigest(const peer::SubmitRequest &Request) {
   return sha256(Request.member() + '\0' + Request.job_class() + '\0' +
                 Request.payload());
@@ -96,6 +104,8 @@
     Item = It->second;
   } else {
     if (const KeyRecord *Known = Table_.find(Key)) {
+      if (Known->Accepted)
+        co_return keyConflict();
       if (Known->Outcome)
         co_return replyFromOutcome(*Known->Outcome);
       if (Known->Intent)
@@ -110,13 +120,8 @@
     asio::co_spawn(Executor_, run(Item, Request, std::move(Class)),
                    asio::detached);
   }
-  if (Item->Digest != Digest) {
-    peer::SubmitReply Reply;
-    Reply.set_status(peer::STATUS_CONFLICT);
-    Reply.set_detail("this idempotency key was used for another request; use a "
-                     "new key");
-    co_return Reply;
-  }
+  if (Item->Digest != Digest)
+    co_return keyConflict();
   while (!Item->Done && Timers_.now() < Deadline)
     co_await Item->Changed.waitFor(Timers_, Deadline - Timers_.now());
   if (!Item->Done)
