Keep a refused request while its intent may still be written

Cause: when the write of an intent was not confirmed in time, the call was answered "not run", the outcome was queued behind the intent, and the key was freed. A second call under the key took the first intent, once read back, for its own and dispatched, so the log said "not run" of a request that ran. Change: the entry stays until the log has the outcome; later calls of the key get the same answer. Measured: testRetryWhileIntentMayStillBeWritten failed before and passes now.

--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -143,9 +143,10 @@
       "hickory_request_seconds",
       std::chrono::duration<double>(Timers_.now() - Start).count());
   // A caller may try again with the same key after a certain "not run", unless
-  // an intent stands in the log.
+  // an intent stands in the log or may still be written there, followed by the
+  // outcome "not run": what is dispatched on it would contradict the log.
   const KeyRecord *Known = Table_.find(Request.key());
-  const bool Kept = Known != nullptr && Known->Intent;
+  const bool Kept = Item->IntentQueued || (Known != nullptr && Known->Intent);
   if (Reply.outcome() == records::OUTCOME_NOT_RUN && !Kept)
     Entries_.erase(Request.key());
   Item->Changed.notify();
@@ -182,6 +183,9 @@
     if (Class.NonRepeatable && !Options_.SkipIntent) {
       const Result<void> Recorded =
           co_await recordIntent(Request, Attempt, Rack->Load.rack(), Deadline);
+      Item->IntentQueued = Item->IntentQueued || Recorded ||
+                           (Recorded.error().Code != ErrorCode::Cancelled &&
+                            Recorded.error().Code != ErrorCode::Overloaded);
       if (!Recorded) {
         Last = notRun(peer::STATUS_UNAVAILABLE, Recorded.error().Message);
         recordOutcome(Request.key(), Request.member(), Last);
@@ -410,8 +414,13 @@
 void RequestService::discardExpired() {
   const Clock::time_point Now = Timers_.now();
   std::erase_if(Entries_, [&](const auto &Pair) {
-    return Pair.second->Done &&
-           Pair.second->FinishedAt + Options_.KeepAnswers < Now;
+    const Entry &Item = *Pair.second;
+    if (!Item.Done || Item.FinishedAt + Options_.KeepAnswers >= Now)
+      return false;
+    // The answer is not given up before the log can give it.
+    const KeyRecord *Known = Table_.find(Pair.first);
+    return !Item.IntentQueued || (Known != nullptr && Known->Outcome) ||
+           !Ownership_.holds(Item.Shard);
   });
 }
 
--- a/Source/Jobs/RequestService.h
+++ b/Source/Jobs/RequestService.h
@@ -56,6 +56,7 @@
     std::string Shard;
     bool Done = false;
     bool MayHaveRun = false;
+    bool IntentQueued = false; ///< An intent stands or may appear in the log.
     peer::SubmitReply Reply;
     Clock::time_point FinishedAt;
     Signal Changed;
