--- /dev/null
+++ b/Tests/Jobs/JobRunnerTest.cpp
@@ -0,0 +1,367 @@
+#include "Jobs/JobRunner.h"
+
+#include "Jobs/JobsHarness.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+namespace {
+
+class JobRunnerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobRunnerTest);
+  CPPUNIT_TEST(testJobRunsToItsEnd);
+  CPPUNIT_TEST(testAcceptanceReadWhileLeaseLapsed);
+  CPPUNIT_TEST(testAcceptanceOfFormerOwnerStarts);
+  CPPUNIT_TEST(testRefusedWhileLogIsAway);
+  CPPUNIT_TEST(testUnknownStartIsFencedFirst);
+  CPPUNIT_TEST(testLateStartAnswerOfAnEarlierAttempt);
+  CPPUNIT_TEST(testRetryWaitsForLog);
+  CPPUNIT_TEST(testEndIsAcknowledgedOnlyWhenLogged);
+  CPPUNIT_TEST(testEndIsNotAcknowledgedByNextAttempt);
+  CPPUNIT_TEST(testAttemptsAreBounded);
+  CPPUNIT_TEST(testNonRepeatableIsNotRetried);
+  CPPUNIT_TEST(testGangReservesAllOrReleasesAll);
+  CPPUNIT_TEST(testGangCancelledWhileReserving);
+  CPPUNIT_TEST(testCancelQueued);
+  CPPUNIT_TEST(testCancelRunning);
+  CPPUNIT_TEST(testCancelDuringSecondStartIsNotNotRun);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void testJobRunsToItsEnd() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j", 3));
+    Domain.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Domain.Racks.Placed.size());
+    for (const auto &Placed : Domain.Racks.Placed)
+      CPPUNIT_ASSERT(tell(Domain, Placed, records::OUTCOME_COMPLETED));
+    Domain.run(200ms);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, outcome(Domain, "j"));
+    // The same job again is answered from the table and not run again.
+    const auto Again = Domain.finish(Domain.submit(JobsHarness::job("j", 3)));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, Again.outcome());
+    const auto Other = Domain.finish(Domain.submit(JobsHarness::job("j", 4)));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_CONFLICT, Other.status());
+    Domain.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Domain.Racks.Placed.size());
+  }
+
+  /// Such a job was never started, although its caller had been told that it
+  /// was accepted: a lease comes back without any change of ownership.
+  void testAcceptanceReadWhileLeaseLapsed() {
+    JobsHarness Domain;
+    Domain.Log.HoldAppends = true;
+    const auto Reply = Domain.submit(JobsHarness::job("j"));
+    Domain.run(100ms);
+    Domain.owner().Ownership.setLeaseEnd(Domain.Timers.now());
+    Domain.Log.releaseAppends();
+    Domain.run(1s);
+    CPPUNIT_ASSERT(Reply->has_value());
+    CPPUNIT_ASSERT(Domain.Racks.Placed.empty());
+    Domain.owner().Ownership.setLeaseEnd(Domain.Timers.now() + 1h);
+    Domain.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+  }
+
+  /// Such a job was never started: its acceptance stands in the log after the
+  /// claim of the new owner, which looks for jobs when it reads the claim.
+  void testAcceptanceOfFormerOwnerStarts() {
+    JobsHarness Domain;
+    records::RecordBatch Batch;
+    Batch.set_incarnation(99);
+    Batch.set_sequence(1);
+    records::JobAccepted &Accepted =
+        *Batch.add_records()->mutable_job_accepted();
+    Accepted.set_key("j");
+    Accepted.set_member("m");
+    Accepted.set_job_class("batch");
+    Accepted.set_tasks(1);
+    Accepted.mutable_per_task()->set_cpus_milli(100);
+    Domain.Log.put("d", Batch.SerializeAsString());
+    Domain.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+  }
+
+  void testRefusedWhileLogIsAway() {
+    JobsHarness Domain;
+    Domain.owner().Ownership.LogReachable = false;
+    const auto Reply = Domain.finish(Domain.submit(JobsHarness::job("j")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, Reply.outcome());
+    Domain.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Domain.Log.end("d"));
+  }
+
+  void testUnknownStartIsFencedFirst() {
+    JobsHarness Domain;
+    Domain.Racks.OnPlace = [&](const peer::PlaceRequest &Request) {
+      peer::PlaceReply Reply;
+      if (Request.attempt() == 1)
+        Reply.set_status(peer::STATUS_UNKNOWN);
+      return Reply;
+    };
+    bool Unreachable = true;
+    Domain.Racks.OnStatus = [&](const peer::TaskStatusRequest &) {
+      peer::TaskStatusReply Reply;
+      Reply.set_status(Unreachable ? peer::STATUS_UNKNOWN
+                                   : peer::STATUS_NOT_FOUND);
+      return Reply;
+    };
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT(!Domain.Racks.Asked.empty());
+    for (const auto &Asked : Domain.Racks.Asked)
+      CPPUNIT_ASSERT(Asked.fence() && Asked.attempt() == 1);
+    Unreachable = false;
+    Domain.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT_EQUAL(2U, Domain.Racks.Placed.back().attempt());
+  }
+
+  /// The answer to the start of an attempt that has ended was taken for the
+  /// answer to the start of the next one, which then was never started and
+  /// counted as running for ever.
+  void testLateStartAnswerOfAnEarlierAttempt() {
+    JobsHarness Domain;
+    Domain.Racks.OnPlace = [](const peer::PlaceRequest &Request) {
+      peer::PlaceReply Reply;
+      if (Request.attempt() == 1)
+        return FakeRackService::Answer(Reply, 1s);
+      if (Request.attempt() == 2)
+        Reply.set_status(peer::STATUS_NO_CAPACITY);
+      return FakeRackService::Answer(Reply, 2s);
+    };
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT(
+        tell(Domain, Domain.Racks.Placed[0], records::OUTCOME_FAILED));
+    Domain.run(10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Domain.Racks.Placed.size());
+    const auto View = Domain.owner().Runner.query("j");
+    CPPUNIT_ASSERT_EQUAL(std::string("running"), View.tasks(0).state());
+    CPPUNIT_ASSERT_EQUAL(3U, View.tasks(0).attempt());
+  }
+
+  /// While the log is away, a successor could not know of a second attempt: it
+  /// would ask about the first one and place the task again.
+  void testRetryWaitsForLog() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    Domain.Log.makeUnavailable();
+    Domain.owner().Ownership.LogReachable = false;
+    CPPUNIT_ASSERT(
+        !tell(Domain, Domain.Racks.Placed[0], records::OUTCOME_FAILED));
+    Domain.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    Domain.Log.makeAvailable();
+    Domain.owner().Ownership.LogReachable = true;
+    Domain.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Domain.Racks.Placed.size());
+  }
+
+  /// The rack owner lets the worker forget an acknowledged task, so the end
+  /// would be lost with the job owner.
+  void testEndIsAcknowledgedOnlyWhenLogged() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    Domain.Log.makeUnavailable();
+    const auto Placed = Domain.Racks.Placed[0];
+    CPPUNIT_ASSERT(!tell(Domain, Placed, records::OUTCOME_COMPLETED));
+    CPPUNIT_ASSERT(!tell(Domain, Placed, records::OUTCOME_COMPLETED));
+    Domain.Log.makeAvailable();
+    Domain.run(3s);
+    CPPUNIT_ASSERT(tell(Domain, Placed, records::OUTCOME_COMPLETED));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_COMPLETED, outcome(Domain, "j"));
+  }
+
+  /// The start of the next attempt was taken as proof that the end of the one
+  /// before stands in the log.
+  void testEndIsNotAcknowledgedByNextAttempt() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    Domain.Log.makeUnavailable();
+    const auto Placed = Domain.Racks.Placed[0];
+    const auto Told = Domain.start(Domain.owner().Manager.taskEnded(
+        notice(Placed, records::OUTCOME_FAILED)));
+    Domain.run(1s); // The next attempt is being recorded.
+    CPPUNIT_ASSERT(Domain.owner().Runner.query("j").tasks(0).attempt() == 2);
+    CPPUNIT_ASSERT(Domain.finish(Told).status() != peer::STATUS_OK);
+    CPPUNIT_ASSERT(!tell(Domain, Placed, records::OUTCOME_FAILED));
+    Domain.Log.makeAvailable();
+    Domain.run(3s);
+    CPPUNIT_ASSERT(tell(Domain, Placed, records::OUTCOME_FAILED));
+  }
+
+  void testAttemptsAreBounded() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    for (std::size_t Attempt = 1; Attempt <= 3; ++Attempt) {
+      Domain.run(3s);
+      CPPUNIT_ASSERT_EQUAL(Attempt, Domain.Racks.Placed.size());
+      CPPUNIT_ASSERT(
+          tell(Domain, Domain.Racks.Placed.back(), records::OUTCOME_FAILED));
+    }
+    Domain.run(10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_FAILED, outcome(Domain, "j"));
+  }
+
+  void testNonRepeatableIsNotRetried() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j", 1, "batch-once"));
+    Domain.run(300ms);
+    CPPUNIT_ASSERT(
+        tell(Domain, Domain.Racks.Placed.back(), records::OUTCOME_FAILED));
+    Domain.run(10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_FAILED, outcome(Domain, "j"));
+  }
+
+  void testGangReservesAllOrReleasesAll() {
+    JobsHarness Domain;
+    Domain.Racks.Loads.clear();
+    Domain.Racks.addWorkerRack("r1", 300);
+    Domain.Racks.addWorkerRack("r2", 300);
+    bool Full = true;
+    Domain.Racks.OnReserve = [&](const peer::ReserveRequest &Request) {
+      peer::ReserveReply Reply;
+      if (Request.release() != 0)
+        return Reply;
+      if (Full && Request.rack() == "r2") {
+        Reply.set_status(peer::STATUS_NO_CAPACITY);
+        return Reply;
+      }
+      Reply.set_reservation(Request.rack() == "r1" ? 11 : 12);
+      Reply.set_tasks(Request.tasks());
+      return Reply;
+    };
+    accept(Domain, JobsHarness::job("g", 5, "gang"));
+    Domain.run(1s);
+    CPPUNIT_ASSERT(Domain.Racks.Placed.empty());
+    int Taken = 0;
+    for (const auto &Request : Domain.Racks.Reserved) {
+      if (Request.release() != 0) {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), Request.release());
+        --Taken;
+      } else if (Request.rack() == "r1") {
+        ++Taken;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Taken);
+    Full = false;
+    Domain.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), Domain.Racks.Placed.size());
+    for (const auto &Placed : Domain.Racks.Placed)
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(Placed.rack() == "r1" ? 11 : 12),
+                           Placed.reservation());
+  }
+
+  /// Such a gang never got an outcome.
+  void testGangCancelledWhileReserving() {
+    JobsHarness Domain;
+    Domain.Racks.OnReserve = [&](const peer::ReserveRequest &) {
+      peer::ReserveReply Reply;
+      Reply.set_status(peer::STATUS_NO_CAPACITY);
+      return FakeRackService::Answer(Reply, 1s);
+    };
+    accept(Domain, JobsHarness::job("g", 5, "gang"));
+    Domain.run(500ms);
+    CPPUNIT_ASSERT(!Domain.Racks.Reserved.empty());
+    cancel(Domain, "g");
+    Domain.run(5s);
+    CPPUNIT_ASSERT(Domain.Racks.Placed.empty());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, outcome(Domain, "g"));
+  }
+
+  void testCancelQueued() {
+    JobsHarness Domain;
+    Domain.Racks.Loads.clear();
+    accept(Domain, JobsHarness::job("j", 3));
+    Domain.run(200ms);
+    cancel(Domain, "j");
+    Domain.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_NOT_RUN, outcome(Domain, "j"));
+    Domain.Racks.addWorkerRack("r1", 1000);
+    Domain.run(1s);
+    CPPUNIT_ASSERT(Domain.Racks.Placed.empty());
+  }
+
+  void testCancelRunning() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    cancel(Domain, "j");
+    Domain.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Stopped.size());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_PENDING, outcome(Domain, "j"));
+    CPPUNIT_ASSERT(
+        tell(Domain, Domain.Racks.Placed[0], records::OUTCOME_CANCELLED));
+    Domain.run(1s);
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_CANCELLED, outcome(Domain, "j"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+  }
+
+  /// The end of the first attempt was forgotten with the start of the second,
+  /// so a job that had run was reported as not run.
+  void testCancelDuringSecondStartIsNotNotRun() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    CPPUNIT_ASSERT(
+        tell(Domain, Domain.Racks.Placed[0], records::OUTCOME_FAILED));
+    Domain.Log.HoldAppends = true;
+    Domain.run(1s); // The second attempt is being recorded.
+    CPPUNIT_ASSERT(Domain.owner().Runner.query("j").tasks(0).attempt() == 2);
+    cancel(Domain, "j");
+    Domain.Log.releaseAppends();
+    Domain.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_CANCELLED, outcome(Domain, "j"));
+  }
+
+private:
+  static void accept(JobsHarness &Domain, const peer::SubmitRequest &Request) {
+    const auto Reply = Domain.finish(Domain.submit(Request));
+    CPPUNIT_ASSERT_EQUAL(peer::STATUS_OK, Reply.status());
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_PENDING, Reply.outcome());
+  }
+  static peer::TaskEndedNotice notice(const peer::PlaceRequest &Placed,
+                                      records::OutcomeKind Outcome) {
+    peer::TaskEndedNotice Notice;
+    *Notice.add_ended() = JobsHarness::ended(Placed, Outcome);
+    return Notice;
+  }
+  /// Reports an end; returns whether it was acknowledged.
+  static bool tell(JobsHarness &Domain, const peer::PlaceRequest &Placed,
+                   records::OutcomeKind Outcome) {
+    return Domain
+               .await(Domain.owner().Manager.taskEnded(notice(Placed, Outcome)))
+               .status() == peer::STATUS_OK;
+  }
+  static void cancel(JobsHarness &Domain, const std::string &Key) {
+    peer::CancelRequest Request;
+    Request.add_keys(Key);
+    const auto Reply = Domain.await(Domain.owner().Manager.cancel(Request));
+    CPPUNIT_ASSERT_EQUAL(1U, Reply.cancelled());
+  }
+  static records::OutcomeKind outcome(JobsHarness &Domain,
+                                      const std::string &Key) {
+    const KeyRecord *Known = Domain.owner().Table.find(Key);
+    CPPUNIT_ASSERT(Known != nullptr);
+    return Known->Outcome ? Known->Outcome->outcome()
+                          : records::OUTCOME_PENDING;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobRunnerTest);
+
+} // namespace
+
+} // namespace hickory
