Ignore the answer to the start of an earlier attempt

Cause: an attempt could end, and the next one begin, before the answer to the first start came. That answer was taken for the next attempt's, which then was never started and counted as running for ever. Conclusion: testLateStartAnswerOfAnEarlierAttempt guards it.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -352,7 +352,7 @@
                                            RackLocation Rack,
                                            std::uint64_t Reservation) {
   Task &Current = Owner->Tasks[Index];
-  ++Current.Attempt;
+  const std::uint32_t Attempt = ++Current.Attempt;
   Current.Rack = Rack.Load.rack();
   Current.Ended.reset();
   Current.EndLogged = false;
@@ -367,7 +367,7 @@
   peer::PlaceRequest Request;
   Request.set_key(Owner->Accepted.key());
   Request.set_task(Index);
-  Request.set_attempt(Current.Attempt);
+  Request.set_attempt(Attempt);
   Request.set_rack(Current.Rack);
   Request.set_member(Owner->Accepted.member());
   Request.set_team(Owner->Accepted.team());
@@ -383,8 +383,11 @@
       co_await Racks_.place(Rack, std::move(Request));
   --Starting_;
   Wake_.notify();
-  if (Owner->Lost || Current.State != Phase::Starting)
-    co_return; // The task ended before the answer to its start came.
+  // The attempt may have ended, and the next one begun, before the answer to
+  // its start came.
+  if (Owner->Lost || Current.State != Phase::Starting ||
+      Current.Attempt != Attempt)
+    co_return;
   if (Placed && Placed->status() == peer::STATUS_OK) {
     Current.State = Phase::Running;
     Current.Worker = Placed->worker();
