Acknowledge the end of a task only when it stands in the log

Cause: the beginning of the next attempt counted as proof that the end of the one before was logged, although its record may have been waiting for the log. The rack owner then lets the worker forget the task, and the end is lost if the job owner dies. Change: the ends on their way to the log are kept per task.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -176,7 +176,6 @@
       Current.Attempt = It->second.Assigned.attempt();
       Current.Rack = It->second.Assigned.rack();
       Current.Ended = It->second.Ended;
-      Current.EndLogged = Current.Ended.has_value();
     }
     if (Current.Ended) {
       Current.State = Phase::Ended;
@@ -355,7 +354,6 @@
   const std::uint32_t Attempt = ++Current.Attempt;
   Current.Rack = Rack.Load.rack();
   Current.Ended.reset();
-  Current.EndLogged = false;
   const bool Assigned = co_await recordAssign(Owner, Index, Rack);
   // The lease may have ended while the record was written.
   if (!Assigned || !held(*Owner) || Owner->Cancelled) {
@@ -542,25 +540,25 @@
   if (Index >= Owner->Tasks.size())
     co_return true;
   Task &Current = Owner->Tasks[Index];
-  if (Ended.attempt() < Current.Attempt)
+  const std::uint32_t Attempt = Ended.attempt();
+  if (Attempt < Current.Attempt && Current.UnloggedEnds.count(Attempt) == 0)
     co_return true;
-  if (!Current.Ended) {
+  if (Attempt >= Current.Attempt && !Current.Ended) {
     Current.Attempt = Ended.attempt();
     Current.Ended = Ended;
     Current.State = Phase::Ended;
     records::Record Record;
     *Record.mutable_task_ended() = Ended;
-    const std::uint32_t Attempt = Ended.attempt();
     const Result<void> Queued = Writer_.enqueue(
         std::move(Record), [Owner, Index, Attempt](std::uint64_t) {
-          if (Owner->Tasks[Index].Attempt == Attempt)
-            Owner->Tasks[Index].EndLogged = true;
+          Owner->Tasks[Index].UnloggedEnds.erase(Attempt);
         });
     if (!Queued) {
       Current.Ended.reset();
       Current.State = Phase::Running;
       co_return false;
     }
+    Current.UnloggedEnds.insert(Attempt);
     Events_.emit("jobs", "task_accounted",
                  {{"key", Key},
                   {"task", Index},
@@ -569,10 +567,8 @@
     handleEnd(Owner, Index);
   }
   const Clock::time_point Deadline = Timers_.now() + Options_.LogWait / 2;
-  const std::uint32_t Attempt = Ended.attempt();
   while (Timers_.now() < Deadline && !Owner->Lost) {
-    // A later attempt means that this end was handled.
-    if (Owner->Tasks[Index].EndLogged || Owner->Tasks[Index].Attempt > Attempt)
+    if (Owner->Tasks[Index].UnloggedEnds.count(Attempt) == 0)
       co_return true;
     co_await Timers_.sleepFor(ReadBackInterval);
   }
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -88,7 +88,8 @@
     std::string Rack;
     std::string Worker;
     std::optional<records::TaskEnded> Ended;
-    bool EndLogged = false;
+    /// Attempts whose ends are on their way to the log.
+    std::set<std::uint32_t> UnloggedEnds;
     std::uint32_t Refusals = 0; ///< In a row, for the retry delay.
     bool ResultKnown = false;   ///< No further attempt will be made.
   };
