Place only first attempts without a logged assignment

Cause: while the log was away, a second attempt could run without any record of it. A successor asked about the first attempt only and placed the task again, so that it ran in two places. Ruled out: asking every rack for several attempts after each takeover, because the number of calls grows with tasks times racks times attempts. Change: while the log is away, second attempts wait for it.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -294,7 +294,10 @@
   if (!Owner || Suspended_.count(Owner->Shard) != 0 || !held(*Owner))
     return PlaceVerdict::NotNow;
   const bool LogAway = !Ownership_.logReachable();
-  if (LogAway && (Owner->Accepted.non_repeatable() || Work.Tasks > 1))
+  // After a takeover, an attempt that is not in the log is only looked for if
+  // it is the first.
+  if (LogAway && (Owner->Accepted.non_repeatable() || Work.Tasks > 1 ||
+                  Owner->Tasks[Index].Attempt > 0))
     return PlaceVerdict::NotNow;
   std::vector<RackLocation> &Known = LogAway ? OwnRacks : AllRacks;
   const auto Pool = Config_.pool(Owner->Pool);
@@ -335,8 +338,9 @@
   Assign.set_slot(Rack.Slot);
   // Only tasks on racks of this domain can be found again without the log,
   // and only repeatable ones may be placed again after a doubtful answer.
-  const bool MayRunUnassigned =
-      !Owner->Accepted.non_repeatable() && Racks_.inOwnDomain(Rack);
+  const bool MayRunUnassigned = !Owner->Accepted.non_repeatable() &&
+                                Racks_.inOwnDomain(Rack) &&
+                                Owner->Tasks[Index].Attempt == 1;
   if (MayRunUnassigned && !Ownership_.logReachable()) {
     record(std::move(Record));
     co_return true;
