Finish a gang that is cancelled while it reserves

Cause: after the reservations were released, no task of the gang was marked as done, so the job never got an outcome. Conclusion: testGangCancelledWhileReserving guards it.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -473,7 +473,8 @@
   if (!Owner->Lost && !Owner->Cancelled)
     enqueueGang(Owner);
   else if (!Owner->Lost)
-    finishIfDone(Owner);
+    for (std::uint32_t Index = 0; Index < Owner->Tasks.size(); ++Index)
+      handleEnd(Owner, Index);
 }
 
 // Recovery and ends ---------------------------------------------------------
