Report a cancelled job that had run as cancelled

Cause: the end of the first attempt was forgotten when the second began. A job cancelled at that moment got the outcome "not run" although it had run.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -616,7 +616,8 @@
     const bool Completed =
         Member.Ended && Member.Ended->outcome() == records::OUTCOME_COMPLETED;
     AllCompleted = AllCompleted && Completed;
-    AnyStarted = AnyStarted || Member.Ended.has_value();
+    // The ends of earlier attempts are not kept.
+    AnyStarted = AnyStarted || Member.Ended.has_value() || Member.Attempt > 1;
     AnyUnknown = AnyUnknown || (Member.Ended && Member.Ended->outcome() ==
                                                     records::OUTCOME_UNKNOWN);
   }
