Keep a finished job until its outcome is read back

Cause: a job was forgotten when the write of its outcome was confirmed. Records before the outcome that were read after that started the job again: usually that wrote a second outcome, and a cancelled job could be placed once more. Found by the property test of task attempts (343 cases, size 120). Change: the job is forgotten when the outcome is read back. Measured: testFinishedJobIsNotStartedAgain counted 2 outcomes before and 1 now; 1500 cases of the property pass.

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -638,14 +638,8 @@
   Events_.emit("jobs", "job_finished",
                {{"key", Owner->Accepted.key()},
                 {"outcome", records::OutcomeKind_Name(Outcome.outcome())}});
-  const std::string Key = Owner->Accepted.key();
-  const Result<void> Queued =
-      Writer_.enqueue(std::move(Record), [this, Owner, Key](std::uint64_t) {
-        Jobs_.erase(Key);
-        FinishedKeys_.emplace_back(Timers_.now(), Key);
-      });
-  if (!Queued)
-    LOG(WARNING) << "jobs: outcome of " << Key
+  if (const Result<void> Queued = Writer_.enqueue(std::move(Record)); !Queued)
+    LOG(WARNING) << "jobs: outcome of " << Owner->Accepted.key()
                  << " not recorded: " << Queued.error().Message;
 }
 
@@ -722,8 +716,18 @@
 
 void JobRunner::keyChanged(const std::string &Key) {
   const KeyRecord *Known = Table_.find(Key);
-  if (Known == nullptr || !Known->Accepted || Known->Outcome ||
-      findJob(Key) != nullptr)
+  if (Known == nullptr || !Known->Accepted)
+    return;
+  if (const JobPointer Current = findJob(Key)) {
+    // Kept until the outcome is read back: the records before it would start
+    // the job again.
+    if (Known->Outcome && Current->Finished) {
+      Jobs_.erase(Key);
+      FinishedKeys_.emplace_back(Timers_.now(), Key);
+    }
+    return;
+  }
+  if (Known->Outcome)
     return;
   const auto Owner = Ownership_.ownerOf(keyShard(Key));
   if (!Owner || Owner->Incarnation != Ownership_.incarnation())
--- a/Tests/Jobs/JobRunnerTest.cpp
+++ b/Tests/Jobs/JobRunnerTest.cpp
@@ -12,6 +12,7 @@
 class JobRunnerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobRunnerTest);
   CPPUNIT_TEST(testJobRunsToItsEnd);
+  CPPUNIT_TEST(testFinishedJobIsNotStartedAgain);
   CPPUNIT_TEST(testAcceptanceReadWhileLeaseLapsed);
   CPPUNIT_TEST(testAcceptanceOfFormerOwnerStarts);
   CPPUNIT_TEST(testRefusedWhileLogIsAway);
@@ -48,6 +49,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), Domain.Racks.Placed.size());
   }
 
+  /// A job was forgotten as soon as its outcome was written. When the records
+  /// before the outcome were read after that, the job was started once more.
+  void testFinishedJobIsNotStartedAgain() {
+    JobsHarness Domain;
+    accept(Domain, JobsHarness::job("j"));
+    Domain.run(300ms);
+    Domain.owner().HoldReads = true;
+    CPPUNIT_ASSERT(
+        tell(Domain, Domain.Racks.Placed[0], records::OUTCOME_COMPLETED));
+    Domain.run(500ms);
+    Domain.owner().HoldReads = false;
+    Domain.run(1s);
+    int Outcomes = 0;
+    for (const std::string &Payload : Domain.Log.entries("d")) {
+      records::RecordBatch Batch;
+      CPPUNIT_ASSERT(Batch.ParseFromString(Payload));
+      for (const records::Record &Record : Batch.records())
+        Outcomes += Record.has_outcome() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Outcomes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Domain.owner().Runner.view().Jobs);
+  }
+
   /// Such a job was never started, although its caller had been told that it
   /// was accepted: a lease comes back without any change of ownership.
   void testAcceptanceReadWhileLeaseLapsed() {
