Answer unknown if a lost call is not covered by "not run"

Cause: a router that got no answer from one slot passed on the "not run" of another slot, or of a new process in the same slot, although the first may have run the request. Change: "not run" is passed on only if all lost calls went to the slot that says it and nothing shows that its process changed. A process that is replaced between two calls without a refused or broken connection is still not noticed. Conclusion: testNotRunAfterLostCallElsewhereIsUnknown and testNotRunAfterLostCallToRestartedSlotIsUnknown failed before and pass now.

--- a/Source/Jobs/SubmitRouter.cpp
+++ b/Source/Jobs/SubmitRouter.cpp
@@ -16,6 +16,45 @@
 /// Longest wait for one slot when there are others to try.
 constexpr milliseconds AttemptTimeout{3000};
 
+/// Calls that may have reached a slot without an answer.
+class LostCalls {
+public:
+  void add(const std::string &Slot, const Error &Failure) {
+    if (Failure.hadNoEffect()) {
+      // No process listens there, so the one that was called has gone.
+      Restarted_ = Restarted_ || Slots_.count(Slot) != 0;
+      return;
+    }
+    Slots_.insert(Slot);
+    Restarted_ = Restarted_ || Failure.Code != ErrorCode::Timeout;
+  }
+  [[nodiscard]] bool any() const { return !Slots_.empty(); }
+  /// True if Slot's "not run" also speaks for the lost calls: a second call of
+  /// a key joins the first one, but only within one process.
+  [[nodiscard]] bool coveredBy(const std::string &Slot) const {
+    return Slots_.empty() ||
+           (!Restarted_ && Slots_.size() == 1 && Slots_.count(Slot) != 0);
+  }
+
+private:
+  std::set<std::string> Slots_;
+  bool Restarted_ = false; ///< The process of a slot may have changed.
+};
+
+peer::SubmitReply withLostCalls(peer::SubmitReply Reply,
+                                const std::string &From,
+                                const LostCalls &Lost) {
+  if (Reply.outcome() != records::OUTCOME_NOT_RUN || Lost.coveredBy(From))
+    return Reply;
+  Reply.set_status(peer::STATUS_UNKNOWN);
+  Reply.set_outcome(records::OUTCOME_UNKNOWN);
+  Reply.set_detail("an instance that did not answer may have run the request; "
+                   "ask again with the same key; the present owner of the key "
+                   "says: " +
+                   Reply.detail());
+  return Reply;
+}
+
 /// The owner needs part of the remaining time for its own calls.
 constexpr milliseconds ForwardAllowance{20};
 
@@ -65,15 +104,14 @@
 SubmitRouter::submit(peer::SubmitRequest Request) {
   const Clock::time_point Deadline =
       Timers_.now() + milliseconds(Request.timeout_ms());
-  // True once a call may have reached the owner without an answer.
-  bool MayHaveArrived = false;
+  LostCalls Lost;
   while (true) {
     std::vector<std::string> Slots = candidates(Request.key());
     if (Slots.empty() && Ownership_.holds(keyShard(Request.key()))) {
       Request.set_timeout_ms(remaining(Timers_, Deadline).count());
       peer::SubmitReply Reply = co_await Local_.submit(Request);
       if (Reply.status() != peer::STATUS_NOT_OWNER)
-        co_return Reply;
+        co_return withLostCalls(std::move(Reply), Directory_.SelfSlot, Lost);
     }
     std::set<std::string> Tried;
     for (std::size_t I = 0; I < Slots.size(); ++I) {
@@ -91,7 +129,7 @@
       const Result<peer::SubmitReply> Reply =
           co_await Peers_.submit(Slot, Request, std::min(Left, AttemptTimeout));
       if (!Reply) {
-        MayHaveArrived = MayHaveArrived || !Reply.error().hadNoEffect();
+        Lost.add(Slot, Reply.error());
         continue;
       }
       if (Reply->status() == peer::STATUS_NOT_OWNER) {
@@ -100,17 +138,17 @@
           Slots.push_back(Reply->owner_slot());
         continue;
       }
-      co_return *Reply;
+      co_return withLostCalls(*Reply, Slot, Lost);
     }
     if (remaining(Timers_, Deadline) <= RoundPause + ForwardAllowance)
       break;
     co_await Timers_.sleepFor(RoundPause);
   }
   peer::SubmitReply Reply;
-  Reply.set_status(MayHaveArrived ? peer::STATUS_UNKNOWN
-                                  : peer::STATUS_UNAVAILABLE);
-  Reply.set_outcome(MayHaveArrived ? records::OUTCOME_UNKNOWN
-                                   : records::OUTCOME_NOT_RUN);
+  Reply.set_status(Lost.any() ? peer::STATUS_UNKNOWN
+                              : peer::STATUS_UNAVAILABLE);
+  Reply.set_outcome(Lost.any() ? records::OUTCOME_UNKNOWN
+                               : records::OUTCOME_NOT_RUN);
   Reply.set_detail("no instance of failure domain " +
                    homeDomain(Request.key(), Domains_) +
                    " took the request in time; ask again with the same key");
