--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -81,15 +81,18 @@
     co_await Progress->waitFor(Timers_, ReadBackInterval);
   }
   peer::SubmitReply Reply;
-  if (const KeyRecord *Known = Table_.find(Key); Known && Known->Accepted) {
-    if (!sameJob(*Known->Accepted, Request)) {
+  const KeyRecord *Existing = Table_.find(Key);
+  const bool OfRequest = Existing != nullptr && !Existing->Accepted &&
+                         (Existing->Intent || Existing->Outcome);
+  if (OfRequest || (Existing != nullptr && Existing->Accepted)) {
+    if (OfRequest || !sameJob(*Existing->Accepted, Request)) {
       Reply.set_status(peer::STATUS_CONFLICT);
       Reply.set_detail("this idempotency key was used for another job; use a "
                        "new key");
       co_return Reply;
     }
-    Reply.set_outcome(Known->Outcome ? Known->Outcome->outcome()
-                                     : records::OUTCOME_PENDING);
+    Reply.set_outcome(Existing->Outcome ? Existing->Outcome->outcome()
+                                        : records::OUTCOME_PENDING);
     co_return Reply;
   }
   if (Request.tasks() == 0 || Request.tasks() > Options_.MaximumTasksPerJob)
@@ -173,7 +176,6 @@
       Current.Attempt = It->second.Assigned.attempt();
       Current.Rack = It->second.Assigned.rack();
       Current.Ended = It->second.Ended;
-      Current.EndLogged = Current.Ended.has_value();
       // The log table does not say how earlier attempts ended.
       Current.MayHaveRun = Current.Attempt > 1 ||
                            (Current.Ended && Current.Ended->outcome() !=
@@ -296,7 +298,10 @@
   if (!Owner || Suspended_.count(Owner->Shard) != 0 || !held(*Owner))
     return PlaceVerdict::NotNow;
   const bool LogAway = !Ownership_.logReachable();
-  if (LogAway && (Owner->Accepted.non_repeatable() || Work.Tasks > 1))
+  // After a takeover, an attempt that is not in the log is only looked for if
+  // it is the first.
+  if (LogAway && (Owner->Accepted.non_repeatable() || Work.Tasks > 1 ||
+                  Owner->Tasks[Index].Attempt > 0))
     return PlaceVerdict::NotNow;
   std::vector<RackLocation> &Known = LogAway ? OwnRacks : AllRacks;
   const auto Pool = Config_.pool(Owner->Pool);
@@ -337,8 +342,9 @@
   Assign.set_slot(Rack.Slot);
   // Only tasks on racks of this domain can be found again without the log,
   // and only repeatable ones may be placed again after a doubtful answer.
-  const bool MayRunUnassigned =
-      !Owner->Accepted.non_repeatable() && Racks_.inOwnDomain(Rack);
+  const bool MayRunUnassigned = !Owner->Accepted.non_repeatable() &&
+                                Racks_.inOwnDomain(Rack) &&
+                                Owner->Tasks[Index].Attempt == 1;
   if (MayRunUnassigned && !Ownership_.logReachable()) {
     record(std::move(Record));
     co_return true;
@@ -353,10 +359,9 @@
                                            RackLocation Rack,
                                            std::uint64_t Reservation) {
   Task &Current = Owner->Tasks[Index];
-  ++Current.Attempt;
+  const std::uint32_t Attempt = ++Current.Attempt;
   Current.Rack = Rack.Load.rack();
   Current.Ended.reset();
-  Current.EndLogged = false;
   const bool Assigned = co_await recordAssign(Owner, Index, Rack);
   // The lease may have ended while the record was written.
   if (!Assigned || !held(*Owner) || Owner->Cancelled) {
@@ -368,7 +373,7 @@
   peer::PlaceRequest Request;
   Request.set_key(Owner->Accepted.key());
   Request.set_task(Index);
-  Request.set_attempt(Current.Attempt);
+  Request.set_attempt(Attempt);
   Request.set_rack(Current.Rack);
   Request.set_member(Owner->Accepted.member());
   Request.set_team(Owner->Accepted.team());
@@ -384,8 +389,11 @@
       co_await Racks_.place(Rack, std::move(Request));
   --Starting_;
   Wake_.notify();
-  if (Owner->Lost || Current.State != Phase::Starting)
-    co_return; // The task ended before the answer to its start came.
+  // The attempt may have ended, and the next one begun, before the answer to
+  // its start came.
+  if (Owner->Lost || Current.State != Phase::Starting ||
+      Current.Attempt != Attempt)
+    co_return;
   if (Placed && Placed->status() == peer::STATUS_OK) {
     Current.State = Phase::Running;
     Current.MayHaveRun = true;
@@ -470,7 +478,8 @@
   if (!Owner->Lost && !Owner->Cancelled)
     enqueueGang(Owner);
   else if (!Owner->Lost)
-    finishIfDone(Owner);
+    for (std::uint32_t Index = 0; Index < Owner->Tasks.size(); ++Index)
+      handleEnd(Owner, Index);
 }
 
 // Recovery and ends ---------------------------------------------------------
@@ -542,9 +551,10 @@
   if (Index >= Owner->Tasks.size())
     co_return true;
   Task &Current = Owner->Tasks[Index];
-  if (Ended.attempt() < Current.Attempt)
+  const std::uint32_t Attempt = Ended.attempt();
+  if (Attempt < Current.Attempt && Current.UnloggedEnds.count(Attempt) == 0)
     co_return true;
-  if (!Current.Ended) {
+  if (Attempt >= Current.Attempt && !Current.Ended) {
     Current.Attempt = Ended.attempt();
     Current.Ended = Ended;
     Current.State = Phase::Ended;
@@ -552,17 +562,16 @@
       Current.MayHaveRun = true;
     records::Record Record;
     *Record.mutable_task_ended() = Ended;
-    const std::uint32_t Attempt = Ended.attempt();
     const Result<void> Queued = Writer_.enqueue(
         std::move(Record), [Owner, Index, Attempt](std::uint64_t) {
-          if (Owner->Tasks[Index].Attempt == Attempt)
-            Owner->Tasks[Index].EndLogged = true;
+          Owner->Tasks[Index].UnloggedEnds.erase(Attempt);
         });
     if (!Queued) {
       Current.Ended.reset();
       Current.State = Phase::Running;
       co_return false;
     }
+    Current.UnloggedEnds.insert(Attempt);
     Events_.emit("jobs", "task_accounted",
                  {{"key", Key},
                   {"task", Index},
@@ -571,10 +580,8 @@
     handleEnd(Owner, Index);
   }
   const Clock::time_point Deadline = Timers_.now() + Options_.LogWait / 2;
-  const std::uint32_t Attempt = Ended.attempt();
   while (Timers_.now() < Deadline && !Owner->Lost) {
-    // A later attempt means that this end was handled.
-    if (Owner->Tasks[Index].EndLogged || Owner->Tasks[Index].Attempt > Attempt)
+    if (Owner->Tasks[Index].UnloggedEnds.count(Attempt) == 0)
       co_return true;
     co_await Timers_.sleepFor(ReadBackInterval);
   }
@@ -643,14 +650,8 @@
   Events_.emit("jobs", "job_finished",
                {{"key", Owner->Accepted.key()},
                 {"outcome", records::OutcomeKind_Name(Outcome.outcome())}});
-  const std::string Key = Owner->Accepted.key();
-  const Result<void> Queued =
-      Writer_.enqueue(std::move(Record), [this, Owner, Key](std::uint64_t) {
-        Jobs_.erase(Key);
-        FinishedKeys_.emplace_back(Timers_.now(), Key);
-      });
-  if (!Queued)
-    LOG(WARNING) << "jobs: outcome of " << Key
+  if (const Result<void> Queued = Writer_.enqueue(std::move(Record)); !Queued)
+    LOG(WARNING) << "jobs: outcome of " << Owner->Accepted.key()
                  << " not recorded: " << Queued.error().Message;
 }
 
@@ -727,8 +728,18 @@
 
 void JobRunner::keyChanged(const std::string &Key) {
   const KeyRecord *Known = Table_.find(Key);
-  if (Known == nullptr || !Known->Accepted || Known->Outcome ||
-      findJob(Key) != nullptr)
+  if (Known == nullptr || !Known->Accepted)
+    return;
+  if (const JobPointer Current = findJob(Key)) {
+    // Kept until the outcome is read back: the records before it would start
+    // the job again.
+    if (Known->Outcome && Current->Finished) {
+      Jobs_.erase(Key);
+      FinishedKeys_.emplace_back(Timers_.now(), Key);
+    }
+    return;
+  }
+  if (Known->Outcome)
     return;
   const auto Owner = Ownership_.ownerOf(keyShard(Key));
   if (!Owner || Owner->Incarnation != Ownership_.incarnation())
--- a/Source/Jobs/RequestService.cpp
+++ b/Source/Jobs/RequestService.cpp
@@ -50,6 +50,14 @@
   return Reply;
 }
 
+peer::SubmitReply keyConflict() {
+  peer::SubmitReply Reply;
+  Reply.set_status(peer::STATUS_CONFLICT);
+  Reply.set_detail("this idempotency key was used for another request; use a "
+                   "new key");
+  return Reply;
+}
+
 std::string requestDigest(const peer::SubmitRequest &Request) {
   return sha256(Request.member() + '\0' + Request.job_class() + '\0' +
                 Request.payload());
@@ -102,6 +110,8 @@
     }
   } else {
     if (const KeyRecord *Known = Table_.find(Key)) {
+      if (Known->Accepted)
+        co_return keyConflict();
       if (Known->Outcome)
         co_return replyFromOutcome(*Known->Outcome);
       if (Known->Intent)
@@ -116,13 +126,8 @@
     asio::co_spawn(Executor_, run(Item, Request, std::move(Class)),
                    asio::detached);
   }
-  if (Item->Digest != Digest) {
-    peer::SubmitReply Reply;
-    Reply.set_status(peer::STATUS_CONFLICT);
-    Reply.set_detail("this idempotency key was used for another request; use a "
-                     "new key");
-    co_return Reply;
-  }
+  if (Item->Digest != Digest)
+    co_return keyConflict();
   while (!Item->Done && Timers_.now() < Deadline)
     co_await Item->Changed.waitFor(Timers_, Deadline - Timers_.now());
   if (!Item->Done)
@@ -147,9 +152,10 @@
       "hickory_request_seconds",
       std::chrono::duration<double>(Timers_.now() - Start).count());
   // A caller may try again with the same key after a certain "not run", unless
-  // an intent stands in the log.
+  // an intent stands in the log or may still be written there, followed by the
+  // outcome "not run": what is dispatched on it would contradict the log.
   const KeyRecord *Known = Table_.find(Request.key());
-  const bool Kept = Known != nullptr && Known->Intent;
+  const bool Kept = Item->IntentQueued || (Known != nullptr && Known->Intent);
   if (Reply.outcome() == records::OUTCOME_NOT_RUN && !Kept)
     Entries_.erase(Request.key());
   Item->Changed.notify();
@@ -186,6 +192,9 @@
     if (Class.NonRepeatable && !Options_.SkipIntent) {
       const Result<void> Recorded =
           co_await recordIntent(Request, Attempt, Rack->Load.rack(), Deadline);
+      Item->IntentQueued = Item->IntentQueued || Recorded ||
+                           (Recorded.error().Code != ErrorCode::Cancelled &&
+                            Recorded.error().Code != ErrorCode::Overloaded);
       if (!Recorded) {
         Last = notRun(peer::STATUS_UNAVAILABLE, Recorded.error().Message);
         recordOutcome(Request.key(), Request.member(), Last);
@@ -427,8 +436,13 @@
 void RequestService::discardExpired() {
   const Clock::time_point Now = Timers_.now();
   std::erase_if(Entries_, [&](const auto &Pair) {
-    return Pair.second->Done &&
-           Pair.second->FinishedAt + Options_.KeepAnswers < Now;
+    const Entry &Item = *Pair.second;
+    if (!Item.Done || Item.FinishedAt + Options_.KeepAnswers >= Now)
+      return false;
+    // The answer is not given up before the log can give it.
+    const KeyRecord *Known = Table_.find(Pair.first);
+    return !Item.IntentQueued || (Known != nullptr && Known->Outcome) ||
+           !Ownership_.holds(Item.Shard);
   });
 }
 
