Report work on a worker that the list lacks

Cause: the capacity check read the size of an unknown worker from a null JSON value, which throws. history-checker then ended without a verdict. Change: such a worker counts as one without capacity, so that each start on it is a violation. Test: findsWorkOnUnlistedWorker (error before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -121,6 +121,7 @@
 class HistoryCheckerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HistoryCheckerTest);
   CPPUNIT_TEST(findsOvercommittedWorker);
+  CPPUNIT_TEST(findsWorkOnUnlistedWorker);
   CPPUNIT_TEST(findsTaskInTwoPlaces);
   CPPUNIT_TEST(findsForeignAnswer);
   CPPUNIT_TEST(findsWorkThatWasSaidNotToHaveRun);
@@ -148,6 +149,13 @@
                                 worker(2, "started", "b#0", "w1", 1000, 41)}});
   }
 
+  // Guards against a checker that fails on a worker that the list lacks; such
+  // a worker has no capacity that work could be committed on.
+  void findsWorkOnUnlistedWorker() {
+    assertViolated("capacity",
+                   {.Workers = {worker(1, "started", "a#0", "other", 1, 0)}});
+  }
+
   // Guards against a check that takes every restart of a task for a second
   // place, or none.
   void findsTaskInTwoPlaces() {
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -112,8 +112,12 @@
         std::int64_t &Sum = Used[Worker][Quantity];
         const std::int64_t Amount = Event.value(Quantity, std::int64_t(0));
         Sum += isStart(Event) ? Amount : -Amount;
+        // A worker that the list lacks has nothing to commit.
+        const auto Known = Total.find(Worker);
         const std::int64_t Limit =
-            Total[Worker].value(Quantity, std::int64_t(0));
+            Known == Total.end()
+                ? 0
+                : Known->second.value(Quantity, std::int64_t(0));
         if (isStart(Event) && Sum > Limit)
           violation("capacity",
                     fmt::format("{} of {} committed on {} of {} when {} "
