Check that answers of completed requests are whole

Cause: the check of answers accepted everything that starts like the right answer, also one that ends early or goes on, and passed over a completed request without any answer. Guarantee 3 promises the whole answer. Change: after the prefix there must be an attempt number and nothing else; a completed request must have an answer. Test: findsPartOfAnAnswer (failed before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -124,6 +124,7 @@
   CPPUNIT_TEST(findsWorkOnUnlistedWorker);
   CPPUNIT_TEST(findsTaskInTwoPlaces);
   CPPUNIT_TEST(findsForeignAnswer);
+  CPPUNIT_TEST(findsPartOfAnAnswer);
   CPPUNIT_TEST(findsWorkThatWasSaidNotToHaveRun);
   CPPUNIT_TEST(findsSecondRunOfNonRepeatableRequest);
   CPPUNIT_TEST(findsNewWorkForLeavingUpstream);
@@ -190,6 +191,26 @@
              returned(4, 2, "a/k", answer("answer:payload of a/k:a/k#2"))}});
   }
 
+  // Guards against answers that are cut short, have more than was answered, or
+  // are missing from a completed request.
+  void findsPartOfAnAnswer() {
+    for (const char *Text :
+         {"answer:payload of a/k:a/k#", "answer:payload of a/k:a/k#1more", ""})
+      assertViolated(
+          "own_answer",
+          {.Client = {call(1, 1, "a/k"), returned(2, 1, "a/k", answer(Text))}});
+    assertViolated(
+        "own_answer",
+        {.Client = {call(1, 1, "a/k"),
+                    returned(2, 1, "a/k", {{"outcome", "completed"}})}});
+    assertHolds(
+        "own_answer",
+        {.Client = {call(1, 1, "a/j", "batch"),
+                    returned(2, 1, "a/j", {{"outcome", "completed"}}, "batch"),
+                    call(3, 2, "a/k"),
+                    returned(4, 2, "a/k", {{"outcome", "unknown"}})}});
+  }
+
   // Guards against starts, of requests or tasks, that are not attributed to
   // their key, and against false alarms when the caller asked again.
   void findsWorkThatWasSaidNotToHaveRun() {
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -148,22 +148,33 @@
     }
   }
 
-  // 3. A completed answer is the one derived from the caller's own payload, and
-  // all answers to one key are the same.
+  /// Answers of the executor stand-in are "answer:<payload>:<id>".
+  static bool isOwnAnswer(const std::string &Answer, const std::string &Key) {
+    const std::string Prefix = "answer:payload of " + Key + ":" + Key + "#";
+    return Answer.starts_with(Prefix) && Answer.size() > Prefix.size() &&
+           Answer.find_first_not_of("0123456789", Prefix.size()) ==
+               std::string::npos;
+  }
+
+  // 3. A completed request has an answer, which is the whole one derived from
+  // the caller's own payload, and all answers to one key are the same.
   void checkOwnAnswers() {
     Finding &Found = Findings_["own_answer"];
     std::map<std::string, std::string> Answers;
     for (const json &Event : History_.Client) {
-      if (text(Event, "op") != "return" || !Event.contains("body") ||
-          !Event["body"].contains("answer"))
+      if (text(Event, "op") != "return" || !Event.contains("body"))
+        continue;
+      const std::string Kind = text(Event, "kind");
+      const bool MustHaveAnswer = (Kind == "request" || Kind == "once") &&
+                                  text(Event["body"], "outcome") == "completed";
+      if (!MustHaveAnswer && !Event["body"].contains("answer"))
         continue;
       const std::string Key = text(Event, "key");
       const std::string Answer = text(Event["body"], "answer");
       if (Key.empty())
         continue;
       ++Found.Checked;
-      const std::string Prefix = "answer:payload of " + Key + ":" + Key + "#";
-      if (!Answer.starts_with(Prefix))
+      if (!isOwnAnswer(Answer, Key))
         violation("own_answer",
                   fmt::format("the answer to {} was \"{}\"", Key, Answer));
       const auto [It, New] = Answers.emplace(Key, Answer);
