Count only submissions as asking again

Cause: any POST with the key counted as a new submission, also a cancellation. A job that started after it was said not to have run was excused by a cancellation in between. Change: calls whose kind starts with "cancel-" are left out. Test: cancellationIsNoNewRequest (failed before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(findsForeignAnswer);
   CPPUNIT_TEST(findsPartOfAnAnswer);
   CPPUNIT_TEST(findsWorkThatWasSaidNotToHaveRun);
+  CPPUNIT_TEST(cancellationIsNoNewRequest);
   CPPUNIT_TEST(findsSecondRunOfNonRepeatableRequest);
   CPPUNIT_TEST(findsNewWorkForLeavingUpstream);
   CPPUNIT_TEST(findsCallCutOffByPlannedStop);
@@ -236,6 +237,18 @@
          .Executors = {executor(90 * Second, "started", "a/k#1")}});
   }
 
+  // Guards against a cancellation that counts as a new request: a job that was
+  // said not to have run must not start after it.
+  void cancellationIsNoNewRequest() {
+    assertViolated(
+        "not_run",
+        {.Client = {call(10, 1, "a/k", "batch"),
+                    returned(20, 1, "a/k", notRun(), "batch"),
+                    call(30, 2, "a/k", "cancel-batch"),
+                    returned(35, 2, "a/k", {{"cancelled", 0}}, "cancel-batch")},
+         .Workers = {worker(40, "started", "a/k#0")}});
+  }
+
   // Guards against a count that takes attempts of one key for different work,
   // or that includes repeatable requests.
   void findsSecondRunOfNonRepeatableRequest() {
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -197,13 +197,14 @@
   }
 
   // 4. Nothing of a key ran before "not run" was said, nor after it unless the
-  // caller asked again.
+  // caller asked again. A cancellation does not ask for the work.
   void checkNotRun() {
     Finding &Found = Findings_["not_run"];
     const auto Starts = startTimes();
     std::map<std::string, std::vector<std::int64_t>> Calls;
     for (const json &Event : History_.Client)
-      if (text(Event, "op") == "call" && text(Event, "method") == "POST")
+      if (text(Event, "op") == "call" && text(Event, "method") == "POST" &&
+          !text(Event, "kind").starts_with("cancel-"))
         Calls[text(Event, "key")].push_back(time(Event));
     for (const json &Event : History_.Client) {
       if (text(Event, "op") != "return" || !Event.contains("body") ||
