Count new work from the first time an upstream leaves

Cause: a second "leaving" event replaced the time of the first one, so work started between them was not reported. Utilities/prove draws workers at random and may draw the same one twice. Change: the first event counts. No fault of Utilities/prove makes a leaving upstream live again. Test: repeatedLeavingCountsFromTheFirst (failed before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(cancellationIsNoNewRequest);
   CPPUNIT_TEST(findsSecondRunOfNonRepeatableRequest);
   CPPUNIT_TEST(findsNewWorkForLeavingUpstream);
+  CPPUNIT_TEST(repeatedLeavingCountsFromTheFirst);
   CPPUNIT_TEST(findsCallCutOffByPlannedStop);
   CPPUNIT_TEST(findsFailedDrain);
   CPPUNIT_TEST(findsRevertedConfiguration);
@@ -287,6 +288,15 @@
                     .Faults = Faults});
   }
 
+  // Guards against a second report of leaving that excuses what was started
+  // after the first. Utilities/prove may choose the same worker twice.
+  void repeatedLeavingCountsFromTheFirst() {
+    assertViolated("leaving",
+                   {.Workers = {worker(16 * Second, "started", "a#0")},
+                    .Faults = {fault(10 * Second, "leaving", "w1"),
+                               fault(15 * Second, "leaving", "w1")}});
+  }
+
   // Guards against calls that were in progress when the stop began and are
   // forgotten, and against refusals that are taken for a cut.
   void findsCallCutOffByPlannedStop() {
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -248,13 +248,14 @@
     Found.Checked = OnceKeys.size();
   }
 
-  // 6. No new work for an upstream some seconds after it began to leave.
+  // 6. No new work for an upstream some seconds after it first began to leave.
+  // No history has an upstream that is live again.
   void checkLeaving() {
     Finding &Found = Findings_["leaving"];
     std::map<std::string, std::int64_t> LeftAt;
     for (const json &Event : History_.Faults)
       if (text(Event, "fault") == "leaving")
-        LeftAt[text(Event, "target")] = time(Event);
+        LeftAt.emplace(text(Event, "target"), time(Event));
     Found.Checked = LeftAt.size();
     const auto Check = [&](const json &Event, const std::string &Upstream,
                            const std::string &Work) {
