Check every planned stop of an instance

Cause: the check kept one planned stop per gateway address. When an instance was drained twice in a run, only calls during the last stop were checked. Change: all stops are kept; a call is checked if it overlaps any of them. Test: everyStopOfAnInstanceIsChecked (failed before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(findsNewWorkForLeavingUpstream);
   CPPUNIT_TEST(repeatedLeavingCountsFromTheFirst);
   CPPUNIT_TEST(findsCallCutOffByPlannedStop);
+  CPPUNIT_TEST(everyStopOfAnInstanceIsChecked);
   CPPUNIT_TEST(findsFailedDrain);
   CPPUNIT_TEST(findsRevertedConfiguration);
   CPPUNIT_TEST(findsConfigurationThatIsLate);
@@ -319,6 +320,17 @@
                       .Faults = Faults});
   }
 
+  // Guards against a later stop of the same instance that hides an earlier one.
+  void everyStopOfAnInstanceIsChecked() {
+    assertViolated(
+        "graceful_stop",
+        {.Client = {call(12 * Second, 1, "a/k"),
+                    failed(13 * Second, 1, "a/k", Unavailable)},
+         .Faults = {fault(10 * Second, "drain"), fault(20 * Second, "drained"),
+                    fault(50 * Second, "drain"),
+                    fault(60 * Second, "drained")}});
+  }
+
   // Guards against a stop that ends badly without cutting any recorded call.
   void findsFailedDrain() {
     assertViolated("graceful_stop",
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -282,15 +282,16 @@
       std::int64_t Begin;
       std::optional<std::int64_t> End;
     };
-    std::map<std::string, Stop> Stops; ///< By gateway address.
+    /// By gateway address, in the order in which they began.
+    std::map<std::string, std::vector<Stop>> Stops;
     std::set<std::string> Killed;
     for (const json &Event : History_.Faults) {
       const std::string Fault = text(Event, "fault");
       const std::string Gateway = text(Event, "gateway");
       if (Fault == "drain")
-        Stops[Gateway] = {time(Event), std::nullopt};
+        Stops[Gateway].push_back({time(Event), std::nullopt});
       else if (Fault == "drained" && Stops.count(Gateway) != 0)
-        Stops[Gateway].End = time(Event);
+        Stops[Gateway].back().End = time(Event);
       else if (Fault == "kill" || Fault == "cut" || Fault == "pause")
         Killed.insert(Gateway);
       if (Fault == "drain_failed")
@@ -311,8 +312,11 @@
           !Event.contains("call"))
         continue;
       const json &Call = Calls[Event["call"].get<std::uint64_t>()];
-      const bool During = time(Event) >= It->second.Begin &&
-                          (!It->second.End || time(Call) <= *It->second.End);
+      const bool During = std::any_of(
+          It->second.begin(), It->second.end(), [&](const Stop &Planned) {
+            return time(Event) >= Planned.Begin &&
+                   (!Planned.End || time(Call) <= *Planned.End);
+          });
       if (!During)
         continue;
       ++Found.Checked;
