Excuse only calls that another fault can have cut off

Cause: one kill or pause excused all planned stops of the instance in the whole run, also those before it or long after it. Change: a call is left out only if the other fault came before its return and at most 10 s before its start. The longest pause of Utilities/prove is 6 s and the load generator gives up a call after 10 s. Test: earlierKillExcusesNoPlannedStop (failed before, passes now).

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -132,6 +132,7 @@
   CPPUNIT_TEST(repeatedLeavingCountsFromTheFirst);
   CPPUNIT_TEST(findsCallCutOffByPlannedStop);
   CPPUNIT_TEST(everyStopOfAnInstanceIsChecked);
+  CPPUNIT_TEST(earlierKillExcusesNoPlannedStop);
   CPPUNIT_TEST(findsFailedDrain);
   CPPUNIT_TEST(findsRevertedConfiguration);
   CPPUNIT_TEST(findsConfigurationThatIsLate);
@@ -331,6 +332,28 @@
                     fault(60 * Second, "drained")}});
   }
 
+  // Guards against a kill or a pause that excuses every planned stop of the
+  // instance in the whole run. Only calls that the fault itself can have cut
+  // are excused.
+  void earlierKillExcusesNoPlannedStop() {
+    for (const char *Kind : {"kill", "pause"}) {
+      assertViolated(
+          "graceful_stop",
+          {.Client = {call(52 * Second, 1, "a/k"),
+                      failed(53 * Second, 1, "a/k", Unavailable)},
+           .Faults = {fault(10 * Second, Kind), fault(50 * Second, "drain"),
+                      fault(60 * Second, "drained")}});
+      assertHolds(
+          "graceful_stop",
+          {.Client = {call(46 * Second, 1, "a/k"),
+                      failed(53 * Second, 1, "a/k", Unavailable),
+                      call(51 * Second, 2, "a/k"),
+                      failed(55 * Second, 2, "a/k", Unavailable)},
+           .Faults = {fault(45 * Second, Kind), fault(50 * Second, "drain"),
+                      fault(60 * Second, "drained")}});
+    }
+  }
+
   // Guards against a stop that ends badly without cutting any recorded call.
   void findsFailedDrain() {
     assertViolated("graceful_stop",
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -31,6 +31,9 @@
   std::int64_t LeavingGraceUs = 5000000;
   /// From the acceptance of a configuration to its being in force everywhere.
   std::int64_t ConfigLimitUs = 18000000;
+  /// How long after a kill, cut or pause of an instance the fault may cut off
+  /// calls sent to it. The longest pause of Utilities/prove is 6 s.
+  std::int64_t FaultReachUs = 10000000;
 };
 
 /// Decides from the recorded histories alone whether each guarantee held.
@@ -275,7 +278,8 @@
   }
 
   // 7. A planned stop answers every call that it had received. Calls sent
-  // after the instance had ended are refused, which is no cut.
+  // after the instance had ended are refused, which is no cut. Calls that
+  // another fault of the instance can have cut off are left out.
   void checkGracefulStop() {
     Finding &Found = Findings_["graceful_stop"];
     struct Stop {
@@ -284,7 +288,8 @@
     };
     /// By gateway address, in the order in which they began.
     std::map<std::string, std::vector<Stop>> Stops;
-    std::set<std::string> Killed;
+    /// Times of other faults, by gateway address.
+    std::map<std::string, std::vector<std::int64_t>> OtherFaults;
     for (const json &Event : History_.Faults) {
       const std::string Fault = text(Event, "fault");
       const std::string Gateway = text(Event, "gateway");
@@ -293,7 +298,7 @@
       else if (Fault == "drained" && Stops.count(Gateway) != 0)
         Stops[Gateway].back().End = time(Event);
       else if (Fault == "kill" || Fault == "cut" || Fault == "pause")
-        Killed.insert(Gateway);
+        OtherFaults[Gateway].push_back(time(Event));
       if (Fault == "drain_failed")
         violation("graceful_stop",
                   fmt::format("the drain of {} ended with status {}",
@@ -308,8 +313,7 @@
       }
       const std::string Gateway = text(Event, "gateway");
       const auto It = Stops.find(Gateway);
-      if (It == Stops.end() || Killed.count(Gateway) != 0 ||
-          !Event.contains("call"))
+      if (It == Stops.end() || !Event.contains("call"))
         continue;
       const json &Call = Calls[Event["call"].get<std::uint64_t>()];
       const bool During = std::any_of(
@@ -317,7 +321,13 @@
             return time(Event) >= Planned.Begin &&
                    (!Planned.End || time(Call) <= *Planned.End);
           });
-      if (!During)
+      const auto &Others = OtherFaults[Gateway];
+      const bool Excused =
+          std::any_of(Others.begin(), Others.end(), [&](std::int64_t Fault) {
+            return Fault <= time(Event) &&
+                   time(Call) <= Fault + Options_.FaultReachUs;
+          });
+      if (!During || Excused)
         continue;
       ++Found.Checked;
       // Refused and NotSent mean that the instance never had the call.
