Record the gateway of every instance that is stopped

Cause: client_gateway_of counted in a subshell, so it found only the first slot. Change: the count is kept outside the subshell. A drain without a gateway is a violation, so that this cannot go unnoticed again.

--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(everyStopOfAnInstanceIsChecked);
   CPPUNIT_TEST(earlierKillExcusesNoPlannedStop);
   CPPUNIT_TEST(findsFailedDrain);
+  CPPUNIT_TEST(stopWithoutGatewayIsNotPassedOver);
   CPPUNIT_TEST(findsRevertedConfiguration);
   CPPUNIT_TEST(findsConfigurationThatIsLate);
   CPPUNIT_TEST_SUITE_END();
@@ -360,6 +361,14 @@
                    {.Faults = {fault(1, "drain"), fault(2, "drain_failed")}});
   }
 
+  // Guards against a script that records no gateway, so that no call can be
+  // found that the stop cut off.
+  void stopWithoutGatewayIsNotPassedOver() {
+    json Stop = fault(1, "drain");
+    Stop["gateway"] = "";
+    assertViolated("graceful_stop", {.Faults = {Stop}});
+  }
+
   // Guards against versions of different instances that are compared with each
   // other, and against instances that are not ready and may be behind.
   void findsRevertedConfiguration() {
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -293,6 +293,11 @@
     for (const json &Event : History_.Faults) {
       const std::string Fault = text(Event, "fault");
       const std::string Gateway = text(Event, "gateway");
+      if (Fault == "drain" && Gateway.empty())
+        violation("graceful_stop",
+                  fmt::format("the stop of {} cannot be checked: its gateway "
+                              "was not recorded",
+                              text(Event, "target")));
       if (Fault == "drain")
         Stops[Gateway].push_back({time(Event), std::nullopt});
       else if (Fault == "drained" && Stops.count(Gateway) != 0)
--- a/Utilities/deployment.sh
+++ b/Utilities/deployment.sh
@@ -116,7 +116,9 @@
 client_gateway_of() { # SLOT -> ip:port
   local index=0 slot pair
   for pair in ${clients//,/ }; do
-    slot=$(echo $slots | cut -d' ' -f$((++index)))
+    # Not within $(...): a subshell would count for itself only.
+    index=$((index + 1))
+    slot=$(echo $slots | cut -d' ' -f"$index")
     [ "$slot" = "$1" ] && echo "${pair#*=}" && return 0
   done
   return 0
