Report a cancelled job as not run only if no attempt ran

The start of an attempt clears the end of the one before, and the outcome looked at the current end only, so the caller was told "not_run". Change: each task remembers that some attempt ended. After a takeover an attempt number above 1 counts too, because the log's table keeps only the latest attempt. Conclusion: a job whose first placements were all refused is now reported as cancelled after a takeover, which claims less than "not run".

--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -174,6 +174,8 @@
       Current.Rack = It->second.Assigned.rack();
       Current.Ended = It->second.Ended;
       Current.EndLogged = Current.Ended.has_value();
+      // The log keeps no ends of attempts before the latest one here.
+      Current.MayHaveRun = Current.Ended || Current.Attempt > 1;
     }
     if (Current.Ended) {
       Current.State = Phase::Ended;
@@ -541,6 +543,7 @@
   if (!Current.Ended) {
     Current.Attempt = Ended.attempt();
     Current.Ended = Ended;
+    Current.MayHaveRun = true;
     Current.State = Phase::Ended;
     records::Record Record;
     *Record.mutable_task_ended() = Ended;
@@ -609,7 +612,7 @@
     const bool Completed =
         Member.Ended && Member.Ended->outcome() == records::OUTCOME_COMPLETED;
     AllCompleted = AllCompleted && Completed;
-    AnyStarted = AnyStarted || Member.Ended.has_value();
+    AnyStarted = AnyStarted || Member.MayHaveRun;
     AnyUnknown = AnyUnknown || (Member.Ended && Member.Ended->outcome() ==
                                                     records::OUTCOME_UNKNOWN);
   }
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -89,6 +89,9 @@
     std::string Worker;
     std::optional<records::TaskEnded> Ended;
     bool EndLogged = false;
+    /// Some attempt, not only the current one, ended or may have run. "Not run"
+    /// is then no longer a true answer.
+    bool MayHaveRun = false;
     std::uint32_t Refusals = 0; ///< In a row, for the retry delay.
     bool ResultKnown = false;   ///< No further attempt will be made.
   };
