--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -75,6 +75,11 @@
           {"gateway", Gateway}};
 }
 
+/// An instance's own last event.
+json stopped(std::int64_t Time, const std::string &Slot = "a") {
+  return {{"wall_us", Time}, {"event", "stopped"}, {"process", Slot}};
+}
+
 json probe(std::int64_t Time, const std::string &Slot, int Version,
            bool Ready = true) {
   return {{"t_us", Time},
@@ -304,7 +309,8 @@
   // forgotten, and against refusals that are taken for a cut.
   void findsCallCutOffByPlannedStop() {
     const RunHistory::Events Faults = {fault(10 * Second, "drain"),
-                                       fault(20 * Second, "drained")};
+                                       fault(22 * Second, "drained")};
+    const RunHistory::Events Stops = {stopped(20 * Second)};
     assertHolds("graceful_stop",
                 {.Client = {call(1 * Second, 1, "a/k"),
                             failed(2 * Second, 1, "a/k", Unavailable),
@@ -312,14 +318,18 @@
                             returned(11 * Second, 2, "a/k", notRun()),
                             call(12 * Second, 3, "a/k"),
                             failed(13 * Second, 3, "a/k", Refused),
+                            // Sent after the instance had ended, before the
+                            // driver noticed.
                             call(21 * Second, 4, "a/k"),
                             failed(22 * Second, 4, "a/k", Unavailable)},
-                 .Faults = Faults});
+                 .Faults = Faults,
+                 .Stops = Stops});
     for (const std::int64_t Time : {9, 12})
       assertViolated("graceful_stop",
                      {.Client = {call(Time * Second, 1, "a/k"),
                                  failed(19 * Second, 1, "a/k", Unavailable)},
-                      .Faults = Faults});
+                      .Faults = Faults,
+                      .Stops = Stops});
   }
 
   // Guards against a later stop of the same instance that hides an earlier one.
@@ -329,8 +339,8 @@
         {.Client = {call(12 * Second, 1, "a/k"),
                     failed(13 * Second, 1, "a/k", Unavailable)},
          .Faults = {fault(10 * Second, "drain"), fault(20 * Second, "drained"),
-                    fault(50 * Second, "drain"),
-                    fault(60 * Second, "drained")}});
+                    fault(50 * Second, "drain"), fault(60 * Second, "drained")},
+         .Stops = {stopped(20 * Second), stopped(60 * Second)}});
   }
 
   // Guards against a kill or a pause that excuses every planned stop of the
@@ -343,7 +353,8 @@
           {.Client = {call(52 * Second, 1, "a/k"),
                       failed(53 * Second, 1, "a/k", Unavailable)},
            .Faults = {fault(10 * Second, Kind), fault(50 * Second, "drain"),
-                      fault(60 * Second, "drained")}});
+                      fault(60 * Second, "drained")},
+           .Stops = {stopped(60 * Second)}});
       assertHolds(
           "graceful_stop",
           {.Client = {call(46 * Second, 1, "a/k"),
@@ -351,7 +362,8 @@
                       call(51 * Second, 2, "a/k"),
                       failed(55 * Second, 2, "a/k", Unavailable)},
            .Faults = {fault(45 * Second, Kind), fault(50 * Second, "drain"),
-                      fault(60 * Second, "drained")}});
+                      fault(60 * Second, "drained")},
+           .Stops = {stopped(60 * Second)}});
     }
   }
 
