--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -146,7 +146,6 @@
   LogWriter &Writer_;
   JobTable &Table_;
   RackChooser &Racks_;
-  FairShare &Shares_;
   Metrics &Counters_;
   EventLog &Events_;
   JobQueue Queue_;
