--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -671,16 +671,24 @@
   if (Checked.Status != peer::STATUS_OK)
     co_return Reply;
   const TaskId Id{Request.key(), Request.task(), Request.attempt()};
-  if (Request.fence())
-    Fences_[Id] = Context_->Timers.now();
+  // A fence is set only with the answer that the attempt never started. Set
+  // earlier, it would stop the task when its worker is read later.
+  const auto SetFence = [&] {
+    if (Request.fence())
+      Fences_[Id] = Context_->Timers.now();
+  };
   if (!Checked.Rack->Ready) {
     Reply.set_status(peer::STATUS_UNAVAILABLE);
     co_return Reply;
   }
   const Found Known = findIn(*Checked.Rack, Id);
   if (!Known.Task) {
-    Reply.set_status(allTasksKnown(*Checked.Rack) ? peer::STATUS_NOT_FOUND
-                                                  : peer::STATUS_UNKNOWN);
+    if (allTasksKnown(*Checked.Rack)) {
+      SetFence();
+      Reply.set_status(peer::STATUS_NOT_FOUND);
+    } else {
+      Reply.set_status(peer::STATUS_UNKNOWN);
+    }
     co_return Reply;
   }
   Reply.set_worker(Known.Session->worker().Name);
@@ -692,6 +700,7 @@
     Reply.set_status(peer::STATUS_UNKNOWN);
     break;
   case Phase::NotStarted:
+    SetFence();
     Reply.set_status(peer::STATUS_NOT_FOUND);
     co_return Reply;
   case Phase::Running:
@@ -715,8 +724,12 @@
   const TaskId Id{Request.key(), Request.task(), Request.attempt()};
   const Found Known = findIn(*Checked.Rack, Id);
   if (!Known.Task) {
-    Reply.set_status(allTasksKnown(*Checked.Rack) ? peer::STATUS_NOT_FOUND
-                                                  : peer::STATUS_UNKNOWN);
+    if (allTasksKnown(*Checked.Rack)) {
+      SetFence();
+      Reply.set_status(peer::STATUS_NOT_FOUND);
+    } else {
+      Reply.set_status(peer::STATUS_UNKNOWN);
+    }
     co_return Reply;
   }
   Known.Session->cancelQueued(Known.Task);
--- a/Source/Programs/hickoryd.cpp
+++ b/Source/Programs/hickoryd.cpp
@@ -90,13 +90,14 @@
     return 2;
   }
   asio::io_context Context(1);
+  // Set before the parts are built, so that an early signal drains as well.
+  asio::signal_set Signals(Context, SIGTERM, SIGINT);
   hickory::Daemon Instance(Context, *Settings, Faults);
   int Status = 0;
   Instance.onStopped([&](bool Clean) {
     Status = Clean ? 0 : 1;
     Context.stop();
   });
-  asio::signal_set Signals(Context, SIGTERM, SIGINT);
   std::function<void()> AwaitSignal = [&] {
     Signals.async_wait([&](const std::error_code &Code, int) {
       if (Code)
