--- a/Source/Jobs/CellView.cpp
+++ b/Source/Jobs/CellView.cpp
@@ -101,6 +101,7 @@
 
 std::vector<peer::SummaryRequest> CellView::summaries() const {
   std::vector<peer::SummaryRequest> All;
+  All.reserve(BySlot_.size());
   for (const auto &[Slot, Entry] : BySlot_)
     All.push_back(Entry.Summary);
   return All;
--- a/Source/Jobs/JobManager.cpp
+++ b/Source/Jobs/JobManager.cpp
@@ -23,8 +23,8 @@
                        JobTable &Table, RequestService &Requests,
                        JobRunner &Runner)
     : Executor_(Executor), Timers_(Timers), Config_(Config),
-      Ownership_(Ownership), Table_(Table), Requests_(Requests),
-      Runner_(Runner), Stopped_(Executor) {
+      Ownership_(Ownership), Requests_(Requests), Runner_(Runner),
+      Stopped_(Executor) {
   Table.onChange([this](const std::string &Key) { Runner_.keyChanged(Key); });
   Changes_ = Ownership.subscribe(
       [this](const OwnershipView::Change &Change) { changed(Change); });
--- a/Source/Jobs/JobManager.h
+++ b/Source/Jobs/JobManager.h
@@ -41,7 +41,6 @@
   TimerService &Timers_;
   ConfigView &Config_;
   OwnershipView &Ownership_;
-  JobTable &Table_;
   RequestService &Requests_;
   JobRunner &Runner_;
   Signal Stopped_;
--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -55,7 +55,7 @@
                      Metrics &Counters, EventLog &Events)
     : Options_(Options), Executor_(Executor), Timers_(Timers), Config_(Config),
       Ownership_(Ownership), Writer_(Writer), Table_(Table), Racks_(Racks),
-      Shares_(Shares), Counters_(Counters), Events_(Events),
+      Counters_(Counters), Events_(Events),
       Queue_(Timers, Shares, {.MaximumSize = Options.MaximumQueued}),
       Wake_(Executor) {}
 
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -144,7 +144,6 @@
   LogWriter &Writer_;
   JobTable &Table_;
   RackChooser &Racks_;
-  FairShare &Shares_;
   Metrics &Counters_;
   EventLog &Events_;
   JobQueue Queue_;
--- a/Tests/Jobs/JobsHarness.h
+++ b/Tests/Jobs/JobsHarness.h
@@ -89,8 +89,7 @@
 /// a log whose records reach every job owner's table.
 class JobsHarness {
 public:
-  explicit JobsHarness(JobsHarnessOptions Options = {})
-      : Options_(std::move(Options)) {
+  explicit JobsHarness(JobsHarnessOptions Options = {}) : Options_(Options) {
     Config.Classes["repeat"] = {.Name = "repeat",
                                 .Kind = WorkKind::Request,
                                 .Accept = Acceptance::Synchronous};
--- a/Tests/Jobs/RackChooserTest.cpp
+++ b/Tests/Jobs/RackChooserTest.cpp
@@ -36,6 +36,7 @@
 
 std::vector<std::string> names(const std::vector<RackLocation> &Racks) {
   std::vector<std::string> Names;
+  Names.reserve(Racks.size());
   for (const RackLocation &Rack : Racks)
     Names.push_back(Rack.Load.rack());
   return Names;
