--- a/Source/Backends/RackManager.cpp
+++ b/Source/Backends/RackManager.cpp
@@ -724,12 +724,8 @@
   const TaskId Id{Request.key(), Request.task(), Request.attempt()};
   const Found Known = findIn(*Checked.Rack, Id);
   if (!Known.Task) {
-    if (allTasksKnown(*Checked.Rack)) {
-      SetFence();
-      Reply.set_status(peer::STATUS_NOT_FOUND);
-    } else {
-      Reply.set_status(peer::STATUS_UNKNOWN);
-    }
+    Reply.set_status(allTasksKnown(*Checked.Rack) ? peer::STATUS_NOT_FOUND
+                                                  : peer::STATUS_UNKNOWN);
     co_return Reply;
   }
   Known.Session->cancelQueued(Known.Task);
