--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -160,6 +160,7 @@
 }
 
 void Gateway::stop() {
+  Uses_.Events.emit("gateway", "closed");
   Server_.stop();
   Stopped_.notify();
 }
--- a/Source/Jobs/JobRunner.cpp
+++ b/Source/Jobs/JobRunner.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds ReadBackInterval{5};
 constexpr milliseconds StatusInterval{200};
 constexpr milliseconds GangReservation{2000};
+/// How often running tasks are checked for a change of their rack's owner.
+constexpr std::chrono::seconds VerificationPeriod{2};
 constexpr std::int64_t RetryAfterMs = 1000;
 
 std::string taskName(const std::string &Key, std::uint32_t Index) {
@@ -95,6 +97,13 @@
                                         : records::OUTCOME_PENDING);
     co_return Reply;
   }
+  if (Unconfirmed_.count(Key) != 0) {
+    Reply.set_status(peer::STATUS_UNKNOWN);
+    Reply.set_outcome(records::OUTCOME_UNKNOWN);
+    Reply.set_detail("an earlier call may yet have this job accepted; ask "
+                     "again with the same key");
+    co_return Reply;
+  }
   if (Request.tasks() == 0 || Request.tasks() > Options_.MaximumTasksPerJob)
     co_return refused(peer::STATUS_INVALID,
                       "tasks must be between 1 and " +
@@ -138,6 +147,7 @@
     if (!Written && (Written.error().Code == ErrorCode::Cancelled ||
                      Written.error().Code == ErrorCode::Overloaded))
       co_return refused(peer::STATUS_UNAVAILABLE, Written.error().Message);
+    Unconfirmed_.insert(Key);
     Reply.set_status(peer::STATUS_UNKNOWN);
     Reply.set_outcome(records::OUTCOME_UNKNOWN);
     Reply.set_detail("the job may have been accepted; ask again with the same "
@@ -272,6 +282,10 @@
     co_await Wake_.waitFor(Timers_, Options_.DispatchPeriod);
     takeCancelled();
     startUnstarted();
+    if (Timers_.now() >= NextVerification_) {
+      NextVerification_ = Timers_.now() + VerificationPeriod;
+      verifyRunning();
+    }
     while (!FinishedKeys_.empty() &&
            FinishedKeys_.front().first + Options_.KeepOutcomes <
                Timers_.now()) {
@@ -398,6 +412,7 @@
     Current.State = Phase::Running;
     Current.MayHaveRun = true;
     Current.Worker = Placed->worker();
+    Current.RackIncarnation = Rack.Incarnation;
     Current.Refusals = 0;
     const auto Waited = Timers_.now() - Owner->AcceptedAt;
     Counters_.observe("hickory_task_wait_seconds",
@@ -517,6 +532,7 @@
         Current.MayHaveRun = true;
         Current.Rack = Rack;
         Current.Worker = Reply->worker();
+        Current.RackIncarnation = Location->Incarnation;
         Events_.emit("jobs", "task_recovered",
                      {{"key", Owner->Accepted.key()},
                       {"task", Index},
@@ -533,9 +549,23 @@
       co_await Timers_.sleepFor(StatusInterval);
   }
   Events_.emit(
-      "jobs", "task_never_started",
+      "jobs", "task_not_found",
       {{"key", Owner->Accepted.key()}, {"task", Index}, {"attempt", Attempt}});
-  co_await requeueLater(Owner, Index);
+  // It does not run and never will, but it may have run and ended: a worker
+  // that restarted and a rack owner that changed know nothing of it.
+  Owner->Tasks[Index].MayHaveRun = true;
+  if (!Owner->Accepted.non_repeatable()) {
+    co_await requeueLater(Owner, Index);
+    co_return;
+  }
+  records::TaskEnded Ended;
+  Ended.set_key(Owner->Accepted.key());
+  Ended.set_task(Index);
+  Ended.set_attempt(Attempt);
+  Ended.set_outcome(records::OUTCOME_UNKNOWN);
+  Ended.set_member(Owner->Accepted.member());
+  Ended.set_detail("found nowhere after a change of owner");
+  co_await taskEnded(std::move(Ended));
 }
 
 asio::awaitable<bool> JobRunner::taskEnded(records::TaskEnded Ended) {
@@ -692,6 +722,30 @@
   }
 }
 
+void JobRunner::verifyRunning() {
+  std::unordered_map<std::string, std::uint64_t> Owners;
+  for (const auto &[Key, Owner] : Jobs_) {
+    for (std::uint32_t Index = 0; Index < Owner->Tasks.size(); ++Index) {
+      Task &Current = Owner->Tasks[Index];
+      if (Current.State != Phase::Running)
+        continue;
+      auto It = Owners.find(Current.Rack);
+      if (It == Owners.end()) {
+        const std::optional<RackLocation> Location =
+            Racks_.locate(Current.Rack);
+        It = Owners.emplace(Current.Rack, Location ? Location->Incarnation : 0)
+                 .first;
+      }
+      if (It->second == 0 || It->second == Current.RackIncarnation)
+        continue;
+      Current.State = Phase::Recovering;
+      std::vector<std::string> Where = {Current.Rack};
+      asio::co_spawn(Executor_, recoverTask(Owner, Index, std::move(Where)),
+                     asio::detached);
+    }
+  }
+}
+
 asio::awaitable<void> JobRunner::stopTask(JobPointer Owner,
                                           std::uint32_t Index) {
   while (!Owner->Lost && Owner->Tasks[Index].State == Phase::Running) {
@@ -727,6 +781,7 @@
 }
 
 void JobRunner::keyChanged(const std::string &Key) {
+  Unconfirmed_.erase(Key);
   const KeyRecord *Known = Table_.find(Key);
   if (Known == nullptr || !Known->Accepted)
     return;
--- a/Source/Jobs/JobRunner.h
+++ b/Source/Jobs/JobRunner.h
@@ -87,6 +87,7 @@
     std::uint32_t Attempt = 0;
     std::string Rack;
     std::string Worker;
+    std::uint64_t RackIncarnation = 0; ///< Owner of the rack when last heard.
     std::optional<records::TaskEnded> Ended;
     /// Attempts whose ends are on their way to the log.
     std::set<std::uint32_t> UnloggedEnds;
@@ -126,6 +127,9 @@
   /// Finds out what became of the current attempt, then goes on accordingly.
   asio::awaitable<void> recoverTask(JobPointer Owner, std::uint32_t Index,
                                     std::vector<std::string> Racks);
+  /// Asks again for tasks on racks whose owner changed: the new owner does not
+  /// report the end of a task that it never saw.
+  void verifyRunning();
   asio::awaitable<void> stopTask(JobPointer Owner, std::uint32_t Index);
   void handleEnd(const JobPointer &Owner, std::uint32_t Index);
   [[nodiscard]] bool shouldRetry(const Job &Owner, const Task &Ended) const;
@@ -157,9 +161,13 @@
   /// instance lease had lapsed when their acceptance was read. The lease may
   /// come back without any change of ownership.
   std::set<std::string> Unstarted_;
+  /// Keys whose acceptance was queued for the log and not yet read back after
+  /// the caller's time was up. Until then "not run" would be a guess.
+  std::set<std::string> Unconfirmed_;
   std::set<std::string> Suspended_;
   std::deque<std::pair<Clock::time_point, std::string>> FinishedKeys_;
   std::size_t Starting_ = 0;
+  Clock::time_point NextVerification_{};
 };
 
 } // namespace hickory
--- a/Tests/ToolTests/HistoryCheckerTest.cpp
+++ b/Tests/ToolTests/HistoryCheckerTest.cpp
@@ -75,9 +75,9 @@
           {"gateway", Gateway}};
 }
 
-/// An instance's own last event.
-json stopped(std::int64_t Time, const std::string &Slot = "a") {
-  return {{"wall_us", Time}, {"event", "stopped"}, {"process", Slot}};
+/// An instance closes its gateway.
+json closed(std::int64_t Time, const std::string &Slot = "a") {
+  return {{"wall_us", Time}, {"event", "closed"}, {"process", Slot}};
 }
 
 json probe(std::int64_t Time, const std::string &Slot, int Version,
@@ -310,7 +310,7 @@
   void findsCallCutOffByPlannedStop() {
     const RunHistory::Events Faults = {fault(10 * Second, "drain"),
                                        fault(22 * Second, "drained")};
-    const RunHistory::Events Stops = {stopped(20 * Second)};
+    const RunHistory::Events Stops = {closed(20 * Second)};
     assertHolds("graceful_stop",
                 {.Client = {call(1 * Second, 1, "a/k"),
                             failed(2 * Second, 1, "a/k", Unavailable),
@@ -318,7 +318,7 @@
                             returned(11 * Second, 2, "a/k", notRun()),
                             call(12 * Second, 3, "a/k"),
                             failed(13 * Second, 3, "a/k", Refused),
-                            // Sent after the instance had ended, before the
+                            // Sent after the gateway was closed, before the
                             // driver noticed.
                             call(21 * Second, 4, "a/k"),
                             failed(22 * Second, 4, "a/k", Unavailable)},
@@ -340,7 +340,7 @@
                     failed(13 * Second, 1, "a/k", Unavailable)},
          .Faults = {fault(10 * Second, "drain"), fault(20 * Second, "drained"),
                     fault(50 * Second, "drain"), fault(60 * Second, "drained")},
-         .Stops = {stopped(20 * Second), stopped(60 * Second)}});
+         .Stops = {closed(20 * Second), closed(60 * Second)}});
   }
 
   // Guards against a kill or a pause that excuses every planned stop of the
@@ -354,7 +354,7 @@
                       failed(53 * Second, 1, "a/k", Unavailable)},
            .Faults = {fault(10 * Second, Kind), fault(50 * Second, "drain"),
                       fault(60 * Second, "drained")},
-           .Stops = {stopped(60 * Second)}});
+           .Stops = {closed(60 * Second)}});
       assertHolds(
           "graceful_stop",
           {.Client = {call(46 * Second, 1, "a/k"),
@@ -363,7 +363,7 @@
                       failed(55 * Second, 2, "a/k", Unavailable)},
            .Faults = {fault(45 * Second, Kind), fault(50 * Second, "drain"),
                       fault(60 * Second, "drained")},
-           .Stops = {stopped(60 * Second)}});
+           .Stops = {closed(60 * Second)}});
     }
   }
 
--- a/Tests/Tools/HistoryChecker.h
+++ b/Tests/Tools/HistoryChecker.h
@@ -22,7 +22,7 @@
   Events Executors; ///< What the executor stand-in ran.
   Events Faults;    ///< What the driver did: {t_us, fault, target}.
   Events Probes;    ///< {t_us, slot, ready, config_version} read in a loop.
-  Events Stops;     ///< The "stopped" events that the instances recorded.
+  Events Stops;     ///< Events with which instances closed their gateways.
   nlohmann::json Upstreams; ///< List document with capacities.
 };
 
@@ -281,7 +281,7 @@
       Check(Event, text(Event, "executor"), text(Event, "id"));
   }
 
-  /// When the instance recorded that it had stopped, after a drain began.
+  /// When the instance closed its gateway, after a drain began.
   [[nodiscard]] std::optional<std::int64_t>
   stopAfter(const std::string &Slot, std::int64_t Begin) const {
     std::optional<std::int64_t> First;
@@ -293,8 +293,8 @@
   }
 
   // 7. A planned stop answers every call that reached the instance before it
-  // ended. The end is the instance's own last event: the driver notices it
-  // later, and calls sent in between never reached a process. Calls that
+  // closed its gateway. The instance ends and the driver notices it only later;
+  // calls sent in between never reached the gateway. Calls that
   // another fault of the instance can have cut off are left out.
   void checkGracefulStop() {
     Finding &Found = Findings_["graceful_stop"];
--- a/Tests/Tools/history-checker.cpp
+++ b/Tests/Tools/history-checker.cpp
@@ -21,14 +21,14 @@
   return Events;
 }
 
-/// The "stopped" events of all instances.
+/// The events with which all instances closed their gateways.
 hickory::RunHistory::Events readStops(const std::filesystem::path &Run) {
   hickory::RunHistory::Events Stops;
   for (const auto &File : std::filesystem::directory_iterator(Run)) {
     if (File.path().extension() != ".events")
       continue;
     for (nlohmann::json &Event : readEvents(File.path()))
-      if (Event.value("event", "") == "stopped")
+      if (Event.value("event", "") == "closed")
         Stops.push_back(std::move(Event));
   }
   return Stops;
--- a/Tests/Tools/measure-run.cpp
+++ b/Tests/Tools/measure-run.cpp
@@ -104,12 +104,12 @@
                               (1 << 20)}};
 }
 
-/// Counters whose names start with hickory_, from the metrics text.
+/// All samples of the metrics text.
 json counters(const std::string &Text) {
   json Found = json::object();
   for (const std::string &Line : split(Text, '\n')) {
     const std::size_t Space = Line.rfind(' ');
-    if (Line.starts_with("hickory_") && Space != std::string::npos)
+    if (!Line.starts_with("#") && Space != std::string::npos)
       Found[Line.substr(0, Space)] = std::stod(Line.substr(Space + 1));
   }
   return Found;
@@ -190,6 +190,62 @@
              : 1;
 }
 
+/// Sum over all labels of one counter.
+double counterSum(const json &Metrics, const std::string &Name) {
+  double Sum = 0;
+  for (const auto &[Sample, Value] : Metrics.items())
+    if (Sample == Name || Sample.starts_with(Name + "{"))
+      Sum += Value.get<double>();
+  return Sum;
+}
+
+/// Prints what one instance spent between two measurements, as the mean over
+/// the instances and per second.
+int difference(const std::string &Label, const fs::path &Before,
+               const fs::path &After, double Seconds) {
+  const json First = lastLine(Before);
+  const json Second = lastLine(After);
+  if (!First.is_object() || !Second.is_object())
+    return 1;
+  const std::map<std::string, std::string> Rates = {
+      {"worker_bytes_per_s", "hickory_worker_bytes_total"},
+      {"peer_sent_bytes_per_s", "peer_bytes_sent_total"},
+      {"peer_received_bytes_per_s", "peer_bytes_received_total"},
+      {"log_appended_bytes_per_s", "hickory_log_appended_bytes_total"},
+      {"log_appends_per_s", "hickory_log_appends_total"},
+      {"log_reads_per_s", "hickory_log_reads_total"},
+      {"starts_per_s", "hickory_task_starts_total"}};
+  json Result = {{"benchmark", "control"}, {"case", Label}};
+  double Count = 0;
+  double Processor = 0;
+  double Resident = 0;
+  double Keys = 0;
+  std::map<std::string, double> Sums;
+  for (const auto &[Slot, Now] : Second["instances"].items()) {
+    const json &Then = First["instances"][Slot];
+    ++Count;
+    Processor += Now["process"]["cpu_seconds"].get<double>() -
+                 Then["process"]["cpu_seconds"].get<double>();
+    Resident += Now["process"]["resident_mb"].get<double>();
+    Keys += Now["metrics"].value("hickory_known_keys", 0.0);
+    for (const auto &[Name, Counter] : Rates)
+      Sums[Name] += counterSum(Now["metrics"], Counter) -
+                    counterSum(Then["metrics"], Counter);
+  }
+  Result["core_percent"] = Processor / Count / Seconds * 100;
+  Result["resident_mb"] = Resident / Count;
+  Result["known_keys"] = Keys / Count;
+  for (const auto &[Name, Sum] : Sums)
+    Result[Name] = Sum / Count / Seconds;
+  const json BytesBefore = linkBytes(First["relay"]);
+  const json BytesAfter = linkBytes(Second["relay"]);
+  for (const auto &[Link, Bytes] : BytesAfter.items())
+    Result["link_bytes_per_s"][Link] =
+        (Bytes.get<double>() - BytesBefore.value(Link, 0.0)) / Seconds;
+  std::cout << Result.dump() << std::endl;
+  return 0;
+}
+
 /// Joins the checks of many seeds into one line. With a protection removed, the
 /// proof succeeds if a violation was found.
 int summarizeProof(const fs::path &Results, const std::string &Removed) {
@@ -241,6 +297,10 @@
   char *Summary = nullptr;
   char *Proof = nullptr;
   char *Removed = nullptr;
+  char *Label = nullptr;
+  char *Before = nullptr;
+  char *After = nullptr;
+  double Seconds = 1;
   const poptOption Table[] = {
       {"run", 0, POPT_ARG_STRING, &Folder, 0, "folder of the run", "DIR"},
       {"gateways", 0, POPT_ARG_STRING, &Gateways, 0, "SLOT=ip:port,...",
@@ -256,11 +316,18 @@
        "only join the checks of the seeds in this folder", "DIR"},
       {"removed", 0, POPT_ARG_STRING, &Removed, 0,
        "with --proof: the protection that was removed, if any", "NAME"},
+      {"difference", 0, POPT_ARG_STRING, &Label, 0,
+       "only print the difference of two measurements, named so", "LABEL"},
+      {"before", 0, POPT_ARG_STRING, &Before, 0, "first measurement", "FILE"},
+      {"after", 0, POPT_ARG_STRING, &After, 0, "second measurement", "FILE"},
+      {"seconds", 0, POPT_ARG_DOUBLE, &Seconds, 0, "time between them", "S"},
       POPT_AUTOHELP POPT_TABLEEND};
   tool::initLogging(Arguments[0]);
   tool::parseOptions(Count, Arguments, Table);
   if (Summary != nullptr)
     return summarize(split(Summary, ','));
+  if (Label != nullptr && Before != nullptr && After != nullptr)
+    return difference(Label, Before, After, Seconds);
   if (Proof != nullptr)
     return summarizeProof(Proof, Removed == nullptr ? "" : Removed);
   if (Folder == nullptr || Gateways == nullptr) {
