--- a/Source/Backends/InstanceList.cpp
+++ b/Source/Backends/InstanceList.cpp
@@ -59,9 +59,21 @@
   Wake_.notify();
 }
 
+std::string InstanceList::requestUrl() const {
+  const char Separator =
+      Options_.Url.find('?') == std::string::npos ? '?' : '&';
+  std::string Url = fmt::format("{}{}failure_domain={}", Options_.Url,
+                                Separator, Options_.FailureDomain);
+  // An unchanged list is then answered without its content. In the first
+  // measurement the repeated list was most of what crossed the paid link.
+  if (KnownSince_)
+    Url += fmt::format("&known_version={}", Version_);
+  return Url;
+}
+
 asio::awaitable<void> InstanceList::poll() {
   HttpClientRequest Request;
-  Request.Url = Options_.Url;
+  Request.Url = requestUrl();
   Request.Timeout = Options_.Timeout;
   auto Reply = co_await Client_.send(std::move(Request));
   if (Stopped_)
@@ -93,6 +105,12 @@
   try {
     const json Parsed = json::parse(Document);
     Version = Parsed.at("version").get<std::uint64_t>();
+    if (KnownSince_ && Version == Version_ &&
+        Parsed.value("unchanged", false)) {
+      OlderLists_ = 0;
+      LastGood_ = Timers_.now();
+      return {};
+    }
     for (const json &Item : Parsed.at("instances")) {
       Upstream One = parseUpstream(Item);
       if (One.FailureDomain == Options_.FailureDomain)
--- a/Source/Backends/InstanceList.h
+++ b/Source/Backends/InstanceList.h
@@ -96,6 +96,7 @@
   };
 
   static Upstream merged(const Entry &Known);
+  [[nodiscard]] std::string requestUrl() const;
   asio::awaitable<void> poll();
   void notify();
 
--- a/Tests/Backends/InstanceListTest.cpp
+++ b/Tests/Backends/InstanceListTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(keepsUpstreamsOfOwnDomain);
   CPPUNIT_TEST(missingUpstreamIsLeaving);
   CPPUNIT_TEST(olderListIsIgnoredForAWhile);
+  CPPUNIT_TEST(unchangedAnswerKeepsTheList);
   CPPUNIT_TEST(invalidListIsIgnored);
   CPPUNIT_TEST(ownWordCountsBeforeTheList);
   CPPUNIT_TEST(pollsAndSurvivesAnOutage);
@@ -125,6 +126,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Test.List.version());
   }
 
+  // Guards against upstreams that are taken for missing because the list
+  // service left out an unchanged content.
+  void unchangedAnswerKeepsTheList() {
+    ListHarness Harness;
+    // Nothing is known yet that could be unchanged.
+    CPPUNIT_ASSERT(!Harness.List.apply(R"({"version": 4, "unchanged": true})"));
+    CPPUNIT_ASSERT(Harness.List.apply(document(4, {instance("a", "r")})));
+    const auto Before = Harness.List.lastGood();
+    Harness.Timers.advance(1s);
+    CPPUNIT_ASSERT(Harness.List.apply(R"({"version": 4, "unchanged": true})"));
+    CPPUNIT_ASSERT(Harness.List.lastGood() > Before);
+    CPPUNIT_ASSERT(!Harness.List.find("a")->Leaving);
+    // Another version cannot be unchanged.
+    CPPUNIT_ASSERT(!Harness.List.apply(R"({"version": 5, "unchanged": true})"));
+    CPPUNIT_ASSERT(!Harness.List.find("a")->Leaving);
+  }
+
   // Guards against new work for an upstream that said that it is leaving.
   void ownWordCountsBeforeTheList() {
     ListHarness Test;
--- a/Tests/StandIns/ListStandIn.h
+++ b/Tests/StandIns/ListStandIn.h
@@ -35,7 +35,7 @@
   /// Handles one HTTP request; for HttpServer.
   asio::awaitable<HttpServerResponse> handle(HttpServerRequest Request) {
     if (Request.Path == "/v1/instances" && Request.Method == "GET")
-      co_return co_await instances();
+      co_return co_await instances(Request.Query);
     if (Request.Path == "/control" && Request.Method == "POST") {
       const auto Wanted = nlohmann::json::parse(Request.Body, nullptr, false);
       if (const auto Wrong = change(Wanted))
@@ -163,7 +163,9 @@
     return {{"version", Version_}, {"instances", std::move(Present)}};
   }
 
-  asio::awaitable<HttpServerResponse> instances() {
+  /// Query: failure_domain limits the list to one domain; known_version asks
+  /// for the content only if it is newer.
+  asio::awaitable<HttpServerResponse> instances(std::string Query) {
     ++Reads_;
     bool Refused = Outage_ == "error";
     while (Outage_ == "hang") {
@@ -175,7 +177,24 @@
       Reply.RetryAfter = std::chrono::seconds(1);
       co_return Reply;
     }
-    HttpServerResponse Reply{.Body = visible().dump()};
+    const nlohmann::json &Now = visible();
+    const std::string Domain = queryParameter(Query, "failure_domain");
+    HttpServerResponse Reply;
+    if (queryParameter(Query, "known_version") == Now["version"].dump()) {
+      Reply.Body = nlohmann::json{
+          {"version", Now["version"]},
+          {"unchanged",
+           true}}.dump();
+    } else if (Domain.empty()) {
+      Reply.Body = Now.dump();
+    } else {
+      nlohmann::json Part = {{"version", Now["version"]},
+                             {"instances", nlohmann::json::array()}};
+      for (const auto &Instance : Now["instances"])
+        if (Instance.value("failure_domain", "") == Domain)
+          Part["instances"].push_back(Instance);
+      Reply.Body = Part.dump();
+    }
     BytesOut_ += Reply.Body.size();
     co_return Reply;
   }
--- a/Tests/Tools/measure-run.cpp
+++ b/Tests/Tools/measure-run.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <cmath>
 #include <filesystem>
 #include <fmt/format.h>
 #include <iostream>
@@ -30,7 +31,7 @@
     return 0;
   std::sort(Values.begin(), Values.end());
   const auto Index = static_cast<std::size_t>(
-      Fraction * static_cast<double>(Values.size() - 1) + 0.5);
+      std::lround(Fraction * static_cast<double>(Values.size() - 1)));
   return Values[Index];
 }
 
