--- a/Tests/Jobs/JobRunnerTest.cpp
+++ b/Tests/Jobs/JobRunnerTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(testAcceptanceReadWhileLeaseLapsed);
   CPPUNIT_TEST(testAcceptanceOfFormerOwnerStarts);
   CPPUNIT_TEST(testRefusedWhileLogIsAway);
+  CPPUNIT_TEST(testUnconfirmedAcceptanceIsNotCalledNotRun);
   CPPUNIT_TEST(testUnknownStartIsFencedFirst);
   CPPUNIT_TEST(testLateStartAnswerOfAnEarlierAttempt);
   CPPUNIT_TEST(testRetryWaitsForLog);
@@ -117,6 +118,24 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Domain.Log.end("d"));
   }
 
+  /// Guards against "not run" for a job whose acceptance, from an earlier call,
+  /// is still on its way to the log. Found by Utilities/prove, seed 8.
+  void testUnconfirmedAcceptanceIsNotCalledNotRun() {
+    JobsHarness Domain;
+    Domain.Log.HoldAppends = true;
+    const auto First = Domain.finish(Domain.submit(JobsHarness::job("j")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_UNKNOWN, First.outcome());
+    Domain.owner().Ownership.LogReachable = false;
+    const auto Second = Domain.finish(Domain.submit(JobsHarness::job("j")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_UNKNOWN, Second.outcome());
+    Domain.owner().Ownership.LogReachable = true;
+    Domain.Log.releaseAppends();
+    Domain.run(1s);
+    const auto Third = Domain.finish(Domain.submit(JobsHarness::job("j")));
+    CPPUNIT_ASSERT_EQUAL(records::OUTCOME_PENDING, Third.outcome());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Domain.Racks.Placed.size());
+  }
+
   void testUnknownStartIsFencedFirst() {
     JobsHarness Domain;
     Domain.Racks.OnPlace = [&](const peer::PlaceRequest &Request) {
