Give the log's backoff a name of its own

Cause: reading the whole change: Source/Log and Source/Backends each defined a class hickory::Backoff, with different members, in one library. Two definitions of one name are undefined behaviour; with optimisation off the linker could keep either reset(). Change: the class of Source/Log is LogBackoff; nothing else changes. Measured: builds; log_tests 37 of 37, backends_tests 71 of 71. Conclusion: one class in Base should serve both next time; their random draws differ, so that seeded tests must be looked at first.

--- a/Source/Log/Backoff.h
+++ b/Source/Log/LogBackoff.h
@@ -8,12 +8,12 @@
 
 namespace hickory {
 
-/// Delays before repeated attempts: exponential with full jitter, so that
-/// clients that failed together do not come back together.
-class Backoff {
+/// Delays before repeated calls of the log service: exponential with full
+/// jitter, so that clients that failed together do not come back together.
+class LogBackoff {
 public:
-  Backoff(Random &Numbers, std::chrono::milliseconds Initial,
-          std::chrono::milliseconds Maximum)
+  LogBackoff(Random &Numbers, std::chrono::milliseconds Initial,
+             std::chrono::milliseconds Maximum)
       : Numbers_(Numbers), Initial_(Initial), Maximum_(Maximum),
         Ceiling_(Initial) {}
 
--- a/Source/Log/LogReader.cpp
+++ b/Source/Log/LogReader.cpp
@@ -1,7 +1,7 @@
 #include "Log/LogReader.h"
 
 #include "Base/Signal.h"
-#include "Log/Backoff.h"
+#include "Log/LogBackoff.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -63,7 +63,7 @@
     LastSequence_ = Consumer_.lastSequences();
     Started_ = true;
   }
-  Backoff Delays(Numbers_, Options_.InitialBackoff, Options_.MaximumBackoff);
+  LogBackoff Delays(Numbers_, Options_.InitialBackoff, Options_.MaximumBackoff);
   bool Failing = false;
   while (!Stopping_) {
     // Without a wait until the end of the stream was seen, so that a short
--- a/Source/Log/LogWriter.cpp
+++ b/Source/Log/LogWriter.cpp
@@ -3,7 +3,7 @@
 #include "Base/Hash.h"
 #include "Base/Random.h"
 #include "Base/Signal.h"
-#include "Log/Backoff.h"
+#include "Log/LogBackoff.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -287,8 +287,8 @@
 LogWriter::appendUntilConfirmed(std::shared_ptr<State> Self,
                                 std::shared_ptr<Session> Mine,
                                 std::string Payload) {
-  Backoff Delays(Self->Numbers, Self->Options.InitialBackoff,
-                 Self->Options.MaximumBackoff);
+  LogBackoff Delays(Self->Numbers, Self->Options.InitialBackoff,
+                    Self->Options.MaximumBackoff);
   Mine->AttemptLost = false;
   Result<std::uint64_t> Offset =
       fail(ErrorCode::Internal, "no attempt was made");
