--- a/Source/Http/CurlHttpClient.cpp
+++ b/Source/Http/CurlHttpClient.cpp
@@ -101,6 +101,9 @@
         "Content-Type: " + Current.Request.ContentType;
     Current.Headers = curl_slist_append(Current.Headers, ContentType.c_str());
     Current.Headers = curl_slist_append(Current.Headers, "Expect:");
+    for (const auto &[Name, Value] : Current.Request.Headers)
+      Current.Headers =
+          curl_slist_append(Current.Headers, (Name + ": " + Value).c_str());
     curl_easy_setopt(Easy, CURLOPT_URL, Current.Request.Url.c_str());
     curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST,
                      Current.Request.Method.c_str());
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -5,6 +5,8 @@
 #include <asio/awaitable.hpp>
 #include <chrono>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace hickory {
 
@@ -18,6 +20,8 @@
   /// itself if a kept-alive connection was closed without an answer; a request
   /// that must not be received twice sets this.
   bool SendOnce = false;
+  /// Sent besides Content-Type.
+  std::vector<std::pair<std::string, std::string>> Headers = {};
 };
 
 struct HttpClientResponse {
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -31,6 +31,8 @@
     return restinio::status_bad_request();
   case 404:
     return restinio::status_not_found();
+  case 410:
+    return restinio::status_gone();
   case 409:
     return restinio::status_conflict();
   case 413:
@@ -46,6 +48,13 @@
   }
 }
 
+std::chrono::milliseconds
+deadlineOf(const restinio::http_request_header_t &Header) {
+  const std::string Text = Header.get_field_or("X-Deadline-Ms", "");
+  return std::chrono::milliseconds(
+      std::max(0L, std::strtol(Text.c_str(), nullptr, 10)));
+}
+
 } // namespace
 
 class HttpServer::Implementation {
@@ -107,6 +116,9 @@
     HttpServerRequest Incoming{.Method = Request->header().method().c_str(),
                                .Path = std::string(Request->header().path()),
                                .Query = std::string(Request->header().query()),
+                               .Host = Request->header().get_field_or(
+                                   restinio::http_field::host, ""),
+                               .Deadline = deadlineOf(Request->header()),
                                .Body = Request->body()};
     HttpServerResponse Reply = co_await OnRequest_(std::move(Incoming));
     auto Response = Request->create_response(statusLine(Reply.Status));
