--- a/Source/Base/EventLog.cpp
+++ b/Source/Base/EventLog.cpp
@@ -8,6 +8,10 @@
 
 EventLog::EventLog(TimerService &Timers, EventLogOptions Options)
     : Timers_(Timers), Options_(std::move(Options)) {
+  // A reader that does not keep up must not block this process.
+  if (Options_.StandardOutput)
+    ::fcntl(STDOUT_FILENO, F_SETFL,
+            ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   if (Options_.File.empty())
     return;
   File_ = ::open(Options_.File.c_str(),
@@ -41,11 +45,37 @@
     ::close(File_);
     File_ = -1;
   }
+  if (Options_.StandardOutput)
+    writeToOutput(Line);
   Lines_.push_back(std::move(Line));
   if (Lines_.size() > Options_.Capacity)
     Lines_.pop_front();
 }
 
+void EventLog::writeToOutput(const std::string &Line) {
+  const auto Now = Timers_.now();
+  if (Now - Second_ >= std::chrono::seconds(1)) {
+    if (LeftOut_ > 0) {
+      const std::string Note = nlohmann::json{{"process", Options_.Process},
+                                              {"part", "events"},
+                                              {"event", "left_out"},
+                                              {"count", LeftOut_}}
+                                   .dump() +
+                               "\n";
+      (void)!::write(STDOUT_FILENO, Note.data(), Note.size());
+    }
+    Second_ = Now;
+    Written_ = 0;
+    LeftOut_ = 0;
+  }
+  if (Written_ >= Options_.LinesPerSecond ||
+      ::write(STDOUT_FILENO, Line.data(), Line.size()) < 0) {
+    ++LeftOut_;
+    return;
+  }
+  ++Written_;
+}
+
 std::string EventLog::linesFrom(std::uint64_t From) const {
   const std::uint64_t First = NextSequence_ - Lines_.size();
   std::string Text;
--- a/Source/Base/EventLog.h
+++ b/Source/Base/EventLog.h
@@ -15,6 +15,9 @@
   std::size_t Capacity =
       20000;        ///< Events kept in memory; instances have no disk.
   std::string File; ///< Also append JSON lines here unless empty.
+  bool StandardOutput = false; ///< Also write to standard output.
+  /// Bounds what is written under load; what is left out is counted.
+  std::uint64_t LinesPerSecond = 200;
 };
 
 /// Bounded record of what happened in this process. hickory-timeline merges
@@ -36,11 +39,16 @@
   [[nodiscard]] std::string linesFrom(std::uint64_t From) const;
 
 private:
+  void writeToOutput(const std::string &Line);
+
   TimerService &Timers_;
   EventLogOptions Options_;
   std::deque<std::string> Lines_;
   std::uint64_t NextSequence_ = 0;
   int File_ = -1;
+  Clock::time_point Second_{}; ///< Begin of the second that Written_ counts.
+  std::uint64_t Written_ = 0;
+  std::uint64_t LeftOut_ = 0;
 };
 
 } // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellConfiguration.cpp
@@ -0,0 +1,22 @@
+#include "Cell/CellConfiguration.h"
+
+namespace hickory {
+
+const QueuePolicy *CellConfiguration::find(const std::string &Host,
+                                           const std::string &Path) const {
+  const QueuePolicy *Best = nullptr;
+  for (const QueuePolicy &Queue : Queues)
+    if (Queue.Host == Host && Path.starts_with(Queue.PathPrefix) &&
+        (Best == nullptr || Queue.PathPrefix.size() > Best->PathPrefix.size()))
+      Best = &Queue;
+  return Best;
+}
+
+const QueuePolicy *CellConfiguration::byName(const std::string &Name) const {
+  for (const QueuePolicy &Queue : Queues)
+    if (Queue.Name == Name)
+      return &Queue;
+  return nullptr;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellDaemon.cpp
@@ -0,0 +1,107 @@
+#include "Cell/CellDaemon.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+CellDaemon::CellDaemon(asio::io_context &Context, CellServices Services,
+                       CellDaemonOptions Options)
+    : Context_(Context), Services_(Services), Options_(std::move(Options)),
+      Timers_(Context), Events_(Timers_, Options_.Events),
+      Map_(Options_.Shards),
+      Shards_(Timers_, Services.Store, Events_, Options_.Membership),
+      Pool_(Context.get_executor(), Timers_, Services.Workers, Events_, Map_,
+            Options_.Workers),
+      Jobs_(Context.get_executor(), Timers_, Services.Store, Events_, Map_,
+            Options_.Jobs),
+      View_(Pool_), Peers_(Services.Peers, Options_.Address),
+      Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
+                  Services.Adviser, Shards_, Configuration_, Events_, Metrics_,
+                  Options_.Dispatch),
+      Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
+            Dispatcher_, Peers_, Events_, Options_.Node),
+      Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Events_),
+      Workers_(Timers_, Services.Store, Events_,
+               {.Name = "workers_list", .Topic = Options_.WorkersTopic},
+               [this](const auto &Values) { updateWorkers(Values); }),
+      Operator_(Timers_, Services.Store, Events_,
+                {.Name = "configuration", .Topic = Options_.OperatorTopic},
+                [this](const auto &Values) { updateConfiguration(Values); }),
+      Supervisor_(Context.get_executor(), Timers_) {
+  Peers_.setLocal(Node_);
+  Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
+    Pool_.assign(Shard, Epoch);
+    Jobs_.assign(Shard, Epoch);
+  });
+  Shards_.onRevoked([this](int Shard) {
+    Pool_.revoke(Shard);
+    Jobs_.revoke(Shard);
+  });
+  Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+  Pool_.onEnds([this] { Node_.endsChanged(); });
+  Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+  Jobs_.onWork([this] { Dispatcher_.wake(); });
+  Jobs_.onOpened([this] { Node_.exchangeSoon(); });
+  Jobs_.onStop([this](std::vector<RunId> Runs) {
+    Dispatcher_.stopRuns(std::move(Runs));
+  });
+  Supervisor_.add(Workers_);
+  Supervisor_.add(Operator_);
+  Supervisor_.add(Shards_);
+}
+
+void CellDaemon::start() {
+  Events_.emit("daemon", "started",
+               {{"address", Options_.Address}, {"shards", Options_.Shards}});
+  Supervisor_.start();
+  asio::co_spawn(Context_, Dispatcher_.run(), asio::detached);
+  Node_.start();
+}
+
+void CellDaemon::updateWorkers(
+    const std::map<std::string, std::string> &Values) {
+  std::map<std::string, WorkerEntry> Workers;
+  for (const auto &[Key, Value] : Values)
+    if (auto Entry = Services_.Records.worker(Key, Value))
+      Workers.emplace(Key, std::move(*Entry));
+  Pool_.updateList(Workers);
+  View_.updateList(std::move(Workers));
+  Dispatcher_.wake();
+}
+
+void CellDaemon::updateConfiguration(
+    const std::map<std::string, std::string> &Values) {
+  for (const auto &[Key, Value] : Values) {
+    auto Read = Services_.Records.configuration(Key, Value);
+    // A late read may show an older version.
+    if (!Read || Read->Version <= Configuration_.Version)
+      continue;
+    Configuration_ = std::move(*Read);
+    Events_.emit("configuration", "in_force",
+                 {{"version", Configuration_.Version},
+                  {"queues", Configuration_.Queues.size()}});
+  }
+  Dispatcher_.wake();
+}
+
+bool CellDaemon::ready() const {
+  return !Draining_ && Configuration_.Version > 0 && Workers_.ready() &&
+         Shards_.holdersKnown() > 0;
+}
+
+asio::awaitable<void> CellDaemon::drain() {
+  Draining_ = true;
+  Events_.emit("daemon", "draining");
+  co_await Shards_.drain();
+  co_await Timers_.sleepFor(Options_.DrainTime);
+}
+
+void CellDaemon::stop() {
+  Events_.emit("daemon", "stopped");
+  Dispatcher_.stop();
+  Node_.stop();
+  Pool_.stop();
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellGateway.cpp
@@ -0,0 +1,76 @@
+#include "Cell/CellGateway.h"
+
+namespace hickory {
+
+namespace {
+
+constexpr int Refused = 503;
+constexpr int OutcomeUnknown = 504;
+/// A shard without an owner has one again after about so long.
+constexpr std::chrono::seconds TakeoverTime{1};
+
+} // namespace
+
+std::optional<std::string> CellGateway::ownerOf(const std::string &Id) const {
+  return Shards_.holderOf(Map_.shardOf(Id));
+}
+
+GatewayAnswer CellGateway::answer(const std::string &Id, const char *Call,
+                                  const Result<SubmitReply> &Reply) {
+  GatewayAnswer Answer;
+  if (Reply)
+    Answer.Status = Reply->Status;
+  else
+    Answer.Status = Reply.error().hadNoEffect() ? Refused : OutcomeUnknown;
+  if (Answer.Status == Refused)
+    Answer.RetryAfter = TakeoverTime;
+  if (Answer.Status >= Refused)
+    Events_.emit("gateway", Call,
+                 {{"job", Id},
+                  {"status", Answer.Status},
+                  {"owner", ownerOf(Id).value_or("")},
+                  {"error", Reply ? "" : Reply.error().Message}});
+  return Answer;
+}
+
+asio::awaitable<GatewayAnswer> CellGateway::submit(JobSpec Job) {
+  const std::string Id = Job.Id;
+  const auto Owner = ownerOf(Id);
+  Result<SubmitReply> Reply =
+      fail(ErrorCode::NotSent, "the shard has no owner");
+  if (Owner)
+    Reply = co_await Peers_.submit(*Owner, std::move(Job));
+  co_return answer(Id, "submit_failed", Reply);
+}
+
+asio::awaitable<GatewayAnswer> CellGateway::cancel(std::string Id) {
+  const auto Owner = ownerOf(Id);
+  Result<SubmitReply> Reply =
+      fail(ErrorCode::NotSent, "the shard has no owner");
+  if (Owner) {
+    JobReference Job{.Id = Id};
+    Reply = co_await Peers_.cancel(*Owner, std::move(Job));
+  }
+  co_return answer(Id, "cancel_failed", Reply);
+}
+
+asio::awaitable<GatewayAnswer> CellGateway::state(std::string Id) {
+  const auto Owner = ownerOf(Id);
+  GatewayAnswer Answer{.RetryAfter = TakeoverTime};
+  if (!Owner)
+    co_return Answer;
+  JobReference Job{.Id = Id};
+  const auto Reply = co_await Peers_.state(*Owner, std::move(Job));
+  if (!Reply || Reply->Status == Refused)
+    co_return Answer;
+  co_return GatewayAnswer{.Status = Reply->Status, .State = Reply->State};
+}
+
+GatewayAnswer CellGateway::waiting(const std::string &Queue) const {
+  const auto Count = Node_.waiting(Queue);
+  if (!Count)
+    return {.RetryAfter = TakeoverTime};
+  return {.Status = 200, .Waiting = Count};
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellGateway.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Cell/CellConfiguration.h"
+#include "Cell/CellNode.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace hickory {
+
+struct GatewayAnswer {
+  int Status = 503;
+  std::string State;                  ///< Of a job.
+  std::optional<int> Waiting;         ///< Of a queue.
+  std::chrono::seconds RetryAfter{0}; ///< Set if the request was refused.
+};
+
+/// Takes callers' requests at any process to the owner of the job.
+class CellGateway {
+public:
+  CellGateway(ShardMembership &Shards, ShardMap Map, CellPeer &Peers,
+              CellNode &Node, const CellConfiguration &Configuration,
+              EventLog &Events)
+      : Shards_(Shards), Map_(Map), Peers_(Peers), Node_(Node),
+        Configuration_(Configuration), Events_(Events) {}
+
+  [[nodiscard]] bool configured() const { return Configuration_.Version > 0; }
+  /// Null if no queue has the path.
+  [[nodiscard]] const QueuePolicy *find(const std::string &Host,
+                                        const std::string &Path) const {
+    return Configuration_.find(Host, Path);
+  }
+
+  asio::awaitable<GatewayAnswer> submit(JobSpec Job);
+  asio::awaitable<GatewayAnswer> state(std::string Id);
+  asio::awaitable<GatewayAnswer> cancel(std::string Id);
+  [[nodiscard]] GatewayAnswer waiting(const std::string &Queue) const;
+
+private:
+  [[nodiscard]] std::optional<std::string> ownerOf(const std::string &Id) const;
+  GatewayAnswer answer(const std::string &Id, const char *Call,
+                       const Result<SubmitReply> &Reply);
+
+  ShardMembership &Shards_;
+  ShardMap Map_;
+  CellPeer &Peers_;
+  CellNode &Node_;
+  const CellConfiguration &Configuration_;
+  EventLog &Events_;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellNode.cpp
@@ -0,0 +1,188 @@
+#include "Cell/CellNode.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace hickory {
+
+namespace {
+
+std::string keyOf(const EndReport &End) {
+  return fmt::format("{}#{}@{}", End.Task, End.Run, End.Worker);
+}
+
+} // namespace
+
+CellNode::CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
+                   ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
+                   JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
+                   CellPeer &Peers, EventLog &Events, CellNodeOptions Options)
+    : Executor_(Executor), Timers_(Timers), Shards_(Shards), Map_(Map),
+      Pool_(Pool), Jobs_(Jobs), View_(View), Starts_(Starts), Peers_(Peers),
+      Events_(Events), Options_(std::move(Options)), ExchangeDue_(Executor),
+      EndsDue_(Executor) {}
+
+void CellNode::start() {
+  asio::co_spawn(Executor_, exchangeLoop(), asio::detached);
+  asio::co_spawn(Executor_, endsLoop(), asio::detached);
+}
+
+void CellNode::stop() {
+  Stopped_ = true;
+  ExchangeDue_.notify();
+  EndsDue_.notify();
+}
+
+asio::awaitable<void> CellNode::exchangeLoop() {
+  while (!Stopped_) {
+    auto Addresses = Shards_.peers();
+    const auto Peers = static_cast<int>(Addresses.size());
+    Addresses.insert(Options_.Address);
+    for (const std::string &Address : Addresses)
+      if (Exchanging_.insert(Address).second)
+        asio::co_spawn(Executor_, exchangeWith(Address), asio::detached);
+    std::erase_if(Waiting_, [&](const auto &Item) {
+      return !Addresses.contains(Item.first);
+    });
+    Jobs_.tick();
+    Starts_.wake();
+    co_await ExchangeDue_.waitFor(
+        Timers_, std::max(Options_.ExchangePeriod,
+                          Options_.ExchangePeriodPerPeer * Peers));
+  }
+}
+
+asio::awaitable<void> CellNode::exchangeWith(std::string Address) {
+  ExchangeRequest Request{.Sender = Options_.Address, .Held = Jobs_.held()};
+  Request.Demands = std::move(Demands_[Address]);
+  Demands_.erase(Address);
+  const Clock::time_point SentAt = Timers_.now();
+  const auto Reply = co_await Peers_.exchange(Address, std::move(Request));
+  Exchanging_.erase(Address);
+  if (!Reply || Stopped_)
+    co_return;
+  for (const HeldShard &Item : Reply->Held)
+    Shards_.heard(Item.Shard, Item.Epoch, Address);
+  View_.applyLoads(Reply->Workers);
+  Demands_[Address] = Jobs_.demandsFor(*Reply);
+  if (Reply->WaitingKnown)
+    Waiting_[Address] = Reply->Waiting;
+  Jobs_.applyExchange(*Reply, SentAt, [this](const RunId &Run) {
+    return Starts_.isOrdering(Run);
+  });
+  Starts_.wake();
+}
+
+ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
+  std::set<int> JobShards;
+  for (const ShardEpoch &Item : Request.Held) {
+    Pool_.fenceJobs(Item);
+    JobShards.insert(Item.Shard);
+  }
+  for (const RunDemand &Demand : Request.Demands)
+    Pool_.learnDemand(Demand);
+  return {.Held = Pool_.held(),
+          .Workers = Pool_.loads(),
+          .Runs = Pool_.runsOf(JobShards),
+          .Waiting = Jobs_.waiting(),
+          .WaitingKnown = Jobs_.waitingKnown()};
+}
+
+asio::awaitable<void> CellNode::placeOne(ShardEpoch Job, PlaceOrder Order,
+                                         std::shared_ptr<PlaceReply> Reply,
+                                         std::size_t Index,
+                                         std::shared_ptr<Signal> Done,
+                                         std::shared_ptr<std::size_t> Open) {
+  Reply->Results[Index] = co_await Pool_.place(Job, std::move(Order));
+  if (--*Open == 0)
+    Done->notify();
+}
+
+asio::awaitable<PlaceReply> CellNode::place(PlaceRequest Request) {
+  auto Reply = std::make_shared<PlaceReply>();
+  Reply->Results.resize(Request.Orders.size());
+  auto Done = std::make_shared<Signal>(Executor_);
+  auto Open = std::make_shared<std::size_t>(Request.Orders.size());
+  for (std::size_t I = 0; I < Request.Orders.size(); ++I)
+    asio::co_spawn(Executor_,
+                   placeOne(Request.Job, std::move(Request.Orders[I]), Reply, I,
+                            Done, Open),
+                   asio::detached);
+  if (*Open > 0)
+    co_await Done->wait();
+  co_return std::move(*Reply);
+}
+
+void CellNode::stop(const StopRequest &Request) {
+  for (const RunReference &Run : Request.Runs)
+    Pool_.stopRun(Run);
+}
+
+asio::awaitable<EndsReply> CellNode::ends(EndsRequest Request) {
+  co_return co_await Jobs_.ends(std::move(Request));
+}
+
+asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
+  const int Status = co_await Jobs_.submit(std::move(Job));
+  co_return SubmitReply{.Status = Status};
+}
+
+JobStateReply CellNode::state(const JobReference &Job) {
+  return Jobs_.state(Job.Id);
+}
+
+asio::awaitable<SubmitReply> CellNode::cancel(JobReference Job) {
+  const int Status = co_await Jobs_.cancel(std::move(Job.Id));
+  co_return SubmitReply{.Status = Status};
+}
+
+std::optional<int> CellNode::waiting(const std::string &Queue) const {
+  const auto Peers = Shards_.peers();
+  for (const std::string &Address : Peers)
+    if (!Waiting_.contains(Address))
+      return std::nullopt;
+  if (!Waiting_.contains(Options_.Address))
+    return std::nullopt;
+  int Sum = 0;
+  for (const auto &[Address, Counts] : Waiting_)
+    if (const auto It = Counts.find(Queue); It != Counts.end())
+      Sum += It->second;
+  return Sum;
+}
+
+asio::awaitable<void> CellNode::endsLoop() {
+  while (!Stopped_) {
+    co_await EndsDue_.waitFor(Timers_, Options_.EndsRetry);
+    co_await Timers_.sleepFor(Options_.EndsLinger);
+    std::map<std::string, std::vector<EndReport>> ByAddress;
+    for (EndReport &End : Pool_.undelivered()) {
+      const std::string Job = End.Task.substr(0, End.Task.find('.'));
+      const auto Holder = Shards_.holderOf(Map_.shardOf(Job));
+      if (Holder && !Delivering_.contains(keyOf(End)))
+        ByAddress[*Holder].push_back(std::move(End));
+    }
+    for (auto &[Address, Ends] : ByAddress) {
+      for (const EndReport &End : Ends)
+        Delivering_.insert(keyOf(End));
+      asio::co_spawn(Executor_, deliver(Address, std::move(Ends)),
+                     asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> CellNode::deliver(std::string Address,
+                                        std::vector<EndReport> Ends) {
+  EndsRequest Request{.Ends = Ends};
+  const auto Reply = co_await Peers_.ends(Address, std::move(Request));
+  const bool Complete = Reply && Reply->Accepted.size() == Ends.size();
+  if (!Complete)
+    co_await Timers_.sleepFor(Options_.EndsRetry);
+  for (std::size_t I = 0; I < Ends.size(); ++I) {
+    Delivering_.erase(keyOf(Ends[I]));
+    if (Complete && Reply->Accepted[I])
+      Pool_.accepted(Ends[I]);
+  }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellNode.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Base/Signal.h"
+#include "Cell/CapacityView.h"
+#include "Cell/CellPeer.h"
+#include "Cell/Dispatcher.h"
+#include "Cell/JobOwner.h"
+#include "Cell/ShardMembership.h"
+#include "Cell/WorkerPool.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace hickory {
+
+struct CellNodeOptions {
+  std::string Address; ///< Of this process, for others.
+  std::chrono::milliseconds ExchangePeriod{500};
+  /// With many processes, exchanges are rarer, so that the calls of a process
+  /// do not grow with their number.
+  std::chrono::milliseconds ExchangePeriodPerPeer{50};
+  std::chrono::milliseconds EndsLinger{5};
+  std::chrono::milliseconds EndsRetry{250};
+};
+
+/// Joins the parts of one process with those of the others: answers their
+/// calls, exchanges views, and takes the ends of runs to the jobs' owners.
+class CellNode final : public CellHandler {
+public:
+  CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
+           ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
+           JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
+           CellPeer &Peers, EventLog &Events, CellNodeOptions Options);
+
+  void start();
+  void stop();
+  /// Exchanges at once, for example after a takeover.
+  void exchangeSoon() { ExchangeDue_.notify(); }
+  void endsChanged() { EndsDue_.notify(); }
+
+  asio::awaitable<PlaceReply> place(PlaceRequest Request) override;
+  void stop(const StopRequest &Request) override;
+  asio::awaitable<EndsReply> ends(EndsRequest Request) override;
+  ExchangeReply exchange(const ExchangeRequest &Request) override;
+  asio::awaitable<SubmitReply> submit(JobSpec Job) override;
+  JobStateReply state(const JobReference &Job) override;
+  asio::awaitable<SubmitReply> cancel(JobReference Job) override;
+
+  /// Jobs not begun of the queue over all processes; nothing until all have
+  /// reported.
+  [[nodiscard]] std::optional<int> waiting(const std::string &Queue) const;
+
+private:
+  asio::awaitable<void> exchangeLoop();
+  asio::awaitable<void> exchangeWith(std::string Address);
+  asio::awaitable<void> endsLoop();
+  asio::awaitable<void> deliver(std::string Address,
+                                std::vector<EndReport> Ends);
+  asio::awaitable<void> placeOne(ShardEpoch Job, PlaceOrder Order,
+                                 std::shared_ptr<PlaceReply> Reply,
+                                 std::size_t Index,
+                                 std::shared_ptr<Signal> Done,
+                                 std::shared_ptr<std::size_t> Open);
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  ShardMembership &Shards_;
+  ShardMap Map_;
+  WorkerPool &Pool_;
+  JobOwner &Jobs_;
+  CapacityView &View_;
+  Dispatcher &Starts_;
+  CellPeer &Peers_;
+  EventLog &Events_;
+  CellNodeOptions Options_;
+  Signal ExchangeDue_;
+  Signal EndsDue_;
+  std::set<std::string> Exchanging_;
+  std::map<std::string, std::vector<RunDemand>> Demands_;     ///< By peer.
+  std::map<std::string, std::map<std::string, int>> Waiting_; ///< By peer.
+  std::set<std::string> Delivering_;
+  bool Stopped_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/CellPeer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Cell/PeerMessages.h"
+
+#include <asio/awaitable.hpp>
+#include <chrono>
+#include <string>
+
+namespace hickory {
+
+/// Answers the calls of other processes of the cell.
+class CellHandler {
+public:
+  virtual ~CellHandler() = default;
+  virtual asio::awaitable<PlaceReply> place(PlaceRequest Request) = 0;
+  virtual void stop(const StopRequest &Request) = 0;
+  virtual asio::awaitable<EndsReply> ends(EndsRequest Request) = 0;
+  virtual ExchangeReply exchange(const ExchangeRequest &Request) = 0;
+  virtual asio::awaitable<SubmitReply> submit(JobSpec Job) = 0;
+  virtual JobStateReply state(const JobReference &Job) = 0;
+  virtual asio::awaitable<SubmitReply> cancel(JobReference Job) = 0;
+};
+
+/// Calls the process at an address, which may be the caller itself. Errors: the
+/// call may be carried out unless the error says that it had no effect.
+class CellPeer {
+public:
+  virtual ~CellPeer() = default;
+  virtual asio::awaitable<Result<PlaceReply>> place(std::string Address,
+                                                    PlaceRequest Request) = 0;
+  virtual asio::awaitable<Result<void>> stop(std::string Address,
+                                             StopRequest Request) = 0;
+  virtual asio::awaitable<Result<EndsReply>> ends(std::string Address,
+                                                  EndsRequest Request) = 0;
+  virtual asio::awaitable<Result<ExchangeReply>>
+  exchange(std::string Address, ExchangeRequest Request) = 0;
+  virtual asio::awaitable<Result<SubmitReply>> submit(std::string Address,
+                                                      JobSpec Job) = 0;
+  virtual asio::awaitable<Result<JobStateReply>> state(std::string Address,
+                                                       JobReference Job) = 0;
+  virtual asio::awaitable<Result<SubmitReply>> cancel(std::string Address,
+                                                      JobReference Job) = 0;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/DispatchOrder.cpp
@@ -0,0 +1,37 @@
+#include "Cell/DispatchOrder.h"
+
+#include <algorithm>
+
+namespace hickory {
+
+using std::chrono::milliseconds;
+
+milliseconds longestChainFrom(const JobSpec &Job, int Step) {
+  milliseconds Longest{0};
+  for (int Next = Step + 1; Next < static_cast<int>(Job.Steps.size()); ++Next)
+    if (std::ranges::count(Job.Steps[static_cast<std::size_t>(Next)].DependsOn,
+                           Step) > 0)
+      Longest = std::max(Longest, longestChainFrom(Job, Next));
+  return Longest + Job.Steps[static_cast<std::size_t>(Step)].Estimated;
+}
+
+milliseconds longestChain(const JobSpec &Job) {
+  milliseconds Longest{0};
+  for (int Step = 0; Step < static_cast<int>(Job.Steps.size()); ++Step)
+    if (Job.Steps[static_cast<std::size_t>(Step)].DependsOn.empty())
+      Longest = std::max(Longest, longestChainFrom(Job, Step));
+  return Longest;
+}
+
+DispatchRank rankStep(const JobSpec &Job, int Step,
+                      Clock::time_point AcceptedAt, Clock::time_point Now) {
+  const auto Objective = std::chrono::duration_cast<Clock::duration>(
+      longestChain(Job) * Job.Queue.Stretch + Job.Queue.TargetLatency);
+  const Clock::time_point StartBy =
+      AcceptedAt + Objective - longestChainFrom(Job, Step);
+  return {.Patient = Job.Queue.Priority > 0,
+          .Late = StartBy < Now,
+          .StartBy = StartBy};
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/DispatchOrder.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Base/TimerService.h"
+#include "Work/JobProgress.h"
+
+#include <compare>
+
+namespace hickory {
+
+/// Place of a step in the order in which steps are started; lower comes first.
+struct DispatchRank {
+  bool Patient = false; ///< Not of the most urgent priority.
+  bool Late = false;    ///< Can't meet its objective any more.
+  Clock::time_point StartBy{};
+
+  auto operator<=>(const DispatchRank &) const = default;
+};
+
+/// Ranks a ready step. Answers bursts: the most urgent queues go first, then
+/// whatever can still meet its objective, by the latest time to start, then the
+/// rest, so that work that is late already does not make more work late.
+DispatchRank rankStep(const JobSpec &Job, int Step,
+                      Clock::time_point AcceptedAt, Clock::time_point Now);
+
+/// Estimated time of the longest chain of steps.
+std::chrono::milliseconds longestChain(const JobSpec &Job);
+/// Estimated time of the longest chain of steps that begins with this one.
+std::chrono::milliseconds longestChainFrom(const JobSpec &Job, int Step);
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/Dispatcher.cpp
@@ -0,0 +1,324 @@
+#include "Cell/Dispatcher.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace hickory {
+
+namespace {
+
+constexpr std::chrono::milliseconds PassInterval{3};
+constexpr double InitialGoodShare = 0.4;
+/// Weight of one answer in the share of good workers of a queue.
+constexpr double GoodShareWeight = 0.1;
+
+std::string keyOf(const RunId &Run) {
+  return fmt::format("{}#{}", Run.Task.toString(), Run.Run);
+}
+
+std::int64_t milliseconds(Clock::duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const asio::any_io_executor &Executor,
+                       TimerService &Timers, JobOwner &Jobs, CapacityView &View,
+                       CellPeer &Peers, AdviceClient &Adviser,
+                       ShardMembership &Shards,
+                       const CellConfiguration &Configuration, EventLog &Events,
+                       Metrics &Counters, DispatcherOptions Options)
+    : Executor_(Executor), Timers_(Timers), Jobs_(Jobs), View_(View),
+      Peers_(Peers), Adviser_(Adviser), Shards_(Shards),
+      Configuration_(Configuration), Events_(Events), Counters_(Counters),
+      Options_(Options), Wake_(Executor) {}
+
+asio::awaitable<void> Dispatcher::run() {
+  while (!Stopped_) {
+    co_await Wake_.wait();
+    if (Stopped_)
+      co_return;
+    pass();
+    // Events that come close together share one pass.
+    co_await Timers_.sleepFor(PassInterval);
+  }
+}
+
+void Dispatcher::stop() {
+  Stopped_ = true;
+  Wake_.notify();
+}
+
+std::string Dispatcher::serviceOf(const JobSpec &Job) const {
+  const QueuePolicy *Now = Configuration_.byName(Job.Queue.Name);
+  return Now == nullptr ? Job.Queue.Service : Now->Service;
+}
+
+double &Dispatcher::goodShareOf(const std::string &Queue) {
+  return GoodShare_.try_emplace(Queue, InitialGoodShare).first->second;
+}
+
+std::vector<Dispatcher::ReadyItem> Dispatcher::collect() const {
+  std::vector<ReadyItem> Items;
+  const Clock::time_point Now = Timers_.now();
+  for (const auto &[Id, Job] : Jobs_.active())
+    for (ReadyStep &Step : Job->Progress.readySteps()) {
+      if (const auto It = Job->NotBefore.find({Step.Occurrence, Step.Step});
+          It != Job->NotBefore.end() && It->second > Now)
+        continue;
+      const DispatchRank Rank =
+          rankStep(Job->Progress.spec(), Step.Step, Job->AcceptedAt, Now);
+      Items.push_back({.Job = Job, .Step = std::move(Step), .Rank = Rank});
+    }
+  std::ranges::sort(Items, std::less<>(),
+                    [](const ReadyItem &Item) { return Item.Rank; });
+  if (Items.size() > Options_.MaximumSteps)
+    Items.resize(Options_.MaximumSteps);
+  return Items;
+}
+
+void Dispatcher::pass() {
+  for (const ReadyItem &Item : collect())
+    serve(Item);
+}
+
+std::vector<Candidate> Dispatcher::candidatesFor(const ReadyItem &Item) const {
+  const JobSpec &Job = Item.Job->Progress.spec();
+  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const std::string Service = serviceOf(Job);
+  const PlacementNeed Need{.Step = &Step,
+                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  std::vector<Candidate> Found;
+  for (const auto &[Id, Worker] : View_.workers()) {
+    if (Worker.Service != Service || Worker.Draining)
+      continue;
+    const bool Labelled =
+        std::ranges::all_of(Step.Requirements, [&](const std::string &Label) {
+          return std::ranges::count(Worker.Labels, Label) > 0;
+        });
+    const CapacityView::Room Room = View_.roomOn(Id);
+    if (!Labelled || !Room.Usable)
+      continue;
+    Candidate New{.Worker = &Worker,
+                  .Free = usableFree(Room.Free, Worker.Capacity,
+                                     Job.Queue.Priority, Options_.Placement),
+                  .Local = Room.Local};
+    if (Step.AntiAffinity > 0)
+      New.AlreadyPlaced =
+          Item.Job->Progress.placedOn(Item.Step.Occurrence, Item.Step.Step, Id);
+    if (slotsOn(Need, New) > 0)
+      Found.push_back(New);
+  }
+  return Found;
+}
+
+void Dispatcher::serve(const ReadyItem &Item) {
+  const JobSpec &Job = Item.Job->Progress.spec();
+  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const PlacementNeed Need{.Step = &Step,
+                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  const auto Candidates = candidatesFor(Item);
+  if (!Job.Queue.Advice) {
+    placeOn(Item, Candidates, placeStep(Need, Candidates));
+    return;
+  }
+  const StepAdvice &Advice =
+      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  std::vector<Candidate> Ticketed;
+  for (const Candidate &Each : Candidates)
+    if (Advice.ticketFor(Each.Worker->Id,
+                         Timers_.now() + Options_.TicketMargin) != nullptr)
+      Ticketed.push_back(Each);
+  const auto Chosen = placeStep(Need, Ticketed);
+  placeOn(Item, Ticketed, Chosen);
+  const int Left = Need.Count - static_cast<int>(Chosen.size());
+  if (Left > 0)
+    askFor(Item, Candidates, Left);
+}
+
+void Dispatcher::askFor(const ReadyItem &Item,
+                        const std::vector<Candidate> &Candidates, int Count) {
+  const JobSpec &Job = Item.Job->Progress.spec();
+  StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  if (Asking_ || Advice.Asking)
+    return;
+  const PlacementNeed Need{
+      .Step = &Job.Steps[static_cast<std::size_t>(Item.Step.Step)],
+      .Count = Count};
+  auto Workers =
+      chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name));
+  if (Workers.empty())
+    return;
+  Asking_ = true;
+  Advice.Asking = true;
+  asio::co_spawn(Executor_, ask(Item, std::move(Workers)), asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::ask(ReadyItem Item,
+                                      std::vector<std::string> Workers) {
+  const JobSpec &Job = Item.Job->Progress.spec();
+  const TaskName Name{.Job = Job.Id,
+                      .Occurrence = Item.Step.Occurrence,
+                      .Step = Item.Step.Step};
+  const Clock::time_point AskedAt = Timers_.now();
+  auto Reply = co_await Adviser_.ask(Name.stepName(), Workers);
+  Asking_ = false;
+  StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  Advice.Asking = false;
+  const auto Took = Timers_.now() - AskedAt;
+  Counters_.count("advice_calls_total");
+  Counters_.observe("advice_ms", static_cast<double>(milliseconds(Took)));
+  Events_.emit("dispatch", "advice",
+               {{"step", Name.stepName()},
+                {"queue", Job.Queue.Name},
+                {"asked", Workers.size()},
+                {"good", Reply ? Reply->Good.size() : 0},
+                {"error", Reply ? "" : Reply.error().Message},
+                {"took_ms", milliseconds(Took)}});
+  if (Reply) {
+    // The ticket was made when the answer was sent.
+    Reply->Validity = Job.Queue.Advice->Validity;
+    Advice.apply(Workers, *Reply, Timers_.now());
+    double &Share = goodShareOf(Job.Queue.Name);
+    Share += GoodShareWeight * (static_cast<double>(Reply->Good.size()) /
+                                    static_cast<double>(Workers.size()) -
+                                Share);
+  } else {
+    co_await Timers_.sleepFor(Options_.StopRetry);
+  }
+  wake();
+}
+
+void Dispatcher::placeOn(const ReadyItem &Item,
+                         const std::vector<Candidate> &Candidates,
+                         const std::vector<std::size_t> &Chosen) {
+  if (Chosen.empty())
+    return;
+  JobProgress &Progress = Item.Job->Progress;
+  const JobSpec &Job = Progress.spec();
+  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const StepAdvice &Advice =
+      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const auto Epoch = Jobs_.epochOf(Item.Job->Shard);
+  const int Run = Progress.nextRun(Item.Step.Occurrence, Item.Step.Step);
+  std::map<std::string, std::vector<Placing>> ByAddress;
+  for (std::size_t I = 0; I < Chosen.size(); ++I) {
+    const WorkerEntry &Worker = *Candidates[Chosen[I]].Worker;
+    const RunId Id{.Task = {.Job = Job.Id,
+                            .Occurrence = Item.Step.Occurrence,
+                            .Step = Item.Step.Step,
+                            .Index = Item.Step.Tasks[I]},
+                   .Run = Run,
+                   .Worker = Worker.Id};
+    const std::string *Ticket = Advice.ticketFor(Worker.Id, Timers_.now());
+    PlaceOrder Order{.Task = Id.Task.toString(),
+                     .Run = Run,
+                     .Worker = Worker.Id,
+                     .Demand = Step.Demand,
+                     .Payload = Job.Payload,
+                     .Checkpoint = Progress.checkpointOf(Id.Task),
+                     .Ticket = Ticket == nullptr ? "" : *Ticket};
+    Progress.markPlacing(Id, Timers_.now());
+    Ordering_.insert(keyOf(Id));
+    View_.reserve(Worker.Id, Step.Demand);
+    const auto Holder =
+        Shards_.holderOf(ShardMap(Jobs_.shardCount()).shardOf(Worker.Id));
+    ByAddress[Holder.value_or("")].push_back(
+        {.Run = Id, .Order = std::move(Order)});
+  }
+  Events_.emit(
+      "dispatch", "placing",
+      {{"job", Job.Id},
+       {"step", Item.Step.Step},
+       {"run", Run},
+       {"tasks", Chosen.size()},
+       {"age_ms", milliseconds(Timers_.now() - Item.Job->AcceptedAt)}});
+  const ShardEpoch Shard{.Shard = Item.Job->Shard, .Epoch = Epoch.value_or(0)};
+  for (auto &[Address, Orders] : ByAddress)
+    asio::co_spawn(Executor_, placeAt(Address, Shard, std::move(Orders)),
+                   asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::placeAt(std::string Address, ShardEpoch Job,
+                                          std::vector<Placing> Orders) {
+  Result<PlaceReply> Reply =
+      fail(ErrorCode::NotSent, "the shard has no holder");
+  if (!Address.empty()) {
+    PlaceRequest Request{.Job = Job};
+    for (const Placing &Item : Orders)
+      Request.Orders.push_back(Item.Order);
+    Reply = co_await Peers_.place(Address, std::move(Request));
+  }
+  for (std::size_t I = 0; I < Orders.size(); ++I) {
+    const Placing &Item = Orders[I];
+    View_.placed(Item.Run.Worker, Item.Order.Demand);
+    Ordering_.erase(keyOf(Item.Run));
+    if (Reply && I < Reply->Results.size())
+      applyResult(Item, Reply->Results[I]);
+    else if (!Reply && Reply.error().hadNoEffect())
+      applyResult(Item, {.Status = PlaceStatus::Rejected,
+                         .Reason = Reply.error().Message});
+    else
+      // Unknown: the holder makes sure that it ends and reports that.
+      stopRuns({Item.Run});
+  }
+}
+
+void Dispatcher::applyResult(const Placing &Item, const PlaceResult &Result) {
+  if (Result.Status == PlaceStatus::Started) {
+    Counters_.count("starts_total");
+    Jobs_.started(Item.Run);
+    return;
+  }
+  if (Result.Status == PlaceStatus::Pending)
+    return;
+  Counters_.count("starts_rejected_total", 1,
+                  fmt::format("reason=\"{}\"", Result.Reason));
+  Events_.emit("dispatch", "rejected",
+               {{"task", Item.Order.Task},
+                {"run", Item.Run.Run},
+                {"worker", Item.Run.Worker},
+                {"reason", Result.Reason}});
+  if (Result.Reason == nameOf(OrderStatus::BadTicket))
+    Jobs_.dropTicket(Item.Run);
+  View_.refused(Item.Run.Worker);
+  Jobs_.rejected(Item.Run, Timers_.now() + Options_.RejectedPause);
+}
+
+bool Dispatcher::isOrdering(const RunId &Run) const {
+  return Ordering_.contains(keyOf(Run));
+}
+
+void Dispatcher::stopRuns(std::vector<RunId> Runs) {
+  for (RunId &Run : Runs)
+    if (Stopping_.insert(keyOf(Run) + "@" + Run.Worker).second)
+      asio::co_spawn(Executor_, stopUntilAnswered(std::move(Run)),
+                     asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::stopUntilAnswered(RunId Run) {
+  const ShardMap Map(Jobs_.shardCount());
+  // A successor of this process, or of the worker's holder, finds the run in
+  // its exchange and stops it.
+  while (!Stopped_ && Jobs_.epochOf(Map.shardOf(Run.Task.Job))) {
+    // Ordered after the placement, which may still be on its way.
+    if (!isOrdering(Run)) {
+      const auto Holder = Shards_.holderOf(Map.shardOf(Run.Worker));
+      if (Holder) {
+        StopRequest Request;
+        Request.Runs.push_back({.Task = Run.Task.toString(),
+                                .Run = Run.Run,
+                                .Worker = Run.Worker});
+        const auto Reply = co_await Peers_.stop(*Holder, std::move(Request));
+        if (Reply)
+          break;
+      }
+    }
+    co_await Timers_.sleepFor(Options_.StopRetry);
+  }
+  Stopping_.erase(keyOf(Run) + "@" + Run.Worker);
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/Dispatcher.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Metrics.h"
+#include "Base/Signal.h"
+#include "Cell/CapacityView.h"
+#include "Cell/CellConfiguration.h"
+#include "Cell/CellPeer.h"
+#include "Cell/DispatchOrder.h"
+#include "Cell/JobOwner.h"
+#include "Cell/Placement.h"
+#include "Cell/ShardMembership.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+struct DispatcherOptions {
+  PlacementOptions Placement;
+  /// A ticket must hold for the way to the worker.
+  std::chrono::milliseconds TicketMargin{150};
+  /// Steps looked at in one pass; the rest is less urgent.
+  std::size_t MaximumSteps = 200;
+  std::chrono::milliseconds StopRetry{250};
+  /// A step waits so long after a worker refused one of its tasks.
+  std::chrono::milliseconds RejectedPause{60};
+};
+
+/// Starts the ready steps of the jobs of this process: asks for advice, chooses
+/// workers, places, and stops what must not go on.
+class Dispatcher {
+public:
+  Dispatcher(const asio::any_io_executor &Executor, TimerService &Timers,
+             JobOwner &Jobs, CapacityView &View, CellPeer &Peers,
+             AdviceClient &Adviser, ShardMembership &Shards,
+             const CellConfiguration &Configuration, EventLog &Events,
+             Metrics &Counters, DispatcherOptions Options);
+
+  /// Looks for work to start whenever wake() was called, until stop().
+  asio::awaitable<void> run();
+  void wake() { Wake_.notify(); }
+  void stop();
+
+  void stopRuns(std::vector<RunId> Runs);
+  /// True while an order for the run has no definite answer.
+  [[nodiscard]] bool isOrdering(const RunId &Run) const;
+
+private:
+  struct ReadyItem {
+    JobOwner::JobPointer Job;
+    ReadyStep Step;
+    DispatchRank Rank;
+  };
+  struct Placing {
+    RunId Run;
+    PlaceOrder Order;
+  };
+
+  void pass();
+  [[nodiscard]] std::vector<ReadyItem> collect() const;
+  /// Returns false if the step still waits.
+  void serve(const ReadyItem &Item);
+  [[nodiscard]] std::vector<Candidate>
+  candidatesFor(const ReadyItem &Item) const;
+  void placeOn(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
+               const std::vector<std::size_t> &Chosen);
+  void askFor(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
+              int Count);
+  asio::awaitable<void> ask(ReadyItem Item, std::vector<std::string> Workers);
+  asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
+                                std::vector<Placing> Orders);
+  void applyResult(const Placing &Item, const PlaceResult &Result);
+  asio::awaitable<void> stopUntilAnswered(RunId Run);
+  [[nodiscard]] std::string serviceOf(const JobSpec &Job) const;
+  double &goodShareOf(const std::string &Queue);
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  JobOwner &Jobs_;
+  CapacityView &View_;
+  CellPeer &Peers_;
+  AdviceClient &Adviser_;
+  ShardMembership &Shards_;
+  const CellConfiguration &Configuration_;
+  EventLog &Events_;
+  Metrics &Counters_;
+  DispatcherOptions Options_;
+  Signal Wake_;
+  std::set<std::string> Ordering_; ///< TASK#RUN
+  std::set<std::string> Stopping_;
+  std::map<std::string, double> GoodShare_; ///< By queue.
+  bool Asking_ = false; ///< The adviser handles one call at a time.
+  bool Stopped_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -0,0 +1,154 @@
+#include "Cell/HttpCellPeer.h"
+
+namespace hickory {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr std::string_view PathPrefix = "/cell/";
+constexpr std::chrono::milliseconds ShortTimeout{1000};
+/// Longer than all tries of a start at the worker.
+constexpr std::chrono::milliseconds PlaceTimeout{2600};
+/// Longer than an append to the journal takes under trouble.
+constexpr std::chrono::milliseconds WriteTimeout{2800};
+
+template <typename T> Result<T> decode(const Result<std::string> &Body) {
+  if (!Body)
+    return tl::unexpected<Error>(Body.error());
+  const json Parsed = json::parse(*Body, nullptr, false);
+  if (Parsed.is_discarded())
+    return fail(ErrorCode::Unavailable, "the peer's answer is not JSON");
+  try {
+    return Parsed.get<T>();
+  } catch (const json::exception &Failure) {
+    return fail(ErrorCode::Unavailable,
+                std::string("the peer's answer is incomplete: ") +
+                    Failure.what());
+  }
+}
+
+} // namespace
+
+asio::awaitable<Result<std::string>>
+HttpCellPeer::call(std::string Address, std::string Name, std::string Body,
+                   std::chrono::milliseconds Timeout) {
+  HttpClientRequest Request{.Method = "POST",
+                            .Url = "http://" + Address +
+                                   std::string(PathPrefix) + Name,
+                            .Body = std::move(Body),
+                            .Timeout = Timeout};
+  auto Reply = co_await Client_.send(std::move(Request));
+  if (!Reply)
+    co_return tl::unexpected<Error>(Reply.error());
+  if (Reply->Status != 200)
+    co_return fail(ErrorCode::Unavailable,
+                   "peer answered " + std::to_string(Reply->Status));
+  co_return std::move(Reply->Body);
+}
+
+asio::awaitable<Result<PlaceReply>> HttpCellPeer::place(std::string Address,
+                                                        PlaceRequest Request) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->place(std::move(Request));
+  co_return decode<PlaceReply>(
+      co_await call(Address, "place", json(Request).dump(), PlaceTimeout));
+}
+
+asio::awaitable<Result<void>> HttpCellPeer::stop(std::string Address,
+                                                 StopRequest Request) {
+  if (Address == OwnAddress_) {
+    Local_->stop(Request);
+    co_return Result<void>{};
+  }
+  const auto Body =
+      co_await call(Address, "stop", json(Request).dump(), ShortTimeout);
+  if (!Body)
+    co_return tl::unexpected<Error>(Body.error());
+  co_return Result<void>{};
+}
+
+asio::awaitable<Result<EndsReply>> HttpCellPeer::ends(std::string Address,
+                                                      EndsRequest Request) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->ends(std::move(Request));
+  co_return decode<EndsReply>(
+      co_await call(Address, "ends", json(Request).dump(), WriteTimeout));
+}
+
+asio::awaitable<Result<ExchangeReply>>
+HttpCellPeer::exchange(std::string Address, ExchangeRequest Request) {
+  if (Address == OwnAddress_)
+    co_return Local_->exchange(Request);
+  co_return decode<ExchangeReply>(
+      co_await call(Address, "exchange", json(Request).dump(), ShortTimeout));
+}
+
+asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
+                                                          JobSpec Job) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->submit(std::move(Job));
+  co_return decode<SubmitReply>(
+      co_await call(Address, "submit", json(Job).dump(), WriteTimeout));
+}
+
+asio::awaitable<Result<JobStateReply>> HttpCellPeer::state(std::string Address,
+                                                           JobReference Job) {
+  if (Address == OwnAddress_)
+    co_return Local_->state(Job);
+  co_return decode<JobStateReply>(
+      co_await call(Address, "state", json(Job).dump(), ShortTimeout));
+}
+
+asio::awaitable<Result<SubmitReply>> HttpCellPeer::cancel(std::string Address,
+                                                          JobReference Job) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->cancel(std::move(Job));
+  co_return decode<SubmitReply>(
+      co_await call(Address, "cancel", json(Job).dump(), WriteTimeout));
+}
+
+namespace {
+
+asio::awaitable<json> dispatch(CellHandler &Handler, std::string Name,
+                               json Body) {
+  if (Name == "place")
+    co_return co_await Handler.place(Body.get<PlaceRequest>());
+  if (Name == "ends")
+    co_return co_await Handler.ends(Body.get<EndsRequest>());
+  if (Name == "exchange")
+    co_return Handler.exchange(Body.get<ExchangeRequest>());
+  if (Name == "submit")
+    co_return co_await Handler.submit(Body.get<JobSpec>());
+  if (Name == "state")
+    co_return Handler.state(Body.get<JobReference>());
+  if (Name == "cancel")
+    co_return co_await Handler.cancel(Body.get<JobReference>());
+  if (Name == "stop") {
+    Handler.stop(Body.get<StopRequest>());
+    co_return json::object();
+  }
+  co_return json();
+}
+
+} // namespace
+
+asio::awaitable<HttpServerResponse> answerCellCall(CellHandler &Handler,
+                                                   HttpServerRequest Request) {
+  if (!Request.Path.starts_with(PathPrefix))
+    co_return HttpServerResponse{.Status = 404};
+  json Body = json::parse(Request.Body, nullptr, false);
+  json Reply;
+  try {
+    Reply = co_await dispatch(Handler, Request.Path.substr(PathPrefix.size()),
+                              std::move(Body));
+  } catch (const json::exception &Failure) {
+    co_return HttpServerResponse{.Status = 400, .Body = Failure.what()};
+  }
+  if (Reply.is_null())
+    co_return HttpServerResponse{.Status = 404};
+  co_return HttpServerResponse{.Body = Reply.dump()};
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/HttpCellPeer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Cell/CellPeer.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+
+namespace hickory {
+
+/// Calls over HTTP with JSON bodies, directly if the address is the own one.
+class HttpCellPeer final : public CellPeer {
+public:
+  HttpCellPeer(HttpClient &Client, std::string OwnAddress)
+      : Client_(Client), OwnAddress_(std::move(OwnAddress)) {}
+
+  /// Must be set before the first call.
+  void setLocal(CellHandler &Local) { Local_ = &Local; }
+
+  asio::awaitable<Result<PlaceReply>> place(std::string Address,
+                                            PlaceRequest Request) override;
+  asio::awaitable<Result<void>> stop(std::string Address,
+                                     StopRequest Request) override;
+  asio::awaitable<Result<EndsReply>> ends(std::string Address,
+                                          EndsRequest Request) override;
+  asio::awaitable<Result<ExchangeReply>>
+  exchange(std::string Address, ExchangeRequest Request) override;
+  asio::awaitable<Result<SubmitReply>> submit(std::string Address,
+                                              JobSpec Job) override;
+  asio::awaitable<Result<JobStateReply>> state(std::string Address,
+                                               JobReference Job) override;
+  asio::awaitable<Result<SubmitReply>> cancel(std::string Address,
+                                              JobReference Job) override;
+
+private:
+  asio::awaitable<Result<std::string>> call(std::string Address,
+                                            std::string Name, std::string Body,
+                                            std::chrono::milliseconds Timeout);
+
+  HttpClient &Client_;
+  std::string OwnAddress_;
+  CellHandler *Local_ = nullptr;
+};
+
+/// Answers one call of another process.
+asio::awaitable<HttpServerResponse> answerCellCall(CellHandler &Handler,
+                                                   HttpServerRequest Request);
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/JobOwner.cpp
@@ -0,0 +1,496 @@
+#include "Cell/JobOwner.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char *JobPrefix = "j/";
+constexpr const char *ProgressPrefix = "p/";
+constexpr int Accepted = 200;
+constexpr int Gone = 410;
+constexpr int TryLater = 503;
+constexpr int OutcomeUnknown = 504;
+
+int statusOf(JournalOutcome Outcome) {
+  switch (Outcome) {
+  case JournalOutcome::Written:
+    return Accepted;
+  case JournalOutcome::NotWritten:
+    return TryLater;
+  case JournalOutcome::Unknown:
+    return OutcomeUnknown;
+  }
+  return OutcomeUnknown;
+}
+
+bool sameRun(const RunReport &Report, const RunId &Run) {
+  return Report.Run == Run.Run && Report.Worker == Run.Worker &&
+         Report.Task == Run.Task.toString();
+}
+
+} // namespace
+
+JobOwner::JobOwner(const asio::any_io_executor &Executor, TimerService &Timers,
+                   StoreClient &Store, EventLog &Events, ShardMap Shards,
+                   JobOwnerOptions Options)
+    : Executor_(Executor), Timers_(Timers), Store_(Store), Events_(Events),
+      Map_(Shards), Options_(std::move(Options)) {}
+
+void JobOwner::assign(int Number, std::uint64_t Epoch) {
+  revoke(Number);
+  Shard &Owner = Shards_[Number];
+  Owner.Epoch = Epoch;
+  ShardJournalOptions Options{
+      .Topic = Options_.Topic, .Shard = Number, .Epoch = Epoch};
+  Owner.Journal = std::make_shared<ShardJournal>(Executor_, Timers_, Store_,
+                                                 std::move(Options));
+  Owner.Journal->onFenced([this, Number, Epoch] {
+    const auto It = Shards_.find(Number);
+    if (It != Shards_.end() && It->second.Epoch == Epoch && Fenced_)
+      Fenced_(Number);
+  });
+  asio::co_spawn(Executor_, open(Number, Epoch), asio::detached);
+}
+
+asio::awaitable<void> JobOwner::open(int Number, std::uint64_t Epoch) {
+  const auto Journal = Shards_.at(Number).Journal;
+  const auto Records = co_await Journal->acquire();
+  const auto It = Shards_.find(Number);
+  if (!Records || It == Shards_.end() || It->second.Epoch != Epoch)
+    co_return;
+  load(Number, It->second, *Records);
+  asio::co_spawn(Executor_, Journal->run(), asio::detached);
+  if (Opened_)
+    Opened_();
+}
+
+void JobOwner::load(int Number, Shard &Owner,
+                    const std::vector<KeyedRecord> &Records) {
+  std::map<std::string, json> Progress;
+  for (const KeyedRecord &Record : Records) {
+    if (!Record.Value)
+      continue;
+    json Value = json::parse(*Record.Value, nullptr, false);
+    if (Value.is_discarded())
+      continue;
+    const std::string Id = Record.Key.substr(2);
+    if (Record.Key.starts_with(ProgressPrefix)) {
+      Progress[Id] = std::move(Value);
+      continue;
+    }
+    auto Job = std::make_shared<OwnedJob>(Value.get<JobSpec>());
+    Job->Shard = Number;
+    Job->Accepted = true;
+    Job->AcceptedAt = Timers_.now();
+    Owner.Jobs[Id] = std::move(Job);
+  }
+  for (auto &[Id, Value] : Progress) {
+    JobPointer &Job = Owner.Jobs[Id];
+    if (!Job) {
+      // Only the final state is kept of a finished job.
+      Job = std::make_shared<OwnedJob>(JobSpec{.Id = Id});
+      Job->Shard = Number;
+      Job->Accepted = true;
+    }
+    Job->Progress.restore(Value);
+    if (Job->Progress.finished()) {
+      Job->FinishWritten = true;
+      Job->FinishedAt = Timers_.now();
+    }
+  }
+  for (const auto &[Id, Job] : Owner.Jobs)
+    if (!Job->Progress.finished()) {
+      Job->Progress.markAllUnknown();
+      Active_[Id] = Job;
+    }
+  Owner.Ready = true;
+  Owner.ReadyAt = Timers_.now();
+  Events_.emit(
+      "jobs", "shard_open",
+      {{"shard", Number}, {"epoch", Owner.Epoch}, {"jobs", Owner.Jobs.size()}});
+}
+
+void JobOwner::revoke(int Number) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end())
+    return;
+  for (const auto &[Id, Job] : It->second.Jobs)
+    Active_.erase(Id);
+  const auto Journal = It->second.Journal;
+  Shards_.erase(It);
+  Journal->stop();
+}
+
+JobOwner::JobPointer JobOwner::findJob(const std::string &Id) const {
+  const auto It = Shards_.find(Map_.shardOf(Id));
+  if (It == Shards_.end())
+    return nullptr;
+  const auto Job = It->second.Jobs.find(Id);
+  return Job == It->second.Jobs.end() ? nullptr : Job->second;
+}
+
+JobOwner::Shard *JobOwner::readyShard(const std::string &Id) {
+  const auto It = Shards_.find(Map_.shardOf(Id));
+  return It == Shards_.end() || !It->second.Ready ? nullptr : &It->second;
+}
+
+asio::awaitable<JournalOutcome>
+JobOwner::write(int Number, std::vector<KeyedRecord> Records) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end())
+    co_return JournalOutcome::NotWritten;
+  const auto Journal = It->second.Journal;
+  co_return co_await Journal->write(std::move(Records),
+                                    Timers_.now() + Options_.WriteLimit);
+}
+
+asio::awaitable<int> JobOwner::submit(JobSpec Spec) {
+  Shard *Owner = readyShard(Spec.Id);
+  if (Owner == nullptr)
+    co_return TryLater;
+  const std::string Id = Spec.Id;
+  const int Number = Map_.shardOf(Id);
+  JobPointer Job = findJob(Id);
+  if (Job && Job->Accepted)
+    co_return Accepted;
+  if (!Job) {
+    if (Owner->Jobs.size() >= Options_.MaximumJobsPerShard)
+      co_return TryLater;
+    Job = std::make_shared<OwnedJob>(std::move(Spec));
+    Job->Shard = Number;
+    Job->AcceptedAt = Timers_.now();
+    Owner->Jobs[Id] = Job;
+  }
+  // A repetition of the call writes the same record again.
+  std::vector<KeyedRecord> Records;
+  Records.push_back(
+      {.Key = JobPrefix + Id, .Value = json(Job->Progress.spec()).dump()});
+  ++Job->Submitting;
+  const JournalOutcome Outcome = co_await write(Number, std::move(Records));
+  --Job->Submitting;
+  if (Outcome == JournalOutcome::Written && !Job->Accepted) {
+    Job->Accepted = true;
+    // The shard may have been given up meanwhile.
+    if (findJob(Id) == Job && !Job->Progress.finished()) {
+      Active_[Id] = Job;
+      if (Work_)
+        Work_();
+    }
+  }
+  if (Outcome == JournalOutcome::NotWritten && !Job->Accepted &&
+      Job->Submitting == 0 && findJob(Id) == Job)
+    Shards_.at(Number).Jobs.erase(Id);
+  co_return Job->Accepted ? Accepted : statusOf(Outcome);
+}
+
+asio::awaitable<int> JobOwner::cancel(std::string Id) {
+  if (readyShard(Id) == nullptr)
+    co_return TryLater;
+  const JobPointer Job = findJob(Id);
+  if (!Job || !Job->Accepted)
+    co_return Gone;
+  if (!Job->Progress.finished()) {
+    Events_.emit("jobs", "cancelled", {{"job", Id}});
+    applyEffect(Job, Job->Progress.cancel(Timers_.now()));
+  }
+  std::vector<JobPointer> Changed{Job};
+  co_await flush(Job->Shard, std::move(Changed));
+  co_return Job->FinishWritten ? Accepted : OutcomeUnknown;
+}
+
+JobStateReply JobOwner::state(const std::string &Id) const {
+  const auto It = Shards_.find(Map_.shardOf(Id));
+  if (It == Shards_.end() || !It->second.Ready)
+    return {.Status = TryLater};
+  const JobPointer Job = findJob(Id);
+  if (!Job)
+    return {.Status = Gone};
+  if (!Job->Accepted)
+    return {.Status = TryLater};
+  JobState Shown = Job->Progress.state();
+  // A final state is shown only once it can't be lost.
+  if (Job->Progress.finished() && !Job->FinishWritten)
+    Shown = JobState::Running;
+  return {.Status = Accepted, .State = nameOf(Shown)};
+}
+
+void JobOwner::applyEffect(const JobPointer &Job,
+                           const ProgressEffect &Effect) {
+  if (Effect.Durable)
+    ++Job->Version;
+  if (Effect.Finished) {
+    const std::string &Id = Job->Progress.spec().Id;
+    Active_.erase(Id);
+    Job->FinishedAt = Timers_.now();
+    Events_.emit(
+        "jobs", "finished",
+        {{"job", Id},
+         {"queue", Job->Progress.spec().Queue.Name},
+         {"state", nameOf(Job->Progress.state())},
+         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Job->FinishedAt - Job->AcceptedAt)
+                        .count()}});
+  }
+  if (!Effect.Stop.empty() && Stop_)
+    Stop_(Effect.Stop);
+  if (Effect.Applied && Work_)
+    Work_();
+}
+
+asio::awaitable<void> JobOwner::flush(int Number,
+                                      std::vector<JobPointer> Jobs) {
+  std::vector<KeyedRecord> Records;
+  std::vector<std::pair<JobPointer, std::uint64_t>> Versions;
+  for (const JobPointer &Job : Jobs) {
+    if (Job->WrittenVersion == Job->Version)
+      continue;
+    const std::string &Id = Job->Progress.spec().Id;
+    const bool Finished = Job->Progress.finished();
+    json Durable = Finished ? json{{"state", nameOf(Job->Progress.state())},
+                                   {"occurrences", 0},
+                                   {"steps", json::array()}}
+                            : Job->Progress.durable();
+    Records.push_back({.Key = ProgressPrefix + Id, .Value = Durable.dump()});
+    if (Finished)
+      Records.push_back({.Key = JobPrefix + Id});
+    Versions.emplace_back(Job, Job->Version);
+  }
+  if (Records.empty())
+    co_return;
+  const JournalOutcome Outcome = co_await write(Number, std::move(Records));
+  if (Outcome != JournalOutcome::Written)
+    co_return;
+  for (const auto &[Job, Version] : Versions) {
+    Job->WrittenVersion = std::max(Job->WrittenVersion, Version);
+    Job->FinishWritten =
+        Job->Progress.finished() && Job->WrittenVersion == Job->Version;
+  }
+}
+
+asio::awaitable<EndsReply> JobOwner::ends(EndsRequest Request) {
+  EndsReply Reply;
+  std::map<int, std::vector<JobPointer>> Touched;
+  std::vector<JobPointer> Jobs;
+  std::vector<bool> Known;
+  for (const EndReport &End : Request.Ends) {
+    const auto Task = TaskName::parse(End.Task);
+    const std::string Id = Task ? Task->Job : std::string();
+    Known.push_back(!Task || readyShard(Id) != nullptr);
+    JobPointer Job = Task ? findJob(Id) : nullptr;
+    if (Job) {
+      const RunId Run{.Task = *Task, .Run = End.Run, .Worker = End.Worker};
+      const ProgressEffect Effect = Job->Progress.markEnded(
+          Run, runEndFromName(End.How), End.Checkpoint, Timers_.now());
+      Events_.emit("jobs", "run_ended",
+                   {{"task", End.Task},
+                    {"run", End.Run},
+                    {"worker", End.Worker},
+                    {"how", End.How},
+                    {"applied", Effect.Applied}});
+      applyEffect(Job, Effect);
+      if (Job->WrittenVersion != Job->Version)
+        Touched[Job->Shard].push_back(Job);
+    }
+    Jobs.push_back(std::move(Job));
+  }
+  for (auto &[Number, Changed] : Touched)
+    co_await flush(Number, std::move(Changed));
+  for (std::size_t I = 0; I < Jobs.size(); ++I)
+    Reply.Accepted.push_back(
+        Known[I] && (!Jobs[I] || Jobs[I]->WrittenVersion == Jobs[I]->Version));
+  co_return Reply;
+}
+
+void JobOwner::started(const RunId &Run) {
+  if (const JobPointer Job = findJob(Run.Task.Job))
+    applyEffect(Job, Job->Progress.markRunning(Run, {}, Timers_.now()));
+}
+
+void JobOwner::dropTicket(const RunId &Run) {
+  if (const JobPointer Job = findJob(Run.Task.Job))
+    Job->Advice[{Run.Task.Occurrence, Run.Task.Step}].dropTicket(Run.Worker);
+}
+
+void JobOwner::rejected(const RunId &Run, Clock::time_point NotBefore) {
+  const JobPointer Job = findJob(Run.Task.Job);
+  if (!Job)
+    return;
+  Job->NotBefore[{Run.Task.Occurrence, Run.Task.Step}] = NotBefore;
+  applyEffect(
+      Job, Job->Progress.markEnded(Run, RunEnd::Rejected, {}, Timers_.now()));
+}
+
+void JobOwner::applyRunReport(const RunReport &Report) {
+  const auto Task = TaskName::parse(Report.Task);
+  if (!Task || readyShard(Task->Job) == nullptr)
+    return;
+  const RunId Run{.Task = *Task, .Run = Report.Run, .Worker = Report.Worker};
+  const JobPointer Job = findJob(Task->Job);
+  if (Job)
+    applyEffect(
+        Job, Job->Progress.markRunning(Run, Report.Checkpoint, Timers_.now()));
+  else if (Stop_)
+    Stop_({Run});
+}
+
+void JobOwner::applyExchange(
+    const ExchangeReply &Reply, Clock::time_point SentAt,
+    const std::function<bool(const RunId &)> &Ordering) {
+  for (const RunReport &Report : Reply.Runs)
+    if (!Report.Ended)
+      applyRunReport(Report);
+  endAbsent(Reply, SentAt, Ordering);
+  markCleared(Reply, SentAt);
+}
+
+void JobOwner::endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
+                         const std::function<bool(const RunId &)> &Ordering) {
+  std::set<std::string> Resolved;
+  for (const WorkerLoad &Worker : Reply.Workers)
+    if (Worker.Resolved)
+      Resolved.insert(Worker.Id);
+  std::set<std::string> Present;
+  for (const RunReport &Report : Reply.Runs)
+    Present.insert(Report.Task);
+  std::vector<RunId> Absent;
+  for (const auto &[Id, Job] : Active_)
+    for (RunId &Run : Job->Progress.activeRuns()) {
+      const TaskProgress *Task = Job->Progress.find(Run.Task);
+      if (!Resolved.contains(Run.Worker) || Task->Since >= SentAt ||
+          Ordering(Run))
+        continue;
+      if (Present.contains(Run.Task.toString()) &&
+          std::ranges::any_of(Reply.Runs, [&](const RunReport &Report) {
+            return sameRun(Report, Run);
+          }))
+        continue;
+      Absent.push_back(std::move(Run));
+    }
+  for (const RunId &Run : Absent)
+    if (const JobPointer Job = findJob(Run.Task.Job)) {
+      Events_.emit("jobs", "run_absent",
+                   {{"task", Run.Task.toString()},
+                    {"run", Run.Run},
+                    {"worker", Run.Worker}});
+      applyEffect(
+          Job, Job->Progress.markEnded(Run, RunEnd::Lost, {}, Timers_.now()));
+    }
+}
+
+void JobOwner::markCleared(const ExchangeReply &Reply,
+                           Clock::time_point SentAt) {
+  std::set<int> Unclear;
+  for (const WorkerLoad &Worker : Reply.Workers)
+    if (!Worker.Resolved)
+      Unclear.insert(Map_.shardOf(Worker.Id));
+  for (auto &[Number, Owner] : Shards_) {
+    if (!Owner.Ready || SentAt < Owner.ReadyAt)
+      continue;
+    for (const HeldShard &Item : Reply.Held)
+      if (Item.Ready && !Unclear.contains(Item.Shard))
+        Owner.Cleared.insert(Item.Shard);
+    if (static_cast<int>(Owner.Cleared.size()) == Map_.count())
+      resolve(Owner);
+  }
+}
+
+void JobOwner::resolve(Shard &Owner) {
+  std::vector<JobPointer> Jobs;
+  for (const auto &[Id, Job] : Owner.Jobs)
+    if (Job->Progress.hasUnknown() && !Job->Progress.finished())
+      Jobs.push_back(Job);
+  for (const JobPointer &Job : Jobs) {
+    ProgressEffect Effect = Job->Progress.resolveUnknown(Timers_.now());
+    Effect.Applied = true;
+    applyEffect(Job, Effect);
+  }
+}
+
+std::vector<RunDemand> JobOwner::demandsFor(const ExchangeReply &Reply) const {
+  std::vector<RunDemand> Demands;
+  for (const RunReport &Report : Reply.Runs) {
+    const auto Task = TaskName::parse(Report.Task);
+    if (Report.DemandKnown || !Task)
+      continue;
+    const JobPointer Job = findJob(Task->Job);
+    if (!Job || Job->Progress.find(*Task) == nullptr)
+      continue;
+    const StepSpec &Step =
+        Job->Progress.spec().Steps[static_cast<std::size_t>(Task->Step)];
+    Demands.push_back({.Task = Report.Task,
+                       .Run = Report.Run,
+                       .Worker = Report.Worker,
+                       .Demand = Step.Demand});
+  }
+  return Demands;
+}
+
+std::vector<ShardEpoch> JobOwner::held() const {
+  std::vector<ShardEpoch> All;
+  for (const auto &[Number, Owner] : Shards_)
+    if (Owner.Ready)
+      All.push_back({.Shard = Number, .Epoch = Owner.Epoch});
+  return All;
+}
+
+std::optional<std::uint64_t> JobOwner::epochOf(int Number) const {
+  const auto It = Shards_.find(Number);
+  return It == Shards_.end() ? std::nullopt : std::optional(It->second.Epoch);
+}
+
+std::map<std::string, int> JobOwner::waiting() const {
+  std::map<std::string, int> Counts;
+  for (const auto &[Id, Job] : Active_)
+    if (!Job->Progress.started() && Job->Progress.spec().Repetitions == 0)
+      ++Counts[Job->Progress.spec().Queue.Name];
+  return Counts;
+}
+
+bool JobOwner::waitingKnown() const {
+  return std::ranges::all_of(
+      Shards_, [](const auto &Item) { return Item.second.Ready; });
+}
+
+void JobOwner::tick() {
+  const auto SinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Timers_.wallNow().time_since_epoch());
+  bool Due = false;
+  for (const auto &[Id, Job] : Active_)
+    Due |= Job->Progress.spec().Repetitions > 0 &&
+           Job->Progress.addDueOccurrences(SinceEpoch);
+  if (Due && Work_)
+    Work_();
+  for (auto &[Number, Owner] : Shards_) {
+    std::vector<KeyedRecord> Dropped;
+    std::vector<JobPointer> Unwritten;
+    std::erase_if(Owner.Jobs, [&](const auto &Item) {
+      const OwnedJob &Job = *Item.second;
+      if (Job.Progress.finished() && !Job.FinishWritten)
+        Unwritten.push_back(Item.second);
+      if (!Job.FinishWritten ||
+          Timers_.now() - Job.FinishedAt < Options_.KeepFinished)
+        return false;
+      Dropped.push_back({.Key = ProgressPrefix + Item.first});
+      return true;
+    });
+    if (!Unwritten.empty())
+      asio::co_spawn(Executor_, flush(Number, std::move(Unwritten)),
+                     asio::detached);
+    if (!Dropped.empty())
+      asio::co_spawn(Executor_, forget(Number, std::move(Dropped)),
+                     asio::detached);
+  }
+}
+
+asio::awaitable<void> JobOwner::forget(int Number,
+                                       std::vector<KeyedRecord> Records) {
+  co_await write(Number, std::move(Records));
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/JobOwner.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Cell/PeerMessages.h"
+#include "Cell/ShardJournal.h"
+#include "Cell/ShardMap.h"
+#include "Cell/StepAdvice.h"
+#include "Work/JobProgress.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace hickory {
+
+struct JobOwnerOptions {
+  std::string Topic = "keyed.journal";
+  /// How long the state of a finished job can be read.
+  std::chrono::seconds KeepFinished{150};
+  /// How long a call waits for the journal.
+  std::chrono::milliseconds WriteLimit{1800};
+  std::size_t MaximumJobsPerShard = 20000;
+};
+
+/// A job of a shard that this process holds.
+struct OwnedJob {
+  explicit OwnedJob(JobSpec Spec) : Progress(std::move(Spec)) {}
+  JobProgress Progress;
+  Clock::time_point AcceptedAt{};
+  Clock::time_point FinishedAt{};
+  int Shard = 0;
+  bool Accepted = false;      ///< The journal has it.
+  int Submitting = 0;         ///< Calls that wait for the journal.
+  bool FinishWritten = false; ///< The journal has its final state.
+  std::uint64_t Version = 0;  ///< Counts changes that must be stored.
+  std::uint64_t WrittenVersion = 0;
+  /// By occurrence and step.
+  std::map<std::pair<int, int>, StepAdvice> Advice;
+  std::map<std::pair<int, int>, Clock::time_point> NotBefore;
+};
+
+/// Keeps the jobs of the shards that this process holds: acceptance, progress
+/// and final state, each in the shard's journal before anybody relies on it.
+class JobOwner {
+public:
+  using JobPointer = std::shared_ptr<OwnedJob>;
+
+  JobOwner(const asio::any_io_executor &Executor, TimerService &Timers,
+           StoreClient &Store, EventLog &Events, ShardMap Shards,
+           JobOwnerOptions Options);
+
+  void onFenced(std::function<void(int Shard)> Callback) {
+    Fenced_ = std::move(Callback);
+  }
+  /// Steps may have become ready.
+  void onWork(std::function<void()> Callback) { Work_ = std::move(Callback); }
+  /// The journal of a shard was read.
+  void onOpened(std::function<void()> Callback) {
+    Opened_ = std::move(Callback);
+  }
+  /// These runs must be stopped.
+  void onStop(std::function<void(std::vector<RunId>)> Callback) {
+    Stop_ = std::move(Callback);
+  }
+
+  void assign(int Shard, std::uint64_t Epoch);
+  void revoke(int Shard);
+
+  /// Returns the HTTP status for the caller.
+  asio::awaitable<int> submit(JobSpec Spec);
+  asio::awaitable<int> cancel(std::string Id);
+  [[nodiscard]] JobStateReply state(const std::string &Id) const;
+  asio::awaitable<EndsReply> ends(EndsRequest Request);
+
+  /// What a worker owner says of the workers that it holds, in answer to a
+  /// call that was sent at SentAt.
+  void applyExchange(const ExchangeReply &Reply, Clock::time_point SentAt,
+                     const std::function<bool(const RunId &)> &Ordering);
+  /// Demands that the worker owner asked for in that answer.
+  [[nodiscard]] std::vector<RunDemand>
+  demandsFor(const ExchangeReply &Reply) const;
+
+  /// The worker did not take the ticket that it was started with.
+  void dropTicket(const RunId &Run);
+  void started(const RunId &Run);
+  /// The run never started. Its step may be tried again at the given time.
+  void rejected(const RunId &Run, Clock::time_point NotBefore);
+
+  [[nodiscard]] int shardCount() const { return Map_.count(); }
+  [[nodiscard]] std::vector<ShardEpoch> held() const;
+  [[nodiscard]] std::optional<std::uint64_t> epochOf(int Shard) const;
+  /// Unfinished jobs of all shards whose journal was read.
+  [[nodiscard]] const std::map<std::string, JobPointer> &active() const {
+    return Active_;
+  }
+  [[nodiscard]] std::map<std::string, int> waiting() const;
+  [[nodiscard]] bool waitingKnown() const;
+  /// Makes due occurrences and forgets jobs that finished long ago.
+  void tick();
+
+private:
+  struct Shard {
+    std::uint64_t Epoch = 0;
+    std::shared_ptr<ShardJournal> Journal;
+    bool Ready = false;
+    Clock::time_point ReadyAt{};
+    std::set<int> Cleared; ///< Shards of workers that reported since.
+    std::unordered_map<std::string, JobPointer> Jobs;
+  };
+
+  asio::awaitable<void> open(int Number, std::uint64_t Epoch);
+  void load(int Number, Shard &Owner, const std::vector<KeyedRecord> &Records);
+  [[nodiscard]] JobPointer findJob(const std::string &Id) const;
+  Shard *readyShard(const std::string &Id);
+  asio::awaitable<JournalOutcome> write(int Number,
+                                        std::vector<KeyedRecord> Records);
+  asio::awaitable<void> flush(int Number, std::vector<JobPointer> Jobs);
+  asio::awaitable<void> forget(int Number, std::vector<KeyedRecord> Records);
+  void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
+  void applyRunReport(const RunReport &Report);
+  void endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
+                 const std::function<bool(const RunId &)> &Ordering);
+  void markCleared(const ExchangeReply &Reply, Clock::time_point SentAt);
+  void resolve(Shard &Owner);
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  StoreClient &Store_;
+  EventLog &Events_;
+  ShardMap Map_;
+  JobOwnerOptions Options_;
+  std::function<void(int)> Fenced_;
+  std::function<void()> Work_;
+  std::function<void()> Opened_;
+  std::function<void(std::vector<RunId>)> Stop_;
+  std::map<int, Shard> Shards_;
+  std::map<std::string, JobPointer> Active_;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/KeyedFollower.cpp
@@ -0,0 +1,81 @@
+#include "Cell/KeyedFollower.h"
+
+namespace hickory {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryDelay{250};
+
+} // namespace
+
+KeyedFollower::KeyedFollower(TimerService &Timers, StoreClient &Store,
+                             EventLog &Events, KeyedFollowerOptions Options,
+                             Changed OnChange)
+    : Timers_(Timers), Store_(Store), Events_(Events),
+      Options_(std::move(Options)), OnChange_(std::move(OnChange)) {}
+
+asio::awaitable<Result<void>> KeyedFollower::run() {
+  bool Current = false;
+  while (!Stopping_) {
+    const bool Read = Current ? co_await readTail() : co_await readNewest();
+    if (Read != Reachable_) {
+      Reachable_ = Read;
+      Events_.emit(Options_.Name, Read ? "regained" : "lost",
+                   {{"topic", Options_.Topic}, {"next", Next_}});
+    }
+    Current = Read;
+    co_await Timers_.sleepFor(Read ? Options_.Pause : RetryDelay);
+  }
+  co_return Result<void>{};
+}
+
+asio::awaitable<bool> KeyedFollower::readNewest() {
+  std::map<std::string, std::string> Values;
+  std::string After;
+  std::uint64_t End = 0;
+  bool First = true;
+  while (true) {
+    auto Page =
+        co_await Store_.newest(Options_.Topic, Options_.Partition, After);
+    if (!Page)
+      co_return false;
+    // Pages are no snapshot: what changed since the first one is read again.
+    if (First)
+      End = Page->End;
+    First = false;
+    for (KeyedRecord &Record : Page->Items) {
+      After = Record.Key;
+      if (Record.Value)
+        Values[Record.Key] = std::move(*Record.Value);
+    }
+    if (!Page->HasMore || Page->Items.empty())
+      break;
+  }
+  Values_ = std::move(Values);
+  Next_ = End;
+  Ready_ = true;
+  OnChange_(Values_);
+  co_return true;
+}
+
+asio::awaitable<bool> KeyedFollower::readTail() {
+  const auto Page = co_await Store_.tail(Options_.Topic, Options_.Partition,
+                                         Next_, Options_.Wait);
+  if (!Page || Page->Expired)
+    co_return false;
+  Next_ = Page->Next;
+  if (apply(Page->Items))
+    OnChange_(Values_);
+  co_return true;
+}
+
+bool KeyedFollower::apply(const std::vector<KeyedRecord> &Records) {
+  for (const KeyedRecord &Record : Records)
+    if (Record.Value)
+      Values_[Record.Key] = *Record.Value;
+    else
+      Values_.erase(Record.Key);
+  return !Records.empty();
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/KeyedFollower.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Part.h"
+#include "Base/TimerService.h"
+#include "Cell/StoreClient.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace hickory {
+
+struct KeyedFollowerOptions {
+  std::string Name;
+  std::string Topic;
+  int Partition = 0;
+  std::chrono::milliseconds Wait{1500};
+  /// Between two reads, so that many changes cost few calls.
+  std::chrono::milliseconds Pause{300};
+};
+
+/// Keeps a copy of the newest record of each key of a topic.
+class KeyedFollower final : public Part {
+public:
+  using Changed =
+      std::function<void(const std::map<std::string, std::string> &)>;
+
+  KeyedFollower(TimerService &Timers, StoreClient &Store, EventLog &Events,
+                KeyedFollowerOptions Options, Changed OnChange);
+
+  [[nodiscard]] std::string_view name() const override { return Options_.Name; }
+  asio::awaitable<Result<void>> run() override;
+  void stop() override { Stopping_ = true; }
+  /// False until the first complete read.
+  [[nodiscard]] bool ready() const { return Ready_; }
+
+private:
+  asio::awaitable<bool> readNewest();
+  asio::awaitable<bool> readTail();
+  bool apply(const std::vector<KeyedRecord> &Records);
+
+  TimerService &Timers_;
+  StoreClient &Store_;
+  EventLog &Events_;
+  KeyedFollowerOptions Options_;
+  Changed OnChange_;
+  std::map<std::string, std::string> Values_;
+  std::uint64_t Next_ = 0;
+  bool Ready_ = false;
+  bool Reachable_ = true;
+  bool Stopping_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/PeerMessages.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "Work/JobSpec.h"
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// A shard and the epoch in which its holder received it.
+struct ShardEpoch {
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+};
+
+struct PlaceOrder {
+  std::string Task;
+  int Run = 0;
+  std::string Worker;
+  Resources Demand;
+  std::string Payload;
+  std::string Checkpoint;
+  std::string Ticket;
+};
+
+struct PlaceRequest {
+  ShardEpoch Job; ///< Shard of the jobs, as the caller holds it.
+  std::vector<PlaceOrder> Orders;
+};
+
+enum class PlaceStatus {
+  Started,
+  Pending,  ///< It may start; its end will be reported in any case.
+  Rejected, ///< It does not run.
+};
+
+struct PlaceResult {
+  PlaceStatus Status = PlaceStatus::Rejected;
+  std::string Reason;
+};
+
+struct PlaceReply {
+  std::vector<PlaceResult> Results; ///< In the order of the request.
+};
+
+struct RunReference {
+  std::string Task;
+  int Run = 0;
+  std::string Worker;
+};
+
+struct StopRequest {
+  std::vector<RunReference> Runs;
+};
+
+struct EndReport {
+  std::string Task;
+  int Run = 0;
+  std::string Worker;
+  std::string How;
+  std::string Checkpoint;
+};
+
+struct EndsRequest {
+  std::vector<EndReport> Ends;
+};
+
+struct EndsReply {
+  std::vector<bool> Accepted; ///< In the order of the request.
+};
+
+struct RunReport {
+  std::string Task;
+  int Run = 0;
+  std::string Worker;
+  std::string Checkpoint;
+  bool DemandKnown = true;
+  bool Ended = false; ///< Its end is not yet accepted.
+};
+
+struct RunDemand {
+  std::string Task;
+  int Run = 0;
+  std::string Worker;
+  Resources Demand;
+};
+
+struct WorkerLoad {
+  std::string Id;
+  Resources Free;
+  bool Resolved = false; ///< Everything that runs there is known.
+  bool Usable = false;   ///< Takes new work.
+};
+
+struct HeldShard {
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+  bool Ready = false; ///< Its workers are listed.
+};
+
+struct ExchangeRequest {
+  std::string Sender;
+  std::vector<ShardEpoch> Held; ///< Shards of jobs of the sender.
+  std::vector<RunDemand> Demands;
+};
+
+struct ExchangeReply {
+  std::vector<HeldShard> Held;
+  std::vector<WorkerLoad> Workers;
+  std::vector<RunReport> Runs;        ///< Of the sender's jobs.
+  std::map<std::string, int> Waiting; ///< Jobs not begun, by queue.
+  bool WaitingKnown = false; ///< The journals of all held shards are read.
+};
+
+struct SubmitReply {
+  int Status = 503; ///< HTTP status for the caller.
+};
+
+struct JobReference {
+  std::string Id;
+};
+
+struct JobStateReply {
+  int Status = 503;
+  std::string State;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardEpoch, Shard, Epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceOrder, Task, Run, Worker, Demand,
+                                   Payload, Checkpoint, Ticket)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopRequest, Runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndReport, Task, Run, Worker, How,
+                                   Checkpoint)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, Task, Run, Worker, Checkpoint,
+                                   DemandKnown, Ended)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Held, Workers, Runs, Waiting,
+                                   WaitingKnown)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/ShardJournal.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Base/Signal.h"
+#include "Base/TimerService.h"
+#include "Cell/StoreClient.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+enum class JournalOutcome {
+  Written,
+  NotWritten, ///< And it never will be.
+  Unknown,    ///< It may be written, also later.
+};
+
+struct ShardJournalOptions {
+  std::string Topic = "keyed.journal";
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+  std::string Producer = "owner";
+  /// Bounds the number of appends under load; an idle shard appends at once.
+  std::chrono::milliseconds MinimumInterval{150};
+  std::size_t MaximumBatchBytes = 256 * 1024;
+};
+
+/// Writes the records of one shard in one epoch. One append is in flight at a
+/// time; records that wait go together in the next one. An append without an
+/// answer is repeated with the same sequence number until it is answered.
+class ShardJournal : public std::enable_shared_from_this<ShardJournal> {
+public:
+  ShardJournal(const asio::any_io_executor &Executor, TimerService &Timers,
+               StoreClient &Store, ShardJournalOptions Options);
+
+  /// Called once when a later epoch was seen.
+  void onFenced(std::function<void()> Callback) {
+    Fenced_ = std::move(Callback);
+  }
+
+  /// Sets the epoch and reads all records. Repeats until it succeeds, the
+  /// journal is stopped or a later epoch was seen; then it returns nothing.
+  asio::awaitable<std::optional<std::vector<KeyedRecord>>> acquire();
+
+  /// Appends until stop().
+  asio::awaitable<void> run();
+  asio::awaitable<JournalOutcome> write(std::vector<KeyedRecord> Records,
+                                        Clock::time_point Deadline);
+  void stop();
+
+private:
+  struct Entry {
+    explicit Entry(const asio::any_io_executor &Executor) : Changed(Executor) {}
+    std::vector<KeyedRecord> Records;
+    Signal Changed;
+    std::optional<JournalOutcome> Outcome;
+    bool Attempted = false;
+    bool Withdrawn = false;
+  };
+  using Batch = std::vector<std::shared_ptr<Entry>>;
+
+  Batch takeBatch();
+  asio::awaitable<void> appendBatch(Batch Entries);
+  void finish(const Batch &Entries, JournalOutcome Outcome);
+  void fence();
+  asio::awaitable<std::optional<std::vector<KeyedRecord>>> readAll();
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  StoreClient &Store_;
+  ShardJournalOptions Options_;
+  std::function<void()> Fenced_;
+  std::deque<std::shared_ptr<Entry>> Queue_;
+  Signal Work_;
+  std::uint64_t NextSequence_ = 1;
+  bool Stopped_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/ShardMembership.cpp
@@ -0,0 +1,156 @@
+#include "Cell/ShardMembership.h"
+
+#include <algorithm>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryDelay{250};
+
+std::string addressOf(const std::string &Member) {
+  return Member.substr(0, Member.find('/'));
+}
+
+} // namespace
+
+ShardMembership::ShardMembership(TimerService &Timers, StoreClient &Store,
+                                 EventLog &Events,
+                                 ShardMembershipOptions Options)
+    : Timers_(Timers), Store_(Store), Events_(Events),
+      Options_(std::move(Options)) {}
+
+asio::awaitable<Result<void>> ShardMembership::run() {
+  asio::co_spawn(co_await asio::this_coro::executor, followHolders(),
+                 asio::detached);
+  bool Reachable = true;
+  while (!Stopping_ && !Left_) {
+    const Clock::time_point SentAt = Timers_.now();
+    const auto Reply =
+        co_await Store_.join(Options_.Group, Options_.Member, Options_.Topic,
+                             Options_.TimeToLive, Generation_);
+    if (Left_)
+      break;
+    if (Reply.has_value() != Reachable) {
+      Reachable = Reply.has_value();
+      Events_.emit("shards", Reachable ? "group_regained" : "group_lost",
+                   {{"error", Reply ? "" : Reply.error().Message}});
+    }
+    if (!Reply) {
+      co_await Timers_.sleepFor(RetryDelay);
+      continue;
+    }
+    const bool Interrupted = LastJoin_ != Clock::time_point{} &&
+                             Timers_.now() - LastJoin_ > Options_.TimeToLive;
+    const bool Changed = Reply->Generation != Generation_;
+    apply(*Reply, Interrupted && Changed);
+    LastJoin_ = SentAt;
+    // The next join tells the store that the shards of others are given up.
+    if (!Changed)
+      co_await Timers_.sleepFor(Options_.JoinPeriod);
+  }
+  co_return Result<void>{};
+}
+
+void ShardMembership::apply(const GroupMembership &Membership,
+                            bool Interrupted) {
+  Generation_ = Membership.Generation;
+  const std::set<int> Listed(Membership.Shards.begin(),
+                             Membership.Shards.end());
+  std::vector<int> Gone;
+  for (const auto &[Shard, Epoch] : Held_)
+    if (Interrupted || !Listed.contains(Shard))
+      Gone.push_back(Shard);
+  for (const int Shard : Gone)
+    revoke(Shard);
+  for (const int Shard : Listed) {
+    if (Held_.contains(Shard))
+      continue;
+    // The same epoch would be refused again.
+    if (const auto It = FencedAt_.find(Shard);
+        It != FencedAt_.end() && It->second >= Generation_)
+      continue;
+    FencedAt_.erase(Shard);
+    Held_[Shard] = Generation_;
+    Holders_[Shard] = addressOf(Options_.Member);
+    Events_.emit("shards", "assigned",
+                 {{"shard", Shard}, {"epoch", Generation_}});
+    if (Assigned_)
+      Assigned_(Shard, Generation_);
+  }
+}
+
+void ShardMembership::revoke(int Shard) {
+  Events_.emit("shards", "revoked", {{"shard", Shard}});
+  Held_.erase(Shard);
+  if (const auto It = Holders_.find(Shard);
+      It != Holders_.end() && It->second == addressOf(Options_.Member))
+    Holders_.erase(It);
+  if (Revoked_)
+    Revoked_(Shard);
+}
+
+void ShardMembership::fenced(int Shard) {
+  if (!Held_.contains(Shard))
+    return;
+  FencedAt_[Shard] = Generation_;
+  revoke(Shard);
+}
+
+void ShardMembership::heard(int Shard, std::uint64_t Epoch,
+                            const std::string &Address) {
+  const auto It = Held_.find(Shard);
+  if (It != Held_.end() && It->second >= Epoch)
+    return;
+  if (It != Held_.end())
+    fenced(Shard);
+  Holders_[Shard] = Address;
+}
+
+asio::awaitable<void> ShardMembership::followHolders() {
+  while (!Stopping_) {
+    const auto Rows = co_await Store_.holders(Options_.Group);
+    if (Rows) {
+      std::map<int, std::string> Holders;
+      for (const ShardHolder &Row : *Rows)
+        if (!Row.Member.empty())
+          Holders[Row.Shard] = addressOf(Row.Member);
+      const std::string Own = addressOf(Options_.Member);
+      for (const auto &[Shard, Epoch] : Held_)
+        Holders[Shard] = Own;
+      // A row may still name this process for a shard that it gave up.
+      std::erase_if(Holders, [&](const auto &Item) {
+        return Item.second == Own && !Held_.contains(Item.first);
+      });
+      Holders_ = std::move(Holders);
+    }
+    co_await Timers_.sleepFor(Options_.HoldersPeriod);
+  }
+}
+
+asio::awaitable<void> ShardMembership::drain() {
+  Left_ = true;
+  std::vector<int> All;
+  for (const auto &[Shard, Epoch] : Held_)
+    All.push_back(Shard);
+  for (const int Shard : All)
+    revoke(Shard);
+  co_await Store_.leave(Options_.Group, Options_.Member);
+}
+
+std::optional<std::string> ShardMembership::holderOf(int Shard) const {
+  const auto It = Holders_.find(Shard);
+  return It == Holders_.end() ? std::nullopt : std::optional(It->second);
+}
+
+std::set<std::string> ShardMembership::peers() const {
+  std::set<std::string> Peers;
+  for (const auto &[Shard, Address] : Holders_)
+    if (Address != addressOf(Options_.Member))
+      Peers.insert(Address);
+  return Peers;
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/ShardMembership.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Part.h"
+#include "Base/TimerService.h"
+#include "Cell/StoreClient.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hickory {
+
+struct ShardMembershipOptions {
+  std::string Group = "shards";
+  std::string Topic = "keyed.journal";
+  std::string Member; ///< ADDRESS/INCARNATION of this process.
+  /// A process that is silent for so long loses its shards.
+  std::chrono::milliseconds TimeToLive{2500};
+  std::chrono::milliseconds JoinPeriod{700};
+  std::chrono::milliseconds HoldersPeriod{700};
+};
+
+/// Stays in the group that deals the shards and follows who holds which.
+///
+/// The generation in which this process received a shard is the shard's epoch.
+/// While the store is away, shards are kept: every effect on the store and on
+/// workers is fenced by the epoch.
+class ShardMembership final : public Part {
+public:
+  using Assigned = std::function<void(int Shard, std::uint64_t Epoch)>;
+  using Revoked = std::function<void(int Shard)>;
+
+  ShardMembership(TimerService &Timers, StoreClient &Store, EventLog &Events,
+                  ShardMembershipOptions Options);
+
+  void onAssigned(Assigned Callback) { Assigned_ = std::move(Callback); }
+  void onRevoked(Revoked Callback) { Revoked_ = std::move(Callback); }
+
+  [[nodiscard]] std::string_view name() const override { return "shards"; }
+  asio::awaitable<Result<void>> run() override;
+  /// Leaves the group, so that others receive the shards at once.
+  asio::awaitable<void> drain() override;
+  void stop() override { Stopping_ = true; }
+
+  /// Address of the process that holds the shard; nothing if nobody does.
+  [[nodiscard]] std::optional<std::string> holderOf(int Shard) const;
+  /// Addresses of all processes that hold shards, without this one.
+  [[nodiscard]] std::set<std::string> peers() const;
+  [[nodiscard]] const std::map<int, std::uint64_t> &held() const {
+    return Held_;
+  }
+  /// Shards that the store lists with a holder.
+  [[nodiscard]] std::size_t holdersKnown() const { return Holders_.size(); }
+
+  /// A later epoch of the shard exists. It is given up, and taken again if the
+  /// store still deals it to this process.
+  void fenced(int Shard);
+  /// Another process says that it holds the shard in this epoch.
+  void heard(int Shard, std::uint64_t Epoch, const std::string &Address);
+
+private:
+  asio::awaitable<void> followHolders();
+  void apply(const GroupMembership &Membership, bool Interrupted);
+  void revoke(int Shard);
+
+  TimerService &Timers_;
+  StoreClient &Store_;
+  EventLog &Events_;
+  ShardMembershipOptions Options_;
+  Assigned Assigned_;
+  Revoked Revoked_;
+  std::map<int, std::uint64_t> Held_;
+  std::map<int, std::uint64_t> FencedAt_; ///< Generation at that time.
+  std::map<int, std::string> Holders_;
+  std::uint64_t Generation_ = 0;
+  Clock::time_point LastJoin_{};
+  bool Stopping_ = false;
+  bool Left_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/WorkerAgent.cpp
@@ -0,0 +1,462 @@
+#include "Cell/WorkerAgent.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+namespace {
+
+/// Tokens of one epoch, one for each incarnation of the worker that it sees.
+constexpr std::int64_t TokensPerEpoch = 1024;
+/// The worker's clock may be 2% slow.
+constexpr double ClockRateMargin = 1.03;
+constexpr std::chrono::milliseconds LapseMargin{300};
+constexpr std::chrono::milliseconds RetryDelay{150};
+/// A worker lists at most so many ends at a time.
+constexpr std::size_t MaximumEndsListed = 500;
+constexpr int StartAttempts = 3;
+constexpr std::size_t MaximumStopsRemembered = 4096;
+
+} // namespace
+
+const char *nameOf(OrderStatus Status) {
+  switch (Status) {
+  case OrderStatus::Ok:
+    return "ok";
+  case OrderStatus::Fenced:
+    return "fenced";
+  case OrderStatus::Old:
+    return "old";
+  case OrderStatus::Late:
+    return "late";
+  case OrderStatus::NoRoom:
+    return "room";
+  case OrderStatus::BadTicket:
+    return "ticket";
+  case OrderStatus::Unhealthy:
+    return "unhealthy";
+  case OrderStatus::WrongIncarnation:
+    return "incarnation";
+  case OrderStatus::Invalid:
+    return "invalid";
+  }
+  return "invalid";
+}
+
+WorkerAgent::WorkerAgent(const asio::any_io_executor &Executor,
+                         TimerService &Timers, WorkerClient &Client,
+                         EventLog &Events, WorkerEntry Entry,
+                         std::uint64_t Epoch, Callbacks Listener,
+                         WorkerAgentOptions Options)
+    : Executor_(Executor), Timers_(Timers), Client_(Client), Events_(Events),
+      Entry_(std::move(Entry)), Epoch_(Epoch), Listener_(std::move(Listener)),
+      Options_(Options), LastExtension_(Timers.now()) {}
+
+std::int64_t WorkerAgent::token() const {
+  return static_cast<std::int64_t>(Epoch_) * TokensPerEpoch +
+         std::min(Incarnations_, TokensPerEpoch - 1);
+}
+
+std::chrono::milliseconds WorkerAgent::clockNow() const {
+  return Clock_ + std::chrono::duration_cast<std::chrono::milliseconds>(
+                      Timers_.now() - ClockAt_);
+}
+
+std::chrono::milliseconds WorkerAgent::extendLease() {
+  LastExtension_ = Timers_.now();
+  return clockNow() + Options_.Lease;
+}
+
+bool WorkerAgent::leaseLapsed() const {
+  const auto Longest = std::chrono::duration_cast<Clock::duration>(
+      Options_.Lease * ClockRateMargin + LapseMargin);
+  return Timers_.now() - LastExtension_ > Longest;
+}
+
+void WorkerAgent::setClock(std::chrono::milliseconds ClockNow) {
+  // The answer is older than its receipt, so that this is a lower bound.
+  Clock_ = ClockNow;
+  ClockAt_ = Timers_.now();
+  ClockKnown_ = true;
+}
+
+asio::awaitable<void> WorkerAgent::run() {
+  const auto Self = shared_from_this();
+  while (!Stopping_) {
+    HoldOrder Order{.Acknowledged = acknowledged()};
+    if (ClockKnown_) {
+      Order.LeaseEnd = extendLease();
+      Order.Wait = Options_.HoldWait;
+    }
+    const Clock::time_point SentAt = Timers_.now();
+    const auto Reply = co_await Client_.hold(Entry_, token(), Order);
+    if (Stopping_)
+      co_return;
+    if (!Reply) {
+      holdFailed(Reply.error().Code == ErrorCode::Refused);
+      co_await Timers_.sleepFor(RetryDelay);
+      continue;
+    }
+    if (Reply->Status == OrderStatus::Fenced) {
+      Events_.emit("workers", "fenced",
+                   {{"worker", Entry_.Id}, {"token", token()}});
+      Listener_.Fenced();
+      co_return;
+    }
+    if (Reply->Status == OrderStatus::WrongIncarnation) {
+      // Another worker answers at the address: this one is gone.
+      Events_.emit("workers", "replaced", {{"worker", Entry_.Id}});
+      endAll(RunEnd::Lost);
+      Resolved_ = true;
+      Reachable_ = false;
+      ClockKnown_ = false;
+      co_await Timers_.sleepFor(RetryDelay);
+      continue;
+    }
+    if (Reply->Status != OrderStatus::Ok) {
+      holdFailed(false);
+      co_await Timers_.sleepFor(RetryDelay);
+      continue;
+    }
+    applyHold(*Reply, SentAt);
+  }
+}
+
+void WorkerAgent::holdFailed(bool Refused) {
+  if (Reachable_)
+    Events_.emit("workers", "lost_contact", {{"worker", Entry_.Id}});
+  Reachable_ = false;
+  const bool Left = Refused && Entry_.Draining && !Listed_;
+  if (!leaseLapsed() && !Left)
+    return;
+  if (!Resolved_ || !Runs_.empty())
+    Events_.emit("workers", "lapsed",
+                 {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
+  endAll(RunEnd::Lost);
+  Resolved_ = true;
+  ClockKnown_ = false;
+}
+
+void WorkerAgent::applyHold(const HoldReply &Reply, Clock::time_point SentAt) {
+  if (Born_ != 0 && Reply.Born != 0 && Reply.Born != Born_)
+    reborn(Reply.Born);
+  if (!Reachable_)
+    Events_.emit("workers", "contact",
+                 {{"worker", Entry_.Id},
+                  {"token", token()},
+                  {"running", Reply.Running.size()},
+                  {"ended", Reply.Ended.size()}});
+  Born_ = Reply.Born;
+  Reachable_ = true;
+  Healthy_ = true;
+  setClock(Reply.ClockNow);
+  std::set<Key> Listed;
+  for (const RunningTask &Row : Reply.Running) {
+    Listed.emplace(Row.Task, Row.Run);
+    applyRunning(Row);
+  }
+  for (const EndedTask &Row : Reply.Ended) {
+    Listed.emplace(Row.Task, Row.Run);
+    applyEnded(Row);
+  }
+  Resolved_ = true;
+  if (Reply.Ended.size() < MaximumEndsListed)
+    endMissing(Listed, SentAt);
+  if (!OpenEnds_.empty())
+    Listener_.EndsChanged();
+}
+
+void WorkerAgent::reborn(std::int64_t Born) {
+  Events_.emit("workers", "reborn", {{"worker", Entry_.Id}, {"born", Born}});
+  endAll(RunEnd::Lost);
+  // Orders for the incarnation before must not reach this one.
+  ++Incarnations_;
+  HighestEnd_ = 0;
+  ClosedEnds_.clear();
+  Stopped_.clear();
+}
+
+void WorkerAgent::applyRunning(const RunningTask &Row) {
+  const Key Name(Row.Task, Row.Run);
+  auto It = Runs_.find(Name);
+  if (It == Runs_.end()) {
+    It = Runs_.emplace(Name, Run{.State = Phase::Running}).first;
+    It->second.ConfirmedAt = Timers_.now();
+    It->second.Confirmed = true;
+    if (const auto Stop = Stopped_.find(Row.Task);
+        Stop != Stopped_.end() && Stop->second >= Row.Run)
+      stopRun(Row.Task, Row.Run);
+  }
+  Run &Item = It->second;
+  Item.Checkpoint = std::max(Item.Checkpoint, Row.Checkpoint);
+  if (Item.State == Phase::Ended && Item.EndNumber == 0) {
+    // Its end was only concluded and may be reported: it must not go on.
+    Item.State = Phase::Running;
+    Item.DemandKnown = false;
+    stopRun(Row.Task, Row.Run);
+  }
+  if (Item.State == Phase::Starting) {
+    Item.State = Phase::Running;
+    Item.Confirmed = true;
+    Item.ConfirmedAt = Timers_.now();
+  }
+}
+
+void WorkerAgent::applyEnded(const EndedTask &Row) {
+  if (Row.Number <= acknowledged() || ClosedEnds_.contains(Row.Number) ||
+      OpenEnds_.contains(Row.Number))
+    return;
+  HighestEnd_ = std::max(HighestEnd_, Row.Number);
+  Run &Item = Runs_[Key(Row.Task, Row.Run)];
+  Item.Checkpoint = std::max(Item.Checkpoint, Row.Checkpoint);
+  end(Item, runEndFromName(Row.How), Row.Number);
+}
+
+void WorkerAgent::end(Run &Item, RunEnd How, std::int64_t Number) {
+  Item.State = Phase::Ended;
+  Item.How = How;
+  Item.EndNumber = Number;
+  Item.Demand = {};
+  Item.DemandKnown = true;
+  if (Number > 0)
+    OpenEnds_.insert(Number);
+}
+
+void WorkerAgent::endMissing(const std::set<Key> &Listed,
+                             Clock::time_point SentAt) {
+  bool Changed = false;
+  for (auto &[Name, Item] : Runs_) {
+    const bool Settled =
+        Item.Confirmed && Item.ConfirmedAt < SentAt &&
+        (Item.State == Phase::Running || Item.State == Phase::Stopping);
+    if (!Settled || Listed.contains(Name))
+      continue;
+    end(Item, Item.State == Phase::Stopping ? RunEnd::Stopped : RunEnd::Lost,
+        0);
+    Changed = true;
+  }
+  if (Changed)
+    Listener_.EndsChanged();
+}
+
+void WorkerAgent::endAll(RunEnd How) {
+  for (auto &[Name, Item] : Runs_) {
+    if (Item.State != Phase::Ended)
+      end(Item, How, 0);
+    // A worker that forgot its ends can't have them acknowledged.
+    Item.EndNumber = 0;
+  }
+  OpenEnds_.clear();
+  if (!Runs_.empty())
+    Listener_.EndsChanged();
+}
+
+std::int64_t WorkerAgent::acknowledged() const {
+  return OpenEnds_.empty() ? HighestEnd_ : *OpenEnds_.begin() - 1;
+}
+
+void WorkerAgent::accepted(const std::string &Task, int RunNumber) {
+  const auto It = Runs_.find(Key(Task, RunNumber));
+  if (It == Runs_.end() || It->second.State != Phase::Ended)
+    return;
+  const std::int64_t Number = It->second.EndNumber;
+  Runs_.erase(It);
+  if (Number == 0)
+    return;
+  OpenEnds_.erase(Number);
+  ClosedEnds_.insert(Number);
+  const std::int64_t Acknowledged = acknowledged();
+  std::erase_if(ClosedEnds_, [Acknowledged](std::int64_t Closed) {
+    return Closed <= Acknowledged;
+  });
+}
+
+Resources WorkerAgent::committed() const {
+  Resources Sum;
+  for (const auto &[Name, Item] : Runs_)
+    // Sums of what fits in a worker do not overflow.
+    (void)Sum.add(Item.Demand);
+  return Sum;
+}
+
+WorkerLoad WorkerAgent::load() const {
+  bool AllKnown = true;
+  for (const auto &[Name, Item] : Runs_)
+    AllKnown = AllKnown && Item.DemandKnown;
+  return {.Id = Entry_.Id,
+          .Free = Entry_.Capacity.minusClamped(committed()),
+          .Resolved = Resolved_,
+          .Usable = Resolved_ && Reachable_ && Healthy_ && Listed_ &&
+                    ClockKnown_ && AllKnown && !Entry_.Draining};
+}
+
+std::optional<std::string> WorkerAgent::refusalOf(const PlaceOrder &Order) {
+  const WorkerLoad Now = load();
+  if (!Now.Usable)
+    return "worker_unusable";
+  if (!Order.Demand.fitsIn(Now.Free))
+    return "room";
+  if (const auto Stop = Stopped_.find(Order.Task);
+      Stop != Stopped_.end() && Stop->second >= Order.Run)
+    return "stopped";
+  for (const auto &[Name, Item] : Runs_)
+    if (Name.first == Order.Task && Item.State != Phase::Ended)
+      return "task_present";
+  return std::nullopt;
+}
+
+PlaceResult WorkerAgent::rejected(const Key &Name, const std::string &Reason) {
+  Runs_.erase(Name);
+  return {.Status = PlaceStatus::Rejected, .Reason = Reason};
+}
+
+asio::awaitable<PlaceResult> WorkerAgent::start(PlaceOrder Order) {
+  const auto Self = shared_from_this();
+  const Key Name(Order.Task, Order.Run);
+  if (const auto Refusal = refusalOf(Order))
+    co_return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = *Refusal};
+  Runs_[Name] = Run{.State = Phase::Starting,
+                    .Demand = Order.Demand,
+                    .DemandKnown = true,
+                    .Checkpoint = Order.Checkpoint};
+  bool MayBeThere = false;
+  for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
+    StartOrder Start{.Task = Order.Task,
+                     .Run = Order.Run,
+                     .Payload = Order.Payload,
+                     .Checkpoint = Order.Checkpoint,
+                     .Ticket = Order.Ticket};
+    const auto Reply =
+        co_await Client_.start(Entry_, token(), extendLease(), std::move(Start),
+                               Options_.StartTimeout);
+    const auto It = Runs_.find(Name);
+    if (It == Runs_.end() || It->second.State != Phase::Starting)
+      // Its end is known already, or it is being stopped.
+      co_return PlaceResult{.Status = PlaceStatus::Pending};
+    if (!Reply) {
+      MayBeThere = MayBeThere || !Reply.error().hadNoEffect();
+      continue;
+    }
+    if (Reply->Status == OrderStatus::Ok) {
+      It->second.State = Phase::Running;
+      It->second.Confirmed = true;
+      It->second.ConfirmedAt = Timers_.now();
+      co_return PlaceResult{.Status = PlaceStatus::Started};
+    }
+    if (Reply->Status == OrderStatus::Fenced) {
+      const auto Result = rejected(Name, nameOf(Reply->Status));
+      Listener_.Fenced();
+      co_return Result;
+    }
+    if (Reply->Status == OrderStatus::Unhealthy)
+      Healthy_ = false;
+    if (!MayBeThere)
+      co_return rejected(Name, nameOf(Reply->Status));
+    break;
+  }
+  if (!MayBeThere)
+    co_return rejected(Name, "unreachable");
+  stopRun(Order.Task, Order.Run);
+  co_return PlaceResult{.Status = PlaceStatus::Pending};
+}
+
+void WorkerAgent::stopRun(const std::string &Task, int RunNumber) {
+  int &Highest = Stopped_[Task];
+  Highest = std::max(Highest, RunNumber);
+  if (Stopped_.size() > MaximumStopsRemembered)
+    Stopped_.erase(Stopped_.begin());
+  const Key Name(Task, RunNumber);
+  auto It = Runs_.find(Name);
+  if (It == Runs_.end()) {
+    // It never came here; the owner of the job waits for its end.
+    It = Runs_.emplace(Name, Run{}).first;
+    end(It->second, RunEnd::Stopped, 0);
+    Listener_.EndsChanged();
+    return;
+  }
+  Run &Item = It->second;
+  if (Item.State == Phase::Stopping || Item.State == Phase::Ended)
+    return;
+  Item.State = Phase::Stopping;
+  Item.Confirmed = false;
+  asio::co_spawn(Executor_, stopUntilAnswered(Name), asio::detached);
+}
+
+asio::awaitable<void> WorkerAgent::stopUntilAnswered(Key Name) {
+  const auto Self = shared_from_this();
+  while (!Stopping_) {
+    auto It = Runs_.find(Name);
+    if (It == Runs_.end() || It->second.State != Phase::Stopping)
+      co_return;
+    const auto Reply = co_await Client_.stop(Entry_, token(), Name.first,
+                                             Name.second, Options_.StopTimeout);
+    It = Runs_.find(Name);
+    if (Stopping_ || It == Runs_.end() || It->second.State != Phase::Stopping)
+      co_return;
+    if (Reply && Reply->Status == OrderStatus::Ok) {
+      It->second.Confirmed = true;
+      It->second.ConfirmedAt = Timers_.now();
+      co_return;
+    }
+    if (Reply && Reply->Status == OrderStatus::Fenced) {
+      Listener_.Fenced();
+      co_return;
+    }
+    co_await Timers_.sleepFor(RetryDelay);
+  }
+}
+
+void WorkerAgent::learnDemand(const std::string &Task, int RunNumber,
+                              const Resources &Demand) {
+  const auto It = Runs_.find(Key(Task, RunNumber));
+  if (It == Runs_.end() || It->second.DemandKnown)
+    return;
+  It->second.Demand = Demand;
+  It->second.DemandKnown = true;
+}
+
+std::vector<RunReport> WorkerAgent::runs() const {
+  std::vector<RunReport> All;
+  for (const auto &[Name, Item] : Runs_)
+    All.push_back({.Task = Name.first,
+                   .Run = Name.second,
+                   .Worker = Entry_.Id,
+                   .Checkpoint = Item.Checkpoint,
+                   .DemandKnown = Item.DemandKnown,
+                   .Ended = Item.State == Phase::Ended});
+  return All;
+}
+
+std::vector<EndReport> WorkerAgent::undelivered() const {
+  std::vector<EndReport> All;
+  for (const auto &[Name, Item] : Runs_)
+    if (Item.State == Phase::Ended)
+      All.push_back({.Task = Name.first,
+                     .Run = Name.second,
+                     .Worker = Entry_.Id,
+                     .How = nameOf(Item.How),
+                     .Checkpoint = Item.Checkpoint});
+  return All;
+}
+
+void WorkerAgent::update(const WorkerEntry &Entry) {
+  if (Entry.Draining && !Entry_.Draining)
+    Events_.emit("workers", "draining", {{"worker", Entry.Id}});
+  Entry_ = Entry;
+  Listed_ = true;
+}
+
+void WorkerAgent::unlisted() {
+  if (Listed_)
+    Events_.emit("workers", "unlisted", {{"worker", Entry_.Id}});
+  Listed_ = false;
+}
+
+bool WorkerAgent::finished() const {
+  return !Listed_ && !Reachable_ && Resolved_ && Runs_.empty();
+}
+
+void WorkerAgent::stop() { Stopping_ = true; }
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/WorkerAgent.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Signal.h"
+#include "Base/TimerService.h"
+#include "Cell/PeerMessages.h"
+#include "Cell/WorkerClient.h"
+#include "Work/JobProgress.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickory {
+
+struct WorkerAgentOptions {
+  /// Running tasks are killed when no order renews their lease for so long.
+  std::chrono::milliseconds Lease{6000};
+  std::chrono::milliseconds HoldWait{1500};
+  std::chrono::milliseconds StartTimeout{700};
+  std::chrono::milliseconds StopTimeout{700};
+};
+
+/// Holds one worker for the holder of its shard: commits its capacity, sends
+/// orders, renews the lease and learns of ends.
+///
+/// What runs on a worker is read from the worker, never from storage. Until
+/// the first answer nothing is known (not resolved) and nothing is started.
+class WorkerAgent : public std::enable_shared_from_this<WorkerAgent> {
+public:
+  struct Callbacks {
+    std::function<void()> Fenced;      ///< A later epoch ordered this worker.
+    std::function<void()> EndsChanged; ///< There are new undelivered ends.
+  };
+
+  WorkerAgent(const asio::any_io_executor &Executor, TimerService &Timers,
+              WorkerClient &Client, EventLog &Events, WorkerEntry Entry,
+              std::uint64_t Epoch, Callbacks Listener,
+              WorkerAgentOptions Options);
+
+  /// Holds the worker until stop().
+  asio::awaitable<void> run();
+  void stop();
+
+  /// The platform's list changed.
+  void update(const WorkerEntry &Entry);
+  void unlisted();
+  /// True if nothing can run there any more and nobody lists it.
+  [[nodiscard]] bool finished() const;
+
+  asio::awaitable<PlaceResult> start(PlaceOrder Order);
+  /// Makes sure that the run does not go on or start. Its end is reported.
+  void stopRun(const std::string &Task, int Run);
+  /// The demand of a run that this process did not start.
+  void learnDemand(const std::string &Task, int Run, const Resources &Demand);
+
+  [[nodiscard]] WorkerLoad load() const;
+  [[nodiscard]] const WorkerEntry &entry() const { return Entry_; }
+  [[nodiscard]] std::vector<RunReport> runs() const;
+  [[nodiscard]] std::vector<EndReport> undelivered() const;
+  /// The end is safe with the job's owner and may be forgotten here.
+  void accepted(const std::string &Task, int Run);
+
+private:
+  enum class Phase { Starting, Running, Stopping, Ended };
+  struct Run {
+    Phase State = Phase::Starting;
+    Resources Demand;
+    bool DemandKnown = false;
+    std::string Checkpoint;
+    Clock::time_point ConfirmedAt{}; ///< Of the start or, stopping, the stop.
+    bool Confirmed = false;
+    RunEnd How = RunEnd::Lost;
+    std::int64_t EndNumber = 0; ///< 0: the worker does not list this end.
+  };
+  using Key = std::pair<std::string, int>;
+
+  [[nodiscard]] std::int64_t token() const;
+  [[nodiscard]] std::chrono::milliseconds clockNow() const;
+  [[nodiscard]] std::chrono::milliseconds extendLease();
+  [[nodiscard]] bool leaseLapsed() const;
+  [[nodiscard]] Resources committed() const;
+
+  void applyHold(const HoldReply &Reply, Clock::time_point SentAt);
+  void applyRunning(const RunningTask &Row);
+  void applyEnded(const EndedTask &Row);
+  void endMissing(const std::set<Key> &Listed, Clock::time_point SentAt);
+  void setClock(std::chrono::milliseconds ClockNow);
+  void reborn(std::int64_t Born);
+  void endAll(RunEnd How);
+  void end(Run &Item, RunEnd How, std::int64_t Number);
+  void holdFailed(bool Refused);
+  asio::awaitable<void> stopUntilAnswered(Key Name);
+  PlaceResult rejected(const Key &Name, const std::string &Reason);
+  [[nodiscard]] std::optional<std::string> refusalOf(const PlaceOrder &Order);
+  [[nodiscard]] std::int64_t acknowledged() const;
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  WorkerClient &Client_;
+  EventLog &Events_;
+  WorkerEntry Entry_;
+  std::uint64_t Epoch_;
+  Callbacks Listener_;
+  WorkerAgentOptions Options_;
+  std::map<Key, Run> Runs_;
+  std::map<std::string, int> Stopped_; ///< Highest run stopped, by task.
+  std::set<std::int64_t> OpenEnds_;    ///< Numbers listed and not delivered.
+  std::set<std::int64_t> ClosedEnds_;  ///< Delivered, not yet acknowledged.
+  std::int64_t HighestEnd_ = 0;
+  std::int64_t Incarnations_ = 0;
+  std::int64_t Born_ = 0;
+  std::chrono::milliseconds Clock_{0};
+  Clock::time_point ClockAt_{};
+  Clock::time_point LastExtension_;
+  bool ClockKnown_ = false;
+  bool Resolved_ = false;
+  bool Reachable_ = false;
+  bool Healthy_ = true;
+  bool Listed_ = true;
+  bool Stopping_ = false;
+};
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Cell/WorkerPool.cpp
@@ -0,0 +1,167 @@
+#include "Cell/WorkerPool.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+namespace hickory {
+
+WorkerPool::WorkerPool(const asio::any_io_executor &Executor,
+                       TimerService &Timers, WorkerClient &Client,
+                       EventLog &Events, ShardMap Shards,
+                       WorkerAgentOptions Options)
+    : Executor_(Executor), Timers_(Timers), Client_(Client), Events_(Events),
+      Map_(Shards), Options_(Options) {}
+
+void WorkerPool::assign(int Number, std::uint64_t Epoch) {
+  revoke(Number);
+  Shards_[Number].Epoch = Epoch;
+  for (const auto &[Id, Entry] : Listed_)
+    if (Map_.shardOf(Id) == Number)
+      addAgent(Number, Entry);
+}
+
+void WorkerPool::revoke(int Number) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end())
+    return;
+  for (const auto &[Id, Agent] : It->second.Agents)
+    Agent->stop();
+  Shards_.erase(It);
+}
+
+void WorkerPool::addAgent(int Number, const WorkerEntry &Entry) {
+  Shard &Owner = Shards_.at(Number);
+  WorkerAgent::Callbacks Listener{
+      .Fenced =
+          [this, Number, Epoch = Owner.Epoch] {
+            const auto It = Shards_.find(Number);
+            if (It != Shards_.end() && It->second.Epoch == Epoch && Fenced_)
+              Fenced_(Number);
+          },
+      .EndsChanged =
+          [this] {
+            if (Ends_)
+              Ends_();
+          }};
+  auto Agent =
+      std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
+                                    Owner.Epoch, std::move(Listener), Options_);
+  Owner.Agents[Entry.Id] = Agent;
+  asio::co_spawn(Executor_, Agent->run(), asio::detached);
+}
+
+void WorkerPool::updateList(const std::map<std::string, WorkerEntry> &Workers) {
+  Listed_ = Workers;
+  ListKnown_ = true;
+  for (auto &[Number, Owner] : Shards_)
+    std::erase_if(Owner.Agents, [&](auto &Item) {
+      if (Listed_.contains(Item.first))
+        return false;
+      Item.second->unlisted();
+      if (!Item.second->finished())
+        return false;
+      Item.second->stop();
+      return true;
+    });
+  for (const auto &[Id, Entry] : Listed_) {
+    const int Number = Map_.shardOf(Id);
+    const auto It = Shards_.find(Number);
+    if (It == Shards_.end())
+      continue;
+    const auto Agent = It->second.Agents.find(Id);
+    if (Agent == It->second.Agents.end())
+      addAgent(Number, Entry);
+    else
+      Agent->second->update(Entry);
+  }
+}
+
+std::shared_ptr<WorkerAgent>
+WorkerPool::agentOf(const std::string &Worker) const {
+  const auto It = Shards_.find(Map_.shardOf(Worker));
+  if (It == Shards_.end())
+    return nullptr;
+  const auto Agent = It->second.Agents.find(Worker);
+  return Agent == It->second.Agents.end() ? nullptr : Agent->second;
+}
+
+const WorkerAgent *WorkerPool::find(const std::string &Worker) const {
+  return agentOf(Worker).get();
+}
+
+void WorkerPool::fenceJobs(const ShardEpoch &Job) {
+  std::uint64_t &Highest = JobEpochs_[Job.Shard];
+  Highest = std::max(Highest, Job.Epoch);
+}
+
+asio::awaitable<PlaceResult> WorkerPool::place(ShardEpoch Job,
+                                               PlaceOrder Order) {
+  fenceJobs(Job);
+  if (JobEpochs_[Job.Shard] > Job.Epoch)
+    co_return PlaceResult{.Status = PlaceStatus::Rejected,
+                          .Reason = "job_epoch"};
+  const auto Agent = agentOf(Order.Worker);
+  if (!Agent)
+    co_return PlaceResult{.Status = PlaceStatus::Rejected,
+                          .Reason = "not_holder"};
+  co_return co_await Agent->start(std::move(Order));
+}
+
+void WorkerPool::stopRun(const RunReference &Run) {
+  if (const auto Agent = agentOf(Run.Worker))
+    Agent->stopRun(Run.Task, Run.Run);
+}
+
+void WorkerPool::learnDemand(const RunDemand &Demand) {
+  if (const auto Agent = agentOf(Demand.Worker))
+    Agent->learnDemand(Demand.Task, Demand.Run, Demand.Demand);
+}
+
+std::vector<HeldShard> WorkerPool::held() const {
+  std::vector<HeldShard> All;
+  for (const auto &[Number, Owner] : Shards_)
+    All.push_back({.Shard = Number, .Epoch = Owner.Epoch, .Ready = ListKnown_});
+  return All;
+}
+
+std::vector<WorkerLoad> WorkerPool::loads() const {
+  std::vector<WorkerLoad> All;
+  for (const auto &[Number, Owner] : Shards_)
+    for (const auto &[Id, Agent] : Owner.Agents)
+      All.push_back(Agent->load());
+  return All;
+}
+
+std::vector<RunReport>
+WorkerPool::runsOf(const std::set<int> &JobShards) const {
+  std::vector<RunReport> All;
+  for (const auto &[Number, Owner] : Shards_)
+    for (const auto &[Id, Agent] : Owner.Agents)
+      for (RunReport &Report : Agent->runs()) {
+        const std::string Job = Report.Task.substr(0, Report.Task.find('.'));
+        if (JobShards.contains(Map_.shardOf(Job)))
+          All.push_back(std::move(Report));
+      }
+  return All;
+}
+
+std::vector<EndReport> WorkerPool::undelivered() const {
+  std::vector<EndReport> All;
+  for (const auto &[Number, Owner] : Shards_)
+    for (const auto &[Id, Agent] : Owner.Agents)
+      for (EndReport &Report : Agent->undelivered())
+        All.push_back(std::move(Report));
+  return All;
+}
+
+void WorkerPool::accepted(const EndReport &End) {
+  if (const auto Agent = agentOf(End.Worker))
+    Agent->accepted(End.Task, End.Run);
+}
+
+void WorkerPool::stop() {
+  while (!Shards_.empty())
+    revoke(Shards_.begin()->first);
+}
+
+} // namespace hickory
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -113,13 +113,13 @@
 private:
   asio::awaitable<void> handle(restinio::request_handle_t Request) {
     ++InFlight_;
-    HttpServerRequest Incoming{.Method = Request->header().method().c_str(),
-                               .Path = std::string(Request->header().path()),
-                               .Query = std::string(Request->header().query()),
-                               .Host = Request->header().get_field_or(
-                                   restinio::http_field::host, ""),
-                               .Deadline = deadlineOf(Request->header()),
-                               .Body = Request->body()};
+    HttpServerRequest Incoming{
+        .Method = Request->header().method().c_str(),
+        .Path = std::string(Request->header().path()),
+        .Query = std::string(Request->header().query()),
+        .Host = Request->header().get_field_or(restinio::http_field::host, ""),
+        .Deadline = deadlineOf(Request->header()),
+        .Body = Request->body()};
     HttpServerResponse Reply = co_await OnRequest_(std::move(Incoming));
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
--- /dev/null
+++ b/Source/Work/JobProgress.cpp
@@ -0,0 +1,448 @@
+#include "Work/JobProgress.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace hickory {
+
+namespace {
+
+using nlohmann::json;
+
+/// Starts are not stored, so a new owner leaves room for those that it cannot
+/// know of.
+constexpr int RunGapAfterTakeover = 16;
+
+constexpr std::pair<RunEnd, const char *> EndNames[] = {
+    {RunEnd::Done, "done"},       {RunEnd::Failed, "failed"},
+    {RunEnd::Stopped, "stopped"}, {RunEnd::Lapsed, "lapsed"},
+    {RunEnd::Broken, "broken"},   {RunEnd::Alone, "alone"},
+    {RunEnd::Lost, "lost"},       {RunEnd::Rejected, "rejected"}};
+
+bool isActive(TaskPhase Phase) {
+  return Phase == TaskPhase::Placing || Phase == TaskPhase::Running;
+}
+
+} // namespace
+
+const char *nameOf(RunEnd End) {
+  for (const auto &[Value, Name] : EndNames)
+    if (Value == End)
+      return Name;
+  return "lost";
+}
+
+RunEnd runEndFromName(const std::string &Name) {
+  for (const auto &[Value, Text] : EndNames)
+    if (Name == Text)
+      return Value;
+  return RunEnd::Lost;
+}
+
+const char *nameOf(JobState State) {
+  switch (State) {
+  case JobState::Pending:
+    return "pending";
+  case JobState::Running:
+    return "running";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "pending";
+}
+
+JobProgress::JobProgress(JobSpec Spec) : Spec_(std::move(Spec)) {
+  if (Spec_.Repetitions == 0)
+    addDueOccurrences(std::chrono::milliseconds(0));
+}
+
+bool JobProgress::addDueOccurrences(std::chrono::milliseconds SinceEpoch) {
+  const int Planned = std::max(1, Spec_.Repetitions);
+  bool Added = false;
+  while (!finished() && static_cast<int>(Occurrences_.size()) < Planned) {
+    const auto Number = static_cast<int>(Occurrences_.size());
+    if (Spec_.Repetitions > 0 &&
+        SinceEpoch < Spec_.FirstRun + Number * Spec_.Interval)
+      break;
+    Occurrence &New = Occurrences_.emplace_back();
+    New.Number = Number;
+    for (const StepSpec &Step : Spec_.Steps)
+      New.Steps.emplace_back().Tasks.resize(
+          static_cast<std::size_t>(Step.Count));
+    Added = true;
+  }
+  return Added;
+}
+
+StepProgress *JobProgress::stepOf(const TaskName &Task) {
+  if (Task.Occurrence >= static_cast<int>(Occurrences_.size()))
+    return nullptr;
+  Occurrence &In = Occurrences_[static_cast<std::size_t>(Task.Occurrence)];
+  if (Task.Step >= static_cast<int>(In.Steps.size()))
+    return nullptr;
+  StepProgress &Step = In.Steps[static_cast<std::size_t>(Task.Step)];
+  return Task.Index < static_cast<int>(Step.Tasks.size()) ? &Step : nullptr;
+}
+
+const TaskProgress *JobProgress::find(const TaskName &Task) const {
+  const StepProgress *Step = const_cast<JobProgress *>(this)->stepOf(Task);
+  return Step == nullptr ? nullptr
+                         : &Step->Tasks[static_cast<std::size_t>(Task.Index)];
+}
+
+bool JobProgress::dependenciesDone(const Occurrence &In, int Step) const {
+  return std::ranges::all_of(
+      Spec_.Steps[static_cast<std::size_t>(Step)].DependsOn, [&](int Earlier) {
+        const StepProgress &Needed =
+            In.Steps[static_cast<std::size_t>(Earlier)];
+        return Needed.Done == static_cast<int>(Needed.Tasks.size());
+      });
+}
+
+std::vector<ReadyStep> JobProgress::readySteps() const {
+  std::vector<ReadyStep> Ready;
+  if (finished())
+    return Ready;
+  for (const Occurrence &In : Occurrences_)
+    for (std::size_t S = 0; S < In.Steps.size(); ++S) {
+      const StepProgress &Step = In.Steps[S];
+      if (Step.Done == static_cast<int>(Step.Tasks.size()) ||
+          !dependenciesDone(In, static_cast<int>(S)))
+        continue;
+      ReadyStep Found{.Occurrence = In.Number, .Step = static_cast<int>(S)};
+      for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
+        if (Step.Tasks[I].Phase == TaskPhase::Waiting)
+          Found.Tasks.push_back(static_cast<int>(I));
+      const bool Whole = Found.Tasks.size() == Step.Tasks.size();
+      if (!Found.Tasks.empty() && (Whole || !Spec_.Steps[S].Gang))
+        Ready.push_back(std::move(Found));
+    }
+  return Ready;
+}
+
+int JobProgress::nextRun(int Occurrence, int Step) const {
+  return Occurrences_[static_cast<std::size_t>(Occurrence)]
+             .Steps[static_cast<std::size_t>(Step)]
+             .LastRun +
+         1;
+}
+
+std::string JobProgress::checkpointOf(const TaskName &Task) const {
+  const TaskProgress *Found = find(Task);
+  if (Found == nullptr)
+    return {};
+  if (!Spec_.Steps[static_cast<std::size_t>(Task.Step)].Gang)
+    return Found->Checkpoint;
+  // Any member's checkpoint holds for all; the greatest has the most work.
+  std::string Best;
+  for (const TaskProgress &Member :
+       Occurrences_[static_cast<std::size_t>(Task.Occurrence)]
+           .Steps[static_cast<std::size_t>(Task.Step)]
+           .Tasks)
+    Best = std::max(Best, Member.Checkpoint);
+  return Best;
+}
+
+int JobProgress::placedOn(int Occurrence, int Step,
+                          const std::string &Worker) const {
+  const auto &Tasks = Occurrences_[static_cast<std::size_t>(Occurrence)]
+                          .Steps[static_cast<std::size_t>(Step)]
+                          .Tasks;
+  return static_cast<int>(
+      std::ranges::count_if(Tasks, [&](const TaskProgress &Task) {
+        return isActive(Task.Phase) && Task.Worker == Worker;
+      }));
+}
+
+void JobProgress::markPlacing(const RunId &Run, Clock::time_point Now) {
+  StepProgress *Step = stepOf(Run.Task);
+  if (Step == nullptr)
+    return;
+  TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
+  Task.Phase = TaskPhase::Placing;
+  Task.Run = Run.Run;
+  Task.Worker = Run.Worker;
+  Task.Since = Now;
+  Step->LastRun = std::max(Step->LastRun, Run.Run);
+}
+
+ProgressEffect JobProgress::markRunning(const RunId &Run,
+                                        const std::string &Checkpoint,
+                                        Clock::time_point Now) {
+  ProgressEffect Effect;
+  StepProgress *Step = stepOf(Run.Task);
+  if (Step == nullptr || finished()) {
+    Effect.Stop.push_back(Run);
+    return Effect;
+  }
+  TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
+  const bool Current =
+      isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
+  if (!Current && Task.Phase != TaskPhase::Unknown) {
+    Effect.Stop.push_back(Run);
+    return Effect;
+  }
+  Effect.Applied = Task.Phase != TaskPhase::Running;
+  if (Effect.Applied)
+    Task.Since = Now;
+  Task.Phase = TaskPhase::Running;
+  Task.Run = Run.Run;
+  Task.Worker = Run.Worker;
+  Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
+  Step->LastRun = std::max(Step->LastRun, Run.Run);
+  if (State_ == JobState::Pending)
+    State_ = JobState::Running;
+  if (Step->GangBroken)
+    Effect.Stop.push_back(Run);
+  return Effect;
+}
+
+void JobProgress::countFailure(StepProgress &Step, TaskProgress &Task, int Run,
+                               bool Gang) {
+  if (!Gang) {
+    ++Task.Failures;
+    return;
+  }
+  if (Run <= Step.LastFailedRun)
+    return;
+  Step.LastFailedRun = Run;
+  ++Step.GangFailures;
+}
+
+void JobProgress::breakGang(const TaskName &Member, StepProgress &Step,
+                            ProgressEffect &Effect) {
+  Step.GangBroken = true;
+  for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
+    TaskName Other = Member;
+    Other.Index = static_cast<int>(I);
+    const TaskProgress &Task = Step.Tasks[I];
+    if (isActive(Task.Phase))
+      Effect.Stop.push_back(
+          {.Task = Other, .Run = Task.Run, .Worker = Task.Worker});
+  }
+}
+
+ProgressEffect JobProgress::endGangMember(const RunId &Run, StepProgress &Step,
+                                          RunEnd End) {
+  ProgressEffect Effect;
+  Effect.Applied = true;
+  if (End == RunEnd::Done) {
+    // One such end stands for all members.
+    for (TaskProgress &Task : Step.Tasks)
+      Task.Phase = TaskPhase::Done;
+    Step.Done = static_cast<int>(Step.Tasks.size());
+    Step.GangBroken = false;
+    Effect.Durable = true;
+    return Effect;
+  }
+  Step.Tasks[static_cast<std::size_t>(Run.Task.Index)].Phase =
+      TaskPhase::Waiting;
+  if (!Step.GangBroken)
+    breakGang(Run.Task, Step, Effect);
+  if (std::ranges::none_of(Step.Tasks, [](const TaskProgress &Task) {
+        return isActive(Task.Phase);
+      }))
+    Step.GangBroken = false;
+  return Effect;
+}
+
+ProgressEffect JobProgress::markEnded(const RunId &Run, RunEnd End,
+                                      const std::string &Checkpoint,
+                                      Clock::time_point Now) {
+  ProgressEffect Effect;
+  StepProgress *Step = stepOf(Run.Task);
+  if (Step == nullptr)
+    return Effect;
+  TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
+  // A repeated report of an end must not count twice.
+  const bool Adopted =
+      Task.Phase == TaskPhase::Unknown &&
+      (End == RunEnd::Done || (End == RunEnd::Failed && Run.Run > Task.Run));
+  const bool Current =
+      isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
+  if (!Current && !Adopted) {
+    if (Task.Phase == TaskPhase::Unknown)
+      Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
+    return Effect;
+  }
+  const StepSpec &Spec = Spec_.Steps[static_cast<std::size_t>(Run.Task.Step)];
+  Step->LastRun = std::max(Step->LastRun, Run.Run);
+  Task.Run = Run.Run;
+  Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
+  Task.Since = Now;
+  if (End != RunEnd::Rejected && State_ == JobState::Pending)
+    State_ = JobState::Running;
+  if (End == RunEnd::Failed) {
+    countFailure(*Step, Task, Run.Run, Spec.Gang);
+    Effect.Durable = true;
+  }
+  if (Spec.Gang && !Spec.LongRunning) {
+    const bool Durable = Effect.Durable;
+    Effect = endGangMember(Run, *Step, End);
+    Effect.Durable |= Durable;
+  } else if (End == RunEnd::Done && !Spec.LongRunning) {
+    Task.Phase = TaskPhase::Done;
+    ++Step->Done;
+    Effect.Durable = true;
+  } else if (!Adopted) {
+    Task.Phase = TaskPhase::Waiting;
+  }
+  Effect.Applied = true;
+  const int Failures = Spec.Gang ? Step->GangFailures : Task.Failures;
+  if (!finished() && !Spec.LongRunning && End == RunEnd::Failed &&
+      Failures >= Spec_.Queue.MaximumAttempts)
+    finishAs(JobState::Failed, Effect);
+  else
+    finishIfDone(Effect);
+  return Effect;
+}
+
+void JobProgress::finishIfDone(ProgressEffect &Effect) {
+  const auto Planned = static_cast<std::size_t>(std::max(1, Spec_.Repetitions));
+  if (finished() || Occurrences_.size() < Planned)
+    return;
+  for (const Occurrence &In : Occurrences_)
+    for (const StepProgress &Step : In.Steps)
+      if (Step.Done < static_cast<int>(Step.Tasks.size()))
+        return;
+  finishAs(JobState::Completed, Effect);
+}
+
+void JobProgress::finishAs(JobState State, ProgressEffect &Effect) {
+  State_ = State;
+  Effect.Finished = true;
+  Effect.Durable = true;
+  Effect.Stop = activeRuns();
+}
+
+ProgressEffect JobProgress::cancel(Clock::time_point /*Now*/) {
+  ProgressEffect Effect;
+  if (finished())
+    return Effect;
+  Effect.Applied = true;
+  finishAs(JobState::Cancelled, Effect);
+  return Effect;
+}
+
+void JobProgress::markAllUnknown() {
+  for (Occurrence &In : Occurrences_)
+    for (StepProgress &Step : In.Steps) {
+      Step.LastRun += RunGapAfterTakeover;
+      for (TaskProgress &Task : Step.Tasks)
+        if (Task.Phase != TaskPhase::Done) {
+          Task.Phase = TaskPhase::Unknown;
+          Unknown_ = true;
+        }
+    }
+}
+
+ProgressEffect JobProgress::resolveUnknown(Clock::time_point Now) {
+  ProgressEffect Effect;
+  Unknown_ = false;
+  for (Occurrence &In : Occurrences_)
+    for (std::size_t S = 0; S < In.Steps.size(); ++S) {
+      StepProgress &Step = In.Steps[S];
+      bool Found = false;
+      for (TaskProgress &Task : Step.Tasks)
+        if (Task.Phase == TaskPhase::Unknown) {
+          Task.Phase = TaskPhase::Waiting;
+          Task.Since = Now;
+          Found = true;
+        }
+      const bool OneRun =
+          std::ranges::all_of(Step.Tasks, [&](const TaskProgress &Task) {
+            return Task.Run == Step.Tasks.front().Run;
+          });
+      if (!Spec_.Steps[S].Gang || (!Found && OneRun))
+        continue;
+      const TaskName Member{.Job = Spec_.Id,
+                            .Occurrence = In.Number,
+                            .Step = static_cast<int>(S)};
+      ProgressEffect Broken;
+      breakGang(Member, Step, Broken);
+      Step.GangBroken = !Broken.Stop.empty();
+      Effect.Stop.insert(Effect.Stop.end(), Broken.Stop.begin(),
+                         Broken.Stop.end());
+    }
+  return Effect;
+}
+
+void JobProgress::collectActive(const Occurrence &In,
+                                std::vector<RunId> &Runs) const {
+  for (std::size_t S = 0; S < In.Steps.size(); ++S)
+    for (std::size_t I = 0; I < In.Steps[S].Tasks.size(); ++I) {
+      const TaskProgress &Task = In.Steps[S].Tasks[I];
+      if (isActive(Task.Phase))
+        Runs.push_back({.Task = {.Job = Spec_.Id,
+                                 .Occurrence = In.Number,
+                                 .Step = static_cast<int>(S),
+                                 .Index = static_cast<int>(I)},
+                        .Run = Task.Run,
+                        .Worker = Task.Worker});
+    }
+}
+
+std::vector<RunId> JobProgress::activeRuns() const {
+  std::vector<RunId> Runs;
+  for (const Occurrence &In : Occurrences_)
+    collectActive(In, Runs);
+  return Runs;
+}
+
+json JobProgress::durable() const {
+  json All = json::array();
+  for (const Occurrence &In : Occurrences_)
+    for (const StepProgress &Step : In.Steps) {
+      std::string Done;
+      json Failures = json::object();
+      for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
+        Done.push_back(Step.Tasks[I].Phase == TaskPhase::Done ? '1' : '0');
+        if (Step.Tasks[I].Failures > 0)
+          Failures[std::to_string(I)] = Step.Tasks[I].Failures;
+      }
+      All.push_back(json::array({Done, Step.LastRun, Step.GangFailures,
+                                 Step.LastFailedRun, std::move(Failures)}));
+    }
+  return json{{"state", nameOf(State_)},
+              {"occurrences", Occurrences_.size()},
+              {"steps", std::move(All)}};
+}
+
+void JobProgress::restore(const json &Durable) {
+  const auto Count = Durable.at("occurrences").get<std::size_t>();
+  const json &All = Durable.at("steps");
+  while (Occurrences_.size() < Count)
+    addDueOccurrences(Spec_.FirstRun +
+                      static_cast<int>(Occurrences_.size()) * Spec_.Interval);
+  const auto Name = Durable.at("state").get<std::string>();
+  for (const JobState State :
+       {JobState::Pending, JobState::Running, JobState::Completed,
+        JobState::Failed, JobState::Cancelled})
+    if (Name == nameOf(State))
+      State_ = State;
+  std::size_t Next = 0;
+  for (Occurrence &In : Occurrences_)
+    for (StepProgress &Step : In.Steps) {
+      if (Next >= All.size())
+        return;
+      const json &Stored = All[Next++];
+      const auto Done = Stored.at(0).get<std::string>();
+      Step.LastRun = Stored.at(1).get<int>();
+      Step.GangFailures = Stored.at(2).get<int>();
+      Step.LastFailedRun = Stored.at(3).get<int>();
+      for (std::size_t I = 0; I < Step.Tasks.size() && I < Done.size(); ++I)
+        if (Done[I] == '1') {
+          Step.Tasks[I].Phase = TaskPhase::Done;
+          ++Step.Done;
+        }
+      for (const auto &[Index, Failures] : Stored.at(4).items())
+        if (const std::size_t I = std::stoul(Index); I < Step.Tasks.size())
+          Step.Tasks[I].Failures = Failures.get<int>();
+    }
+}
+
+} // namespace hickory
--- /dev/null
+++ b/Source/Work/JobProgress.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "Base/TimerService.h"
+#include "Work/JobSpec.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+enum class TaskPhase {
+  Unknown, ///< After a takeover: it may run somewhere.
+  Waiting,
+  Placing, ///< Ordered, not confirmed.
+  Running,
+  Done,
+};
+
+/// How a run ended, as its worker or the worker's owner says.
+enum class RunEnd {
+  Done,
+  Failed, ///< Through its own fault or the worker's.
+  Stopped,
+  Lapsed,   ///< Its lease ended.
+  Broken,   ///< Another member of the gang ended.
+  Alone,    ///< It waited too long for the other members.
+  Lost,     ///< The worker no longer has it, and does not say why.
+  Rejected, ///< It never started.
+};
+
+const char *nameOf(RunEnd End);
+/// Lost if the text names no end.
+RunEnd runEndFromName(const std::string &Name);
+
+enum class JobState { Pending, Running, Completed, Failed, Cancelled };
+
+const char *nameOf(JobState State);
+
+/// One start of a task on a worker.
+struct RunId {
+  TaskName Task;
+  int Run = 0;
+  std::string Worker;
+};
+
+struct TaskProgress {
+  TaskPhase Phase = TaskPhase::Waiting;
+  int Run = 0; ///< Of the latest start.
+  int Failures = 0;
+  std::string Worker;
+  std::string Checkpoint;
+  Clock::time_point Since{}; ///< Of the phase.
+};
+
+struct StepProgress {
+  std::vector<TaskProgress> Tasks;
+  int LastRun = 0;       ///< Highest run of any task.
+  int LastFailedRun = 0; ///< Gangs: counts one failure a run.
+  int GangFailures = 0;
+  int Done = 0;
+  bool GangBroken = false; ///< Members of the latest run are being stopped.
+};
+
+struct Occurrence {
+  int Number = 0;
+  std::vector<StepProgress> Steps;
+};
+
+/// Tasks of one step that may start now.
+struct ReadyStep {
+  int Occurrence = 0;
+  int Step = 0;
+  std::vector<int> Tasks;
+};
+
+/// What an event means for others.
+struct ProgressEffect {
+  bool Applied = false; ///< False if the event does not concern a current run.
+  bool Durable = false; ///< Must be stored before it is acknowledged.
+  bool Finished = false;
+  std::vector<RunId> Stop; ///< Runs that must not go on.
+};
+
+/// What is known of the tasks of one job. Has no clock and sends nothing.
+class JobProgress {
+public:
+  explicit JobProgress(JobSpec Spec);
+
+  [[nodiscard]] const JobSpec &spec() const { return Spec_; }
+  [[nodiscard]] JobState state() const { return State_; }
+  [[nodiscard]] bool finished() const {
+    return State_ != JobState::Pending && State_ != JobState::Running;
+  }
+  /// True once a task was confirmed to run or to have ended.
+  [[nodiscard]] bool started() const { return State_ != JobState::Pending; }
+  [[nodiscard]] const std::vector<Occurrence> &occurrences() const {
+    return Occurrences_;
+  }
+  [[nodiscard]] const TaskProgress *find(const TaskName &Task) const;
+
+  /// Makes the occurrences that are due at this time of day. Returns true if
+  /// there are new ones.
+  bool addDueOccurrences(std::chrono::milliseconds SinceEpoch);
+
+  [[nodiscard]] std::vector<ReadyStep> readySteps() const;
+  /// Number of the next run of these tasks; the same for all of them.
+  [[nodiscard]] int nextRun(int Occurrence, int Step) const;
+  /// Checkpoint to start a task from: of any member for a gang.
+  [[nodiscard]] std::string checkpointOf(const TaskName &Task) const;
+  /// Tasks of the step on that worker which are placed or running.
+  [[nodiscard]] int placedOn(int Occurrence, int Step,
+                             const std::string &Worker) const;
+
+  void markPlacing(const RunId &Run, Clock::time_point Now);
+  /// A confirmation, also of a run that this owner did not order itself.
+  ProgressEffect markRunning(const RunId &Run, const std::string &Checkpoint,
+                             Clock::time_point Now);
+  ProgressEffect markEnded(const RunId &Run, RunEnd End,
+                           const std::string &Checkpoint,
+                           Clock::time_point Now);
+  ProgressEffect cancel(Clock::time_point Now);
+
+  /// After a takeover all tasks that have not ended may run somewhere.
+  void markAllUnknown();
+  /// Everything that runs is known now.
+  ProgressEffect resolveUnknown(Clock::time_point Now);
+  [[nodiscard]] bool hasUnknown() const { return Unknown_; }
+
+  /// All runs that are placed or running.
+  [[nodiscard]] std::vector<RunId> activeRuns() const;
+
+  /// The part that must outlast the owner.
+  [[nodiscard]] nlohmann::json durable() const;
+  void restore(const nlohmann::json &Durable);
+
+private:
+  StepProgress *stepOf(const TaskName &Task);
+  [[nodiscard]] bool dependenciesDone(const Occurrence &In, int Step) const;
+  ProgressEffect endGangMember(const RunId &Run, StepProgress &Step,
+                               RunEnd End);
+  void countFailure(StepProgress &Step, TaskProgress &Task, int Run, bool Gang);
+  void breakGang(const TaskName &Member, StepProgress &Step,
+                 ProgressEffect &Effect);
+  void collectActive(const Occurrence &In, std::vector<RunId> &Runs) const;
+  void finishIfDone(ProgressEffect &Effect);
+  void finishAs(JobState State, ProgressEffect &Effect);
+
+  JobSpec Spec_;
+  std::vector<Occurrence> Occurrences_;
+  JobState State_ = JobState::Pending;
+  bool Unknown_ = false;
+};
+
+} // namespace hickory
