--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -121,6 +121,8 @@
                            .Count = static_cast<int>(Item.Step.Tasks.size())};
   const auto Candidates = candidatesFor(Item);
   if (!Job.Queue.Advice) {
+    if (!Item.Job->Accepted)
+      return;
     placeOn(Item, Candidates, placeStep(Need, Candidates));
     return;
   }
@@ -131,10 +133,11 @@
     if (Advice.ticketFor(Each.Worker->Id,
                          Timers_.now() + Options_.TicketMargin) != nullptr)
       Ticketed.push_back(Each);
-  const auto Chosen = placeStep(Need, Ticketed);
+  const auto Chosen = Item.Job->Accepted ? placeStep(Need, Ticketed)
+                                         : std::vector<std::size_t>();
   placeOn(Item, Ticketed, Chosen);
   const int Left = Need.Count - static_cast<int>(Chosen.size());
-  if (Left > 0)
+  if (Left > 0 && (Item.Job->Accepted || Ticketed.empty()))
     askFor(Item, Candidates, Left);
 }
 
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -167,6 +167,12 @@
     Job->AcceptedAt = Timers_.now();
     Owner->Jobs[Id] = Job;
   }
+  if (!Job->Accepted) {
+    // Advice can be asked for while the journal is written.
+    Active_[Id] = Job;
+    if (Work_)
+      Work_();
+  }
   // A repetition of the call writes the same record again.
   std::vector<KeyedRecord> Records;
   Records.push_back(
@@ -176,16 +182,15 @@
   --Job->Submitting;
   if (Outcome == JournalOutcome::Written && !Job->Accepted) {
     Job->Accepted = true;
-    // The shard may have been given up meanwhile.
-    if (findJob(Id) == Job && !Job->Progress.finished()) {
-      Active_[Id] = Job;
-      if (Work_)
-        Work_();
-    }
+    if (Work_)
+      Work_();
+  }
+  // The shard may have been given up meanwhile.
+  if (!Job->Accepted && Job->Submitting == 0 && findJob(Id) == Job) {
+    Active_.erase(Id);
+    if (Outcome == JournalOutcome::NotWritten)
+      Shards_.at(Number).Jobs.erase(Id);
   }
-  if (Outcome == JournalOutcome::NotWritten && !Job->Accepted &&
-      Job->Submitting == 0 && findJob(Id) == Job)
-    Shards_.at(Number).Jobs.erase(Id);
   co_return Job->Accepted ? Accepted : statusOf(Outcome);
 }
 
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -51,7 +51,7 @@
                          WorkerAgentOptions Options)
     : Executor_(Executor), Timers_(Timers), Client_(Client), Events_(Events),
       Entry_(std::move(Entry)), Epoch_(Epoch), Listener_(std::move(Listener)),
-      Options_(Options), LastExtension_(Timers.now()) {}
+      Options_(Options), LastExtension_(Timers.now()), Delivered_(Executor) {}
 
 std::int64_t WorkerAgent::token() const {
   return static_cast<std::int64_t>(Epoch_) * TokensPerEpoch +
@@ -120,6 +120,9 @@
       continue;
     }
     applyHold(*Reply, SentAt);
+    co_await Timers_.sleepFor(Options_.HoldPause);
+    if (!Stopping_ && !OpenEnds_.empty())
+      co_await Delivered_.waitFor(Timers_, Options_.DeliveryWait);
   }
 }
 
@@ -265,6 +268,8 @@
   if (Number == 0)
     return;
   OpenEnds_.erase(Number);
+  if (OpenEnds_.empty())
+    Delivered_.notify();
   ClosedEnds_.insert(Number);
   const std::int64_t Acknowledged = acknowledged();
   std::erase_if(ClosedEnds_, [Acknowledged](std::int64_t Closed) {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -23,6 +23,11 @@
   std::chrono::milliseconds HoldWait{1500};
   std::chrono::milliseconds StartTimeout{700};
   std::chrono::milliseconds StopTimeout{700};
+  /// A worker answers a hold at once while it lists ends that are not
+  /// acknowledged, so that the next hold waits for that.
+  std::chrono::milliseconds DeliveryWait{100};
+  /// Least time between two holds, so that ends share one.
+  std::chrono::milliseconds HoldPause{15};
 };
 
 /// Holds one worker for the holder of its shard: commits its capacity, sends
@@ -117,6 +122,7 @@
   std::chrono::milliseconds Clock_{0};
   Clock::time_point ClockAt_{};
   Clock::time_point LastExtension_;
+  Signal Delivered_;
   bool ClockKnown_ = false;
   bool Resolved_ = false;
   bool Reachable_ = false;
