Count ends of earlier runs; ignore claims of former holders

Change: ends reach the job's owner in the exchange before it starts anything; a done end of any run counts; a failed end counts once a run; claims with an older epoch are dropped; owners that do not answer get no requests.

--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -12,7 +12,10 @@
 } // namespace
 
 std::optional<std::string> CellGateway::ownerOf(const std::string &Id) const {
-  return Shards_.holderOf(Map_.shardOf(Id));
+  auto Holder = Shards_.holderOf(Map_.shardOf(Id));
+  if (Holder && !Node_.isReachable(*Holder))
+    Holder.reset();
+  return Holder;
 }
 
 GatewayAnswer CellGateway::answer(const std::string &Id, const char *Call,
@@ -37,7 +40,7 @@
   const std::string Id = Job.Id;
   const auto Owner = ownerOf(Id);
   Result<SubmitReply> Reply =
-      fail(ErrorCode::NotSent, "the shard has no owner");
+      fail(ErrorCode::NotSent, "the shard has no owner that answers");
   if (Owner)
     Reply = co_await Peers_.submit(*Owner, std::move(Job));
   co_return answer(Id, "submit_failed", Reply);
@@ -46,7 +49,7 @@
 asio::awaitable<GatewayAnswer> CellGateway::cancel(std::string Id) {
   const auto Owner = ownerOf(Id);
   Result<SubmitReply> Reply =
-      fail(ErrorCode::NotSent, "the shard has no owner");
+      fail(ErrorCode::NotSent, "the shard has no owner that answers");
   if (Owner) {
     JobReference Job{.Id = Id};
     Reply = co_await Peers_.cancel(*Owner, std::move(Job));
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -58,12 +58,16 @@
   Request.Demands = std::move(Demands_[Address]);
   Demands_.erase(Address);
   const Clock::time_point SentAt = Timers_.now();
-  const auto Reply = co_await Peers_.exchange(Address, std::move(Request));
+  auto Reply = co_await Peers_.exchange(Address, std::move(Request));
   Exchanging_.erase(Address);
-  if (!Reply || Stopped_)
+  if (!Reply) {
+    SilentSince_.try_emplace(Address, SentAt);
     co_return;
-  for (const HeldShard &Item : Reply->Held)
-    Shards_.heard(Item.Shard, Item.Epoch, Address);
+  }
+  SilentSince_.erase(Address);
+  if (Stopped_)
+    co_return;
+  dropOutdated(*Reply, Address);
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   if (Reply->WaitingKnown)
@@ -74,6 +78,19 @@
   Starts_.wake();
 }
 
+void CellNode::dropOutdated(ExchangeReply &Reply, const std::string &Address) {
+  std::set<int> Current;
+  std::erase_if(Reply.Held, [&](const HeldShard &Item) {
+    if (!Shards_.heard(Item.Shard, Item.Epoch, Address))
+      return true;
+    Current.insert(Item.Shard);
+    return false;
+  });
+  std::erase_if(Reply.Workers, [&](const WorkerLoad &Worker) {
+    return !Current.contains(Map_.shardOf(Worker.Id));
+  });
+}
+
 ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
   std::set<int> JobShards;
   for (const ShardEpoch &Item : Request.Held) {
@@ -137,6 +154,12 @@
   co_return SubmitReply{.Status = Status};
 }
 
+bool CellNode::isReachable(const std::string &Address) const {
+  const auto It = SilentSince_.find(Address);
+  return It == SilentSince_.end() ||
+         Timers_.now() - It->second < Options_.SilenceLimit;
+}
+
 std::optional<int> CellNode::waiting(const std::string &Queue) const {
   const auto Peers = Shards_.peers();
   for (const std::string &Address : Peers)
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -20,6 +20,8 @@
   /// With many processes, exchanges are rarer, so that the calls of a process
   /// do not grow with their number.
   std::chrono::milliseconds ExchangePeriodPerPeer{50};
+  /// A process that answers no exchange for so long gets no requests.
+  std::chrono::milliseconds SilenceLimit{900};
   std::chrono::milliseconds EndsLinger{5};
   std::chrono::milliseconds EndsRetry{250};
 };
@@ -47,6 +49,8 @@
   JobStateReply state(const JobReference &Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
 
+  /// False if the process has not answered for a while.
+  [[nodiscard]] bool isReachable(const std::string &Address) const;
   /// Jobs not begun of the queue over all processes; nothing until all have
   /// reported.
   [[nodiscard]] std::optional<int> waiting(const std::string &Queue) const;
@@ -54,6 +58,8 @@
 private:
   asio::awaitable<void> exchangeLoop();
   asio::awaitable<void> exchangeWith(std::string Address);
+  /// Leaves out what the sender says of shards that have a later holder.
+  void dropOutdated(ExchangeReply &Reply, const std::string &Address);
   asio::awaitable<void> endsLoop();
   asio::awaitable<void> deliver(std::string Address,
                                 std::vector<EndReport> Ends);
@@ -77,6 +83,8 @@
   Signal ExchangeDue_;
   Signal EndsDue_;
   std::set<std::string> Exchanging_;
+  /// Begin of the first call of those that failed since the latest answer.
+  std::map<std::string, Clock::time_point> SilentSince_;
   std::map<std::string, std::vector<RunDemand>> Demands_;     ///< By peer.
   std::map<std::string, std::map<std::string, int>> Waiting_; ///< By peer.
   std::set<std::string> Delivering_;
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -12,7 +12,7 @@
 /// Longer than all tries of a start at the worker.
 constexpr std::chrono::milliseconds PlaceTimeout{2600};
 /// Longer than an append to the journal takes under trouble.
-constexpr std::chrono::milliseconds WriteTimeout{2800};
+constexpr std::chrono::milliseconds WriteTimeout{1600};
 
 template <typename T> Result<T> decode(const Result<std::string> &Body) {
   if (!Body)
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -344,12 +344,23 @@
     Stop_({Run});
 }
 
+void JobOwner::adopt(const JobPointer &Job, const RunId &Run,
+                     const std::string &Checkpoint) {
+  const ProgressEffect Effect =
+      Job->Progress.markRunning(Run, Checkpoint, Timers_.now());
+  if (Effect.Applied || !Effect.Stop.empty())
+    Events_.emit("jobs", Effect.Applied ? "run_adopted" : "run_refused",
+                 {{"task", Run.Task.toString()},
+                  {"run", Run.Run},
+                  {"worker", Run.Worker}});
+  applyEffect(Job, Effect);
+}
+
 void JobOwner::applyExchange(
     const ExchangeReply &Reply, Clock::time_point SentAt,
     const std::function<bool(const RunId &)> &Ordering) {
   for (const RunReport &Report : Reply.Runs)
-    if (!Report.Ended)
-      applyRunReport(Report);
+    applyRunReport(Report);
   endAbsent(Reply, SentAt, Ordering);
   markCleared(Reply, SentAt);
 }
@@ -410,6 +421,8 @@
   for (const auto &[Id, Job] : Owner.Jobs)
     if (Job->Progress.hasUnknown() && !Job->Progress.finished())
       Jobs.push_back(Job);
+  if (!Jobs.empty())
+    Events_.emit("jobs", "resolved", {{"jobs", Jobs.size()}});
   for (const JobPointer &Job : Jobs) {
     ProgressEffect Effect = Job->Progress.resolveUnknown(Timers_.now());
     Effect.Applied = true;
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -21,7 +21,7 @@
   /// How long the state of a finished job can be read.
   std::chrono::seconds KeepFinished{150};
   /// How long a call waits for the journal.
-  std::chrono::milliseconds WriteLimit{1800};
+  std::chrono::milliseconds WriteLimit{1200};
   std::size_t MaximumJobsPerShard = 20000;
 };
 
@@ -121,6 +121,9 @@
   asio::awaitable<void> forget(int Number, std::vector<KeyedRecord> Records);
   void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
   void applyRunReport(const RunReport &Report);
+  /// The run goes on somewhere; it is kept or stopped.
+  void adopt(const JobPointer &Job, const RunId &Run,
+             const std::string &Checkpoint);
   void endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
                  const std::function<bool(const RunId &)> &Ordering);
   void markCleared(const ExchangeReply &Reply, Clock::time_point SentAt);
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -78,7 +78,7 @@
   std::string Worker;
   std::string Checkpoint;
   bool DemandKnown = true;
-  bool Ended = false; ///< Its end is not yet accepted.
+  std::string How; ///< Of an end that is not yet accepted; else empty.
 };
 
 struct RunDemand {
@@ -141,7 +141,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, Task, Run, Worker, Checkpoint,
-                                   DemandKnown, Ended)
+                                   DemandKnown, How)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -74,6 +74,7 @@
       continue;
     FencedAt_.erase(Shard);
     Held_[Shard] = Generation_;
+    HighestEpoch_[Shard] = std::max(HighestEpoch_[Shard], Generation_);
     Holders_[Shard] = addressOf(Options_.Member);
     Events_.emit("shards", "assigned",
                  {{"shard", Shard}, {"epoch", Generation_}});
@@ -99,14 +100,19 @@
   revoke(Shard);
 }
 
-void ShardMembership::heard(int Shard, std::uint64_t Epoch,
+bool ShardMembership::heard(int Shard, std::uint64_t Epoch,
                             const std::string &Address) {
+  std::uint64_t &Highest = HighestEpoch_[Shard];
+  if (Epoch < Highest)
+    return false;
+  Highest = Epoch;
   const auto It = Held_.find(Shard);
   if (It != Held_.end() && It->second >= Epoch)
-    return;
+    return true;
   if (It != Held_.end())
     fenced(Shard);
   Holders_[Shard] = Address;
+  return true;
 }
 
 asio::awaitable<void> ShardMembership::followHolders() {
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -18,9 +18,9 @@
   std::string Topic = "keyed.journal";
   std::string Member; ///< ADDRESS/INCARNATION of this process.
   /// A process that is silent for so long loses its shards.
-  std::chrono::milliseconds TimeToLive{2500};
-  std::chrono::milliseconds JoinPeriod{700};
-  std::chrono::milliseconds HoldersPeriod{700};
+  std::chrono::milliseconds TimeToLive{1500};
+  std::chrono::milliseconds JoinPeriod{400};
+  std::chrono::milliseconds HoldersPeriod{400};
 };
 
 /// Stays in the group that deals the shards and follows who holds which.
@@ -58,8 +58,9 @@
   /// A later epoch of the shard exists. It is given up, and taken again if the
   /// store still deals it to this process.
   void fenced(int Shard);
-  /// Another process says that it holds the shard in this epoch.
-  void heard(int Shard, std::uint64_t Epoch, const std::string &Address);
+  /// Another process says that it holds the shard in this epoch. Returns false
+  /// if a later holder is known, so that the claim is out of date.
+  bool heard(int Shard, std::uint64_t Epoch, const std::string &Address);
 
 private:
   asio::awaitable<void> followHolders();
@@ -75,6 +76,7 @@
   std::map<int, std::uint64_t> Held_;
   std::map<int, std::uint64_t> FencedAt_; ///< Generation at that time.
   std::map<int, std::string> Holders_;
+  std::map<int, std::uint64_t> HighestEpoch_; ///< That anybody claimed.
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
   bool Stopping_ = false;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -347,10 +347,18 @@
       It->second.State = Phase::Running;
       It->second.Confirmed = true;
       It->second.ConfirmedAt = Timers_.now();
+      Events_.emit("workers", "started",
+                   {{"task", Order.Task},
+                    {"run", Order.Run},
+                    {"worker", Entry_.Id},
+                    {"token", token()}});
       co_return PlaceResult{.Status = PlaceStatus::Started};
     }
     if (Reply->Status == OrderStatus::Fenced) {
-      const auto Result = rejected(Name, nameOf(Reply->Status));
+      // An earlier copy may have been carried out; the successor sees it.
+      const auto Result = MayBeThere
+                              ? PlaceResult{.Status = PlaceStatus::Pending}
+                              : rejected(Name, nameOf(Reply->Status));
       Listener_.Fenced();
       co_return Result;
     }
@@ -383,6 +391,8 @@
   Run &Item = It->second;
   if (Item.State == Phase::Stopping || Item.State == Phase::Ended)
     return;
+  Events_.emit("workers", "stopping",
+               {{"task", Task}, {"run", RunNumber}, {"worker", Entry_.Id}});
   Item.State = Phase::Stopping;
   Item.Confirmed = false;
   asio::co_spawn(Executor_, stopUntilAnswered(Name), asio::detached);
@@ -429,7 +439,7 @@
                    .Worker = Entry_.Id,
                    .Checkpoint = Item.Checkpoint,
                    .DemandKnown = Item.DemandKnown,
-                   .Ended = Item.State == Phase::Ended});
+                   .How = Item.State == Phase::Ended ? nameOf(Item.How) : ""});
   return All;
 }
 
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -201,18 +201,6 @@
   return Effect;
 }
 
-void JobProgress::countFailure(StepProgress &Step, TaskProgress &Task, int Run,
-                               bool Gang) {
-  if (!Gang) {
-    ++Task.Failures;
-    return;
-  }
-  if (Run <= Step.LastFailedRun)
-    return;
-  Step.LastFailedRun = Run;
-  ++Step.GangFailures;
-}
-
 void JobProgress::breakGang(const TaskName &Member, StepProgress &Step,
                             ProgressEffect &Effect) {
   Step.GangBroken = true;
@@ -226,19 +214,33 @@
   }
 }
 
-ProgressEffect JobProgress::endGangMember(const RunId &Run, StepProgress &Step,
-                                          RunEnd End) {
-  ProgressEffect Effect;
-  Effect.Applied = true;
-  if (End == RunEnd::Done) {
-    // One such end stands for all members.
-    for (TaskProgress &Task : Step.Tasks)
-      Task.Phase = TaskPhase::Done;
-    Step.Done = static_cast<int>(Step.Tasks.size());
-    Step.GangBroken = false;
-    Effect.Durable = true;
-    return Effect;
+void JobProgress::endDone(const RunId &Run, StepProgress &Step,
+                          ProgressEffect &Effect) {
+  const bool Gang = Spec_.Steps[static_cast<std::size_t>(Run.Task.Step)].Gang;
+  for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
+    // One such end stands for all members of a gang.
+    if (!Gang && static_cast<int>(I) != Run.Task.Index)
+      continue;
+    TaskProgress &Task = Step.Tasks[I];
+    const bool OtherRun =
+        Task.Run != Run.Run || (!Gang && Task.Worker != Run.Worker);
+    if (isActive(Task.Phase) && OtherRun) {
+      TaskName Name = Run.Task;
+      Name.Index = static_cast<int>(I);
+      Effect.Stop.push_back(
+          {.Task = Name, .Run = Task.Run, .Worker = Task.Worker});
+    }
+    if (Task.Phase != TaskPhase::Done)
+      ++Step.Done;
+    Task.Phase = TaskPhase::Done;
   }
+  Step.GangBroken = false;
+  Effect.Applied = true;
+  Effect.Durable = true;
+}
+
+void JobProgress::endGangMember(const RunId &Run, StepProgress &Step,
+                                ProgressEffect &Effect) {
   Step.Tasks[static_cast<std::size_t>(Run.Task.Index)].Phase =
       TaskPhase::Waiting;
   if (!Step.GangBroken)
@@ -247,7 +249,6 @@
         return isActive(Task.Phase);
       }))
     Step.GangBroken = false;
-  return Effect;
 }
 
 ProgressEffect JobProgress::markEnded(const RunId &Run, RunEnd End,
@@ -255,46 +256,38 @@
                                       Clock::time_point Now) {
   ProgressEffect Effect;
   StepProgress *Step = stepOf(Run.Task);
-  if (Step == nullptr)
+  if (Step == nullptr || finished())
     return Effect;
+  const StepSpec &Spec = Spec_.Steps[static_cast<std::size_t>(Run.Task.Step)];
   TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
-  // A repeated report of an end must not count twice.
-  const bool Adopted =
-      Task.Phase == TaskPhase::Unknown &&
-      (End == RunEnd::Done || (End == RunEnd::Failed && Run.Run > Task.Run));
-  const bool Current =
-      isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
-  if (!Current && !Adopted) {
-    if (Task.Phase == TaskPhase::Unknown)
-      Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
+  if (Task.Phase == TaskPhase::Done)
     return Effect;
-  }
-  const StepSpec &Spec = Spec_.Steps[static_cast<std::size_t>(Run.Task.Step)];
   Step->LastRun = std::max(Step->LastRun, Run.Run);
-  Task.Run = Run.Run;
   Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
-  Task.Since = Now;
   if (End != RunEnd::Rejected && State_ == JobState::Pending)
     State_ = JobState::Running;
-  if (End == RunEnd::Failed) {
-    countFailure(*Step, Task, Run.Run, Spec.Gang);
+  // Ends of earlier runs, too, are taken note of once they are acknowledged:
+  // a task that was done does not start again, and each failure counts.
+  std::vector<int> &FailedRuns = Spec.Gang ? Step->FailedRuns : Task.FailedRuns;
+  if (End == RunEnd::Failed && std::ranges::count(FailedRuns, Run.Run) == 0) {
+    FailedRuns.push_back(Run.Run);
     Effect.Durable = true;
   }
-  if (Spec.Gang && !Spec.LongRunning) {
-    const bool Durable = Effect.Durable;
-    Effect = endGangMember(Run, *Step, End);
-    Effect.Durable |= Durable;
-  } else if (End == RunEnd::Done && !Spec.LongRunning) {
-    Task.Phase = TaskPhase::Done;
-    ++Step->Done;
-    Effect.Durable = true;
-  } else if (!Adopted) {
-    Task.Phase = TaskPhase::Waiting;
+  const bool Current =
+      isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
+  if (End == RunEnd::Done && !Spec.LongRunning) {
+    endDone(Run, *Step, Effect);
+  } else if (Current) {
+    Task.Since = Now;
+    Effect.Applied = true;
+    if (Spec.Gang && !Spec.LongRunning)
+      endGangMember(Run, *Step, Effect);
+    else
+      Task.Phase = TaskPhase::Waiting;
   }
-  Effect.Applied = true;
-  const int Failures = Spec.Gang ? Step->GangFailures : Task.Failures;
-  if (!finished() && !Spec.LongRunning && End == RunEnd::Failed &&
-      Failures >= Spec_.Queue.MaximumAttempts)
+  if (!Spec.LongRunning &&
+      static_cast<int>(FailedRuns.size()) >= Spec_.Queue.MaximumAttempts &&
+      Task.Phase != TaskPhase::Done)
     finishAs(JobState::Failed, Effect);
   else
     finishIfDone(Effect);
@@ -401,11 +394,11 @@
       json Failures = json::object();
       for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
         Done.push_back(Step.Tasks[I].Phase == TaskPhase::Done ? '1' : '0');
-        if (Step.Tasks[I].Failures > 0)
-          Failures[std::to_string(I)] = Step.Tasks[I].Failures;
+        if (!Step.Tasks[I].FailedRuns.empty())
+          Failures[std::to_string(I)] = Step.Tasks[I].FailedRuns;
       }
-      All.push_back(json::array({Done, Step.LastRun, Step.GangFailures,
-                                 Step.LastFailedRun, std::move(Failures)}));
+      All.push_back(json::array(
+          {Done, Step.LastRun, Step.FailedRuns, std::move(Failures)}));
     }
   return json{{"state", nameOf(State_)},
               {"occurrences", Occurrences_.size()},
@@ -432,16 +425,15 @@
       const json &Stored = All[Next++];
       const auto Done = Stored.at(0).get<std::string>();
       Step.LastRun = Stored.at(1).get<int>();
-      Step.GangFailures = Stored.at(2).get<int>();
-      Step.LastFailedRun = Stored.at(3).get<int>();
+      Step.FailedRuns = Stored.at(2).get<std::vector<int>>();
       for (std::size_t I = 0; I < Step.Tasks.size() && I < Done.size(); ++I)
         if (Done[I] == '1') {
           Step.Tasks[I].Phase = TaskPhase::Done;
           ++Step.Done;
         }
-      for (const auto &[Index, Failures] : Stored.at(4).items())
+      for (const auto &[Index, Failures] : Stored.at(3).items())
         if (const std::size_t I = std::stoul(Index); I < Step.Tasks.size())
-          Step.Tasks[I].Failures = Failures.get<int>();
+          Step.Tasks[I].FailedRuns = Failures.get<std::vector<int>>();
     }
 }
 
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -47,8 +47,8 @@
 
 struct TaskProgress {
   TaskPhase Phase = TaskPhase::Waiting;
-  int Run = 0; ///< Of the latest start.
-  int Failures = 0;
+  int Run = 0;                 ///< Of the latest start.
+  std::vector<int> FailedRuns; ///< An end may be reported more than once.
   std::string Worker;
   std::string Checkpoint;
   Clock::time_point Since{}; ///< Of the phase.
@@ -56,9 +56,8 @@
 
 struct StepProgress {
   std::vector<TaskProgress> Tasks;
-  int LastRun = 0;       ///< Highest run of any task.
-  int LastFailedRun = 0; ///< Gangs: counts one failure a run.
-  int GangFailures = 0;
+  int LastRun = 0;             ///< Highest run of any task.
+  std::vector<int> FailedRuns; ///< Of a gang as a whole.
   int Done = 0;
   bool GangBroken = false; ///< Members of the latest run are being stopped.
 };
@@ -138,9 +137,9 @@
 private:
   StepProgress *stepOf(const TaskName &Task);
   [[nodiscard]] bool dependenciesDone(const Occurrence &In, int Step) const;
-  ProgressEffect endGangMember(const RunId &Run, StepProgress &Step,
-                               RunEnd End);
-  void countFailure(StepProgress &Step, TaskProgress &Task, int Run, bool Gang);
+  void endDone(const RunId &Run, StepProgress &Step, ProgressEffect &Effect);
+  void endGangMember(const RunId &Run, StepProgress &Step,
+                     ProgressEffect &Effect);
   void breakGang(const TaskName &Member, StepProgress &Step,
                  ProgressEffect &Effect);
   void collectActive(const Occurrence &In, std::vector<RunId> &Runs) const;
