Use reported ends at a takeover; let the lease of a silent worker end

Ruled out: late orders (fenced), a stale holder's claim: the log shows the run stopped as unknown to the new owner. Change: ends in exchanges are applied as ends; a silent worker's lease is not extended; tasks found nowhere start again only once the list of workers is settled.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -38,6 +38,7 @@
     Pool_.revoke(Shard);
     Jobs_.revoke(Shard);
   });
+  Pool_.followList([this] { return Workers_.currentSince(); });
   Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
   Pool_.onEnds([this] { Node_.endsChanged(); });
   Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -337,10 +337,15 @@
     return;
   const RunId Run{.Task = *Task, .Run = Report.Run, .Worker = Report.Worker};
   const JobPointer Job = findJob(Task->Job);
-  if (Job)
-    applyEffect(
-        Job, Job->Progress.markRunning(Run, Report.Checkpoint, Timers_.now()));
-  else if (Stop_)
+  if (Job && !Report.How.empty())
+    // The end itself is accepted when it is delivered; until then, it must be
+    // known to a new owner before that starts the task again.
+    applyEffect(Job,
+                Job->Progress.markEnded(Run, runEndFromName(Report.How),
+                                        Report.Checkpoint, Timers_.now()));
+  else if (Job)
+    adopt(Job, Run, Report.Checkpoint);
+  else if (Report.How.empty() && Stop_)
     Stop_({Run});
 }
 
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace hickory {
@@ -34,6 +35,10 @@
   void stop() override { Stopping_ = true; }
   /// False until the first complete read.
   [[nodiscard]] bool ready() const { return Ready_; }
+  /// Since when the copy is kept without a break; nothing while it is not.
+  [[nodiscard]] std::optional<Clock::time_point> currentSince() const {
+    return CurrentSince_;
+  }
 
 private:
   asio::awaitable<bool> readNewest();
@@ -48,6 +53,7 @@
   std::map<std::string, std::string> Values_;
   std::uint64_t Next_ = 0;
   bool Ready_ = false;
+  std::optional<Clock::time_point> CurrentSince_;
   bool Reachable_ = true;
   bool Stopping_ = false;
 };
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -85,7 +85,9 @@
   const auto Self = shared_from_this();
   while (!Stopping_) {
     HoldOrder Order{.Acknowledged = acknowledged()};
-    if (ClockKnown_) {
+    // Without contact the lease is left to end: every order that is sent may
+    // arrive and extend it.
+    if (ClockKnown_ && Reachable_) {
       Order.LeaseEnd = extendLease();
       Order.Wait = Options_.HoldWait;
     }
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -5,6 +5,14 @@
 
 namespace hickory {
 
+namespace {
+
+/// Workers whose entries lapsed while the store was away are listed again
+/// within two seconds.
+constexpr std::chrono::milliseconds ListSettleTime{2500};
+
+} // namespace
+
 WorkerPool::WorkerPool(const asio::any_io_executor &Executor,
                        TimerService &Timers, WorkerClient &Client,
                        EventLog &Events, ShardMap Shards,
@@ -52,7 +60,6 @@
 
 void WorkerPool::updateList(const std::map<std::string, WorkerEntry> &Workers) {
   Listed_ = Workers;
-  ListKnown_ = true;
   for (auto &[Number, Owner] : Shards_)
     std::erase_if(Owner.Agents, [&](auto &Item) {
       if (Listed_.contains(Item.first))
@@ -117,10 +124,16 @@
     Agent->learnDemand(Demand.Task, Demand.Run, Demand.Demand);
 }
 
+bool WorkerPool::listSettled() const {
+  const auto Since = ListCurrentSince_ ? ListCurrentSince_() : std::nullopt;
+  return Since && Timers_.now() - *Since >= ListSettleTime;
+}
+
 std::vector<HeldShard> WorkerPool::held() const {
   std::vector<HeldShard> All;
+  const bool Ready = listSettled();
   for (const auto &[Number, Owner] : Shards_)
-    All.push_back({.Shard = Number, .Epoch = Owner.Epoch, .Ready = ListKnown_});
+    All.push_back({.Shard = Number, .Epoch = Owner.Epoch, .Ready = Ready});
   return All;
 }
 
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -29,6 +29,12 @@
   void revoke(int Shard);
   /// The platform's whole list of workers.
   void updateList(const std::map<std::string, WorkerEntry> &Workers);
+  /// Tells since when the list is kept up to date. Workers may be missing from
+  /// it for a while after the store was away.
+  void
+  followList(std::function<std::optional<Clock::time_point>()> CurrentSince) {
+    ListCurrentSince_ = std::move(CurrentSince);
+  }
 
   /// Refuses placements of jobs whose shard has a later holder.
   asio::awaitable<PlaceResult> place(ShardEpoch Job, PlaceOrder Order);
@@ -54,6 +60,7 @@
     std::map<std::string, std::shared_ptr<WorkerAgent>> Agents;
   };
 
+  [[nodiscard]] bool listSettled() const;
   void addAgent(int Number, const WorkerEntry &Entry);
   [[nodiscard]] std::shared_ptr<WorkerAgent>
   agentOf(const std::string &Worker) const;
@@ -69,7 +76,7 @@
   std::map<int, Shard> Shards_;
   std::map<int, std::uint64_t> JobEpochs_;
   std::map<std::string, WorkerEntry> Listed_;
-  bool ListKnown_ = false;
+  std::function<std::optional<Clock::time_point>()> ListCurrentSince_;
 };
 
 } // namespace hickory
