--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -10,7 +10,8 @@
     : Context_(Context), Services_(Services), Options_(std::move(Options)),
       Timers_(Context), Events_(Timers_, Options_.Events),
       Map_(Options_.Shards),
-      Shards_(Timers_, Services.Store, Events_, Options_.Membership),
+      Shards_(Context.get_executor(), Timers_, Services.Store, Events_,
+              Options_.Membership),
       Pool_(Context.get_executor(), Timers_, Services.Workers, Events_, Map_,
             Options_.Workers),
       Jobs_(Context.get_executor(), Timers_, Services.Store, Events_, Map_,
@@ -38,7 +39,18 @@
     Pool_.revoke(Shard);
     Jobs_.revoke(Shard);
   });
-  Pool_.followList([this] { return Workers_.currentSince(); });
+  Pool_.onRecord([this](int Shard, WorkerEntry Entry) {
+    Jobs_.recordWorker(Shard, std::move(Entry));
+  });
+  Pool_.onForget([this](int Shard, const std::string &Worker) {
+    Jobs_.forgetWorker(Shard, Worker);
+  });
+  Jobs_.onWorkersRead([this](int Shard, const std::vector<WorkerEntry> &Read) {
+    Pool_.restore(Shard, Read);
+  });
+  Jobs_.onWorkerRecorded([this](int Shard, const std::string &Worker) {
+    Pool_.recorded(Shard, Worker);
+  });
   Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
   Pool_.onEnds([this] { Node_.endsChanged(); });
   Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
@@ -95,6 +107,7 @@
   Draining_ = true;
   Events_.emit("daemon", "draining");
   co_await Shards_.drain();
+  Node_.announceLeaving();
   co_await Timers_.sleepFor(Options_.DrainTime);
 }
 
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -53,6 +53,16 @@
   }
 }
 
+void CellNode::announceLeaving() {
+  for (const std::string &Address : Shards_.peers())
+    asio::co_spawn(Executor_, announceTo(Address), asio::detached);
+}
+
+asio::awaitable<void> CellNode::announceTo(std::string Address) {
+  ExchangeRequest Request{.Sender = Options_.Address, .Leaving = true};
+  co_await Peers_.exchange(Address, std::move(Request));
+}
+
 asio::awaitable<void> CellNode::exchangeWith(std::string Address) {
   ExchangeRequest Request{.Sender = Options_.Address, .Held = Jobs_.held()};
   Request.Demands = std::move(Demands_[Address]);
@@ -92,6 +102,8 @@
 }
 
 ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
+  if (Request.Leaving)
+    Shards_.joinSoon();
   std::set<int> JobShards;
   for (const ShardEpoch &Item : Request.Held) {
     Pool_.fenceJobs(Item);
@@ -140,6 +152,10 @@
   co_return co_await Jobs_.ends(std::move(Request));
 }
 
+asio::awaitable<AdviseReply> CellNode::advise(AdviseRequest Request) {
+  co_return co_await Starts_.adviseForPeer(std::move(Request));
+}
+
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
   const int Status = co_await Jobs_.submit(std::move(Job));
   co_return SubmitReply{.Status = Status};
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -39,12 +39,15 @@
   void stop();
   /// Exchanges at once, for example after a takeover.
   void exchangeSoon() { ExchangeDue_.notify(); }
+  /// Tells the others that the shards of this process are free.
+  void announceLeaving();
   void endsChanged() { EndsDue_.notify(); }
 
   asio::awaitable<PlaceReply> place(PlaceRequest Request) override;
   void stop(const StopRequest &Request) override;
   asio::awaitable<EndsReply> ends(EndsRequest Request) override;
   ExchangeReply exchange(const ExchangeRequest &Request) override;
+  asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
   asio::awaitable<SubmitReply> submit(JobSpec Job) override;
   JobStateReply state(const JobReference &Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
@@ -57,6 +60,7 @@
 
 private:
   asio::awaitable<void> exchangeLoop();
+  asio::awaitable<void> announceTo(std::string Address);
   asio::awaitable<void> exchangeWith(std::string Address);
   /// Leaves out what the sender says of shards that have a later holder.
   void dropOutdated(ExchangeReply &Reply, const std::string &Address);
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -17,6 +17,8 @@
   virtual void stop(const StopRequest &Request) = 0;
   virtual asio::awaitable<EndsReply> ends(EndsRequest Request) = 0;
   virtual ExchangeReply exchange(const ExchangeRequest &Request) = 0;
+  /// Asks the adviser for another process whose own call takes long.
+  virtual asio::awaitable<AdviseReply> advise(AdviseRequest Request) = 0;
   virtual asio::awaitable<SubmitReply> submit(JobSpec Job) = 0;
   virtual JobStateReply state(const JobReference &Job) = 0;
   virtual asio::awaitable<SubmitReply> cancel(JobReference Job) = 0;
@@ -35,6 +37,8 @@
                                                   EndsRequest Request) = 0;
   virtual asio::awaitable<Result<ExchangeReply>>
   exchange(std::string Address, ExchangeRequest Request) = 0;
+  virtual asio::awaitable<Result<AdviseReply>>
+  advise(std::string Address, AdviseRequest Request) = 0;
   virtual asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                                       JobSpec Job) = 0;
   virtual asio::awaitable<Result<JobStateReply>> state(std::string Address,
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -145,7 +145,10 @@
                         const std::vector<Candidate> &Candidates, int Count) {
   const JobSpec &Job = Item.Job->Progress.spec();
   StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
-  if (Asking_ || Advice.Asking)
+  // A short call must not wait for a long one: other lines may be free.
+  const bool ThroughPeers = Asking_ && !Item.Rank.Patient &&
+                            AskingThroughPeers_ < Options_.AsksThroughPeers;
+  if (Advice.Asking || (Asking_ && !ThroughPeers))
     return;
   const PlacementNeed Need{
       .Step = &Job.Steps[static_cast<std::size_t>(Item.Step.Step)],
@@ -154,44 +157,109 @@
       chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name));
   if (Workers.empty())
     return;
-  Asking_ = true;
   Advice.Asking = true;
+  if (ThroughPeers) {
+    ++AskingThroughPeers_;
+    asio::co_spawn(Executor_, askThroughPeers(Item, std::move(Workers)),
+                   asio::detached);
+    return;
+  }
+  Asking_ = true;
   asio::co_spawn(Executor_, ask(Item, std::move(Workers)), asio::detached);
 }
 
 asio::awaitable<void> Dispatcher::ask(ReadyItem Item,
                                       std::vector<std::string> Workers) {
-  const JobSpec &Job = Item.Job->Progress.spec();
-  const TaskName Name{.Job = Job.Id,
-                      .Occurrence = Item.Step.Occurrence,
-                      .Step = Item.Step.Step};
+  const std::string Step = stepNameOf(Item);
   const Clock::time_point AskedAt = Timers_.now();
-  auto Reply = co_await Adviser_.ask(Name.stepName(), Workers);
+  const auto Reply = co_await Adviser_.ask(Step, Workers);
   Asking_ = false;
-  StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
-  Advice.Asking = false;
+  applyAdvice(Item, Workers, Reply, AskedAt);
+  if (!Reply)
+    co_await Timers_.sleepFor(Options_.StopRetry);
+  wake();
+}
+
+asio::awaitable<AdviseReply> Dispatcher::adviseForPeer(AdviseRequest Request) {
+  AdviseReply Answer;
+  if (Asking_)
+    co_return Answer;
+  Asking_ = true;
+  const auto Reply = co_await Adviser_.ask(std::move(Request.Step),
+                                           std::move(Request.Workers));
+  Asking_ = false;
+  wake();
+  if (!Reply)
+    co_return Answer;
+  Answer.Answered = true;
+  for (const Ticket &Item : Reply->Good) {
+    Answer.Good.push_back(Item.Worker);
+    Answer.Tickets.push_back(Item.Text);
+  }
+  co_return Answer;
+}
+
+asio::awaitable<void>
+Dispatcher::askThroughPeers(ReadyItem Item, std::vector<std::string> Workers) {
+  const std::string Step = stepNameOf(Item);
+  const Clock::time_point AskedAt = Timers_.now();
+  const auto Peers = Shards_.peers();
+  const std::vector<std::string> Addresses(Peers.begin(), Peers.end());
+  Result<Advice> Found = fail(ErrorCode::Overloaded, "all lines are busy");
+  for (std::size_t Try = 0;
+       Try < std::min(Options_.PeersAsked, Addresses.size()); ++Try) {
+    const std::string &Address = Addresses[NextPeer_++ % Addresses.size()];
+    AdviseRequest Request{.Step = Step, .Workers = Workers};
+    const auto Reply = co_await Peers_.advise(Address, std::move(Request));
+    if (!Reply || !Reply->Answered)
+      continue;
+    Advice Answer;
+    for (std::size_t I = 0; I < Reply->Good.size(); ++I)
+      Answer.Good.push_back(
+          {.Worker = Reply->Good[I], .Text = Reply->Tickets.at(I)});
+    Found = std::move(Answer);
+    break;
+  }
+  --AskingThroughPeers_;
+  applyAdvice(Item, Workers, Found, AskedAt);
+  if (!Found)
+    co_await Timers_.sleepFor(Options_.BusyPause);
+  wake();
+}
+
+void Dispatcher::applyAdvice(const ReadyItem &Item,
+                             const std::vector<std::string> &Workers,
+                             const Result<Advice> &Reply,
+                             Clock::time_point AskedAt) {
+  const QueuePolicy &Queue = Item.Job->Progress.spec().Queue;
+  StepAdvice &Known = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  Known.Asking = false;
   const auto Took = Timers_.now() - AskedAt;
   Counters_.count("advice_calls_total");
   Counters_.observe("advice_ms", static_cast<double>(milliseconds(Took)));
   Events_.emit("dispatch", "advice",
-               {{"step", Name.stepName()},
-                {"queue", Job.Queue.Name},
+               {{"step", stepNameOf(Item)},
+                {"queue", Queue.Name},
                 {"asked", Workers.size()},
                 {"good", Reply ? Reply->Good.size() : 0},
                 {"error", Reply ? "" : Reply.error().Message},
                 {"took_ms", milliseconds(Took)}});
-  if (Reply) {
-    // The ticket was made when the answer was sent.
-    Reply->Validity = Job.Queue.Advice->Validity;
-    Advice.apply(Workers, *Reply, Timers_.now());
-    double &Share = goodShareOf(Job.Queue.Name);
-    Share += GoodShareWeight * (static_cast<double>(Reply->Good.size()) /
-                                    static_cast<double>(Workers.size()) -
-                                Share);
-  } else {
-    co_await Timers_.sleepFor(Options_.StopRetry);
-  }
-  wake();
+  if (!Reply)
+    return;
+  // The ticket was made just before the answer was sent.
+  Advice Answer{.Good = Reply->Good, .Validity = Queue.Advice->Validity};
+  Known.apply(Workers, Answer, Timers_.now());
+  double &Share = goodShareOf(Queue.Name);
+  Share += GoodShareWeight * (static_cast<double>(Reply->Good.size()) /
+                                  static_cast<double>(Workers.size()) -
+                              Share);
+}
+
+std::string Dispatcher::stepNameOf(const ReadyItem &Item) {
+  return TaskName{.Job = Item.Job->Progress.spec().Id,
+                  .Occurrence = Item.Step.Occurrence,
+                  .Step = Item.Step.Step}
+      .stepName();
 }
 
 void Dispatcher::placeOn(const ReadyItem &Item,
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -25,6 +25,11 @@
   /// Steps looked at in one pass; the rest is less urgent.
   std::size_t MaximumSteps = 200;
   std::chrono::milliseconds StopRetry{250};
+  /// Calls to the adviser at a time that other processes make for this one.
+  int AsksThroughPeers = 3;
+  /// Processes asked until one has a free line.
+  std::size_t PeersAsked = 2;
+  std::chrono::milliseconds BusyPause{20};
   /// A step waits so long after a worker refused one of its tasks.
   std::chrono::milliseconds RejectedPause{60};
 };
@@ -44,6 +49,9 @@
   void wake() { Wake_.notify(); }
   void stop();
 
+  /// Asks the adviser for another process, unless a call is on its way.
+  asio::awaitable<AdviseReply> adviseForPeer(AdviseRequest Request);
+
   void stopRuns(std::vector<RunId> Runs);
   /// True while an order for the run has no definite answer.
   [[nodiscard]] bool isOrdering(const RunId &Run) const;
@@ -70,10 +78,17 @@
   void askFor(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
               int Count);
   asio::awaitable<void> ask(ReadyItem Item, std::vector<std::string> Workers);
+  /// Asks through the first other process whose line to the adviser is free.
+  asio::awaitable<void> askThroughPeers(ReadyItem Item,
+                                        std::vector<std::string> Workers);
+  void applyAdvice(const ReadyItem &Item,
+                   const std::vector<std::string> &Workers,
+                   const Result<Advice> &Reply, Clock::time_point AskedAt);
   asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
                                 std::vector<Placing> Orders);
   void applyResult(const Placing &Item, const PlaceResult &Result);
   asio::awaitable<void> stopUntilAnswered(RunId Run);
+  [[nodiscard]] static std::string stepNameOf(const ReadyItem &Item);
   [[nodiscard]] std::string serviceOf(const JobSpec &Job) const;
   double &goodShareOf(const std::string &Queue);
 
@@ -93,6 +108,8 @@
   std::set<std::string> Stopping_;
   std::map<std::string, double> GoodShare_; ///< By queue.
   bool Asking_ = false; ///< The adviser handles one call at a time.
+  int AskingThroughPeers_ = 0;
+  std::size_t NextPeer_ = 0;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -85,6 +85,14 @@
       co_await call(Address, "exchange", json(Request).dump(), ShortTimeout));
 }
 
+asio::awaitable<Result<AdviseReply>>
+HttpCellPeer::advise(std::string Address, AdviseRequest Request) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->advise(std::move(Request));
+  co_return decode<AdviseReply>(
+      co_await call(Address, "advise", json(Request).dump(), ShortTimeout));
+}
+
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
                                                           JobSpec Job) {
   if (Address == OwnAddress_)
@@ -119,6 +127,8 @@
     co_return co_await Handler.ends(Body.get<EndsRequest>());
   if (Name == "exchange")
     co_return Handler.exchange(Body.get<ExchangeRequest>());
+  if (Name == "advise")
+    co_return co_await Handler.advise(Body.get<AdviseRequest>());
   if (Name == "submit")
     co_return co_await Handler.submit(Body.get<JobSpec>());
   if (Name == "state")
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -23,6 +23,8 @@
                                           EndsRequest Request) override;
   asio::awaitable<Result<ExchangeReply>>
   exchange(std::string Address, ExchangeRequest Request) override;
+  asio::awaitable<Result<AdviseReply>> advise(std::string Address,
+                                              AdviseRequest Request) override;
   asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                               JobSpec Job) override;
   asio::awaitable<Result<JobStateReply>> state(std::string Address,
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -12,6 +12,10 @@
 
 constexpr const char *JobPrefix = "j/";
 constexpr const char *ProgressPrefix = "p/";
+constexpr const char *WorkerPrefix = "w/";
+constexpr std::chrono::milliseconds RecordRetry{200};
+/// While the journal has failed for so long, new jobs are refused at once.
+constexpr std::chrono::milliseconds JournalPatience{250};
 constexpr int Accepted = 200;
 constexpr int Gone = 410;
 constexpr int TryLater = 503;
@@ -73,6 +77,7 @@
 void JobOwner::load(int Number, Shard &Owner,
                     const std::vector<KeyedRecord> &Records) {
   std::map<std::string, json> Progress;
+  std::vector<WorkerEntry> Workers;
   for (const KeyedRecord &Record : Records) {
     if (!Record.Value)
       continue;
@@ -80,6 +85,13 @@
     if (Value.is_discarded())
       continue;
     const std::string Id = Record.Key.substr(2);
+    if (Record.Key.starts_with(WorkerPrefix)) {
+      Workers.push_back({.Id = Id,
+                         .Service = Value.at("service").get<std::string>(),
+                         .Address = Value.at("address").get<std::string>(),
+                         .Capacity = Value.at("capacity").get<Resources>()});
+      continue;
+    }
     if (Record.Key.starts_with(ProgressPrefix)) {
       Progress[Id] = std::move(Value);
       continue;
@@ -109,6 +121,8 @@
       Job->Progress.markAllUnknown();
       Active_[Id] = Job;
     }
+  if (WorkersRead_)
+    WorkersRead_(Number, std::move(Workers));
   Owner.Ready = true;
   Owner.ReadyAt = Timers_.now();
   Events_.emit(
@@ -127,6 +141,33 @@
   Journal->stop();
 }
 
+void JobOwner::recordWorker(int Number, WorkerEntry Entry) {
+  asio::co_spawn(Executor_, writeWorker(Number, std::move(Entry)),
+                 asio::detached);
+}
+
+asio::awaitable<void> JobOwner::writeWorker(int Number, WorkerEntry Entry) {
+  while (Shards_.contains(Number)) {
+    const json Value = {{"service", Entry.Service},
+                        {"address", Entry.Address},
+                        {"capacity", Entry.Capacity}};
+    std::vector<KeyedRecord> Records;
+    Records.push_back({.Key = WorkerPrefix + Entry.Id, .Value = Value.dump()});
+    if (co_await write(Number, std::move(Records)) == JournalOutcome::Written) {
+      if (WorkerRecorded_)
+        WorkerRecorded_(Number, Entry.Id);
+      co_return;
+    }
+    co_await Timers_.sleepFor(RecordRetry);
+  }
+}
+
+void JobOwner::forgetWorker(int Number, const std::string &Worker) {
+  std::vector<KeyedRecord> Records;
+  Records.push_back({.Key = WorkerPrefix + Worker});
+  asio::co_spawn(Executor_, forget(Number, std::move(Records)), asio::detached);
+}
+
 JobOwner::JobPointer JobOwner::findJob(const std::string &Id) const {
   const auto It = Shards_.find(Map_.shardOf(Id));
   if (It == Shards_.end())
@@ -159,6 +200,8 @@
   JobPointer Job = findJob(Id);
   if (Job && Job->Accepted)
     co_return Accepted;
+  if (Owner->Journal->failingFor() > JournalPatience)
+    co_return TryLater;
   if (!Job) {
     if (Owner->Jobs.size() >= Options_.MaximumJobsPerShard)
       co_return TryLater;
@@ -340,9 +383,8 @@
   if (Job && !Report.How.empty())
     // The end itself is accepted when it is delivered; until then, it must be
     // known to a new owner before that starts the task again.
-    applyEffect(Job,
-                Job->Progress.markEnded(Run, runEndFromName(Report.How),
-                                        Report.Checkpoint, Timers_.now()));
+    applyEffect(Job, Job->Progress.markEnded(Run, runEndFromName(Report.How),
+                                             Report.Checkpoint, Timers_.now()));
   else if (Job)
     adopt(Job, Run, Report.Checkpoint);
   else if (Report.How.empty() && Stop_)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -61,6 +61,19 @@
   void onOpened(std::function<void()> Callback) {
     Opened_ = std::move(Callback);
   }
+  /// The workers that the journal of a shard names.
+  void onWorkersRead(
+      std::function<void(int Shard, std::vector<WorkerEntry>)> Callback) {
+    WorkersRead_ = std::move(Callback);
+  }
+  /// A worker of the shard is in the journal now.
+  void onWorkerRecorded(
+      std::function<void(int Shard, const std::string &Worker)> Callback) {
+    WorkerRecorded_ = std::move(Callback);
+  }
+  void recordWorker(int Shard, WorkerEntry Entry);
+  void forgetWorker(int Shard, const std::string &Worker);
+
   /// These runs must be stopped.
   void onStop(std::function<void(std::vector<RunId>)> Callback) {
     Stop_ = std::move(Callback);
@@ -118,6 +131,7 @@
   asio::awaitable<JournalOutcome> write(int Number,
                                         std::vector<KeyedRecord> Records);
   asio::awaitable<void> flush(int Number, std::vector<JobPointer> Jobs);
+  asio::awaitable<void> writeWorker(int Number, WorkerEntry Entry);
   asio::awaitable<void> forget(int Number, std::vector<KeyedRecord> Records);
   void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
   void applyRunReport(const RunReport &Report);
@@ -138,6 +152,8 @@
   std::function<void(int)> Fenced_;
   std::function<void()> Work_;
   std::function<void()> Opened_;
+  std::function<void(int, std::vector<WorkerEntry>)> WorkersRead_;
+  std::function<void(int, const std::string &)> WorkerRecorded_;
   std::function<void(std::vector<RunId>)> Stop_;
   std::map<int, Shard> Shards_;
   std::map<std::string, JobPointer> Active_;
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -24,10 +24,6 @@
                    {{"topic", Options_.Topic}, {"next", Next_}});
     }
     Current = Read;
-    if (!Read)
-      CurrentSince_.reset();
-    else if (!CurrentSince_)
-      CurrentSince_ = Timers_.now();
     co_await Timers_.sleepFor(Read ? Options_.Pause : RetryDelay);
   }
   co_return Result<void>{};
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -7,7 +7,6 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 
 namespace hickory {
@@ -35,10 +34,6 @@
   void stop() override { Stopping_ = true; }
   /// False until the first complete read.
   [[nodiscard]] bool ready() const { return Ready_; }
-  /// Since when the copy is kept without a break; nothing while it is not.
-  [[nodiscard]] std::optional<Clock::time_point> currentSince() const {
-    return CurrentSince_;
-  }
 
 private:
   asio::awaitable<bool> readNewest();
@@ -53,7 +48,6 @@
   std::map<std::string, std::string> Values_;
   std::uint64_t Next_ = 0;
   bool Ready_ = false;
-  std::optional<Clock::time_point> CurrentSince_;
   bool Reachable_ = true;
   bool Stopping_ = false;
 };
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -105,6 +105,7 @@
   std::string Sender;
   std::vector<ShardEpoch> Held; ///< Shards of jobs of the sender.
   std::vector<RunDemand> Demands;
+  bool Leaving = false; ///< The sender has just given all shards up.
 };
 
 struct ExchangeReply {
@@ -115,6 +116,17 @@
   bool WaitingKnown = false; ///< The journals of all held shards are read.
 };
 
+struct AdviseRequest {
+  std::string Step;
+  std::vector<std::string> Workers;
+};
+
+struct AdviseReply {
+  bool Answered = false; ///< False if the receiver has a call of its own.
+  std::vector<std::string> Good;
+  std::vector<std::string> Tickets; ///< In the order of Good.
+};
+
 struct SubmitReply {
   int Status = 503; ///< HTTP status for the caller.
 };
@@ -145,9 +157,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands,
+                                   Leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Held, Workers, Runs, Waiting,
                                    WaitingKnown)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -104,6 +104,7 @@
     const auto Reply = co_await Store_.append(Options_.Topic, Options_.Shard,
                                               Records, std::move(Stamp));
     if (Reply && Reply->Status == AppendStatus::Appended) {
+      FailingSince_.reset();
       ++NextSequence_;
       finish(Entries, JournalOutcome::Written);
       co_return;
@@ -124,6 +125,8 @@
       fence();
       co_return;
     }
+    if (!FailingSince_)
+      FailingSince_ = Timers_.now();
     const bool NoEffect = Reply ? true : Reply.error().hadNoEffect();
     MayBeDone = MayBeDone || !NoEffect;
     if (!MayBeDone) {
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -50,6 +50,11 @@
   asio::awaitable<JournalOutcome> write(std::vector<KeyedRecord> Records,
                                         Clock::time_point Deadline);
   void stop();
+  /// Time since the first failed try to append; zero if the latest succeeded.
+  [[nodiscard]] Clock::duration failingFor() const {
+    return FailingSince_ ? Timers_.now() - *FailingSince_
+                         : Clock::duration::zero();
+  }
 
 private:
   struct Entry {
@@ -76,6 +81,7 @@
   std::deque<std::shared_ptr<Entry>> Queue_;
   Signal Work_;
   std::uint64_t NextSequence_ = 1;
+  std::optional<Clock::time_point> FailingSince_;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -16,15 +16,32 @@
 
 } // namespace
 
-ShardMembership::ShardMembership(TimerService &Timers, StoreClient &Store,
+ShardMembership::ShardMembership(const asio::any_io_executor &Executor,
+                                 TimerService &Timers, StoreClient &Store,
                                  EventLog &Events,
                                  ShardMembershipOptions Options)
     : Timers_(Timers), Store_(Store), Events_(Events),
-      Options_(std::move(Options)) {}
+      Options_(std::move(Options)), JoinDue_(Executor), HoldersDue_(Executor) {}
+
+asio::awaitable<void> ShardMembership::removePredecessors() {
+  const auto Rows = co_await Store_.holders(Options_.Group);
+  if (!Rows)
+    co_return;
+  std::set<std::string> Members;
+  for (const ShardHolder &Row : *Rows)
+    if (Row.Member != Options_.Member &&
+        addressOf(Row.Member) == addressOf(Options_.Member))
+      Members.insert(Row.Member);
+  for (const std::string &Member : Members) {
+    Events_.emit("shards", "predecessor_removed", {{"member", Member}});
+    co_await Store_.leave(Options_.Group, Member);
+  }
+}
 
 asio::awaitable<Result<void>> ShardMembership::run() {
   asio::co_spawn(co_await asio::this_coro::executor, followHolders(),
                  asio::detached);
+  co_await removePredecessors();
   bool Reachable = true;
   while (!Stopping_ && !Left_) {
     const Clock::time_point SentAt = Timers_.now();
@@ -49,7 +66,7 @@
     LastJoin_ = SentAt;
     // The next join tells the store that the shards of others are given up.
     if (!Changed)
-      co_await Timers_.sleepFor(Options_.JoinPeriod);
+      co_await JoinDue_.waitFor(Timers_, Options_.JoinPeriod);
   }
   co_return Result<void>{};
 }
@@ -132,7 +149,7 @@
       });
       Holders_ = std::move(Holders);
     }
-    co_await Timers_.sleepFor(Options_.HoldersPeriod);
+    co_await HoldersDue_.waitFor(Timers_, Options_.HoldersPeriod);
   }
 }
 
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -2,6 +2,7 @@
 
 #include "Base/EventLog.h"
 #include "Base/Part.h"
+#include "Base/Signal.h"
 #include "Base/TimerService.h"
 #include "Cell/StoreClient.h"
 
@@ -18,8 +19,8 @@
   std::string Topic = "keyed.journal";
   std::string Member; ///< ADDRESS/INCARNATION of this process.
   /// A process that is silent for so long loses its shards.
-  std::chrono::milliseconds TimeToLive{1500};
-  std::chrono::milliseconds JoinPeriod{400};
+  std::chrono::milliseconds TimeToLive{1200};
+  std::chrono::milliseconds JoinPeriod{300};
   std::chrono::milliseconds HoldersPeriod{400};
 };
 
@@ -33,7 +34,8 @@
   using Assigned = std::function<void(int Shard, std::uint64_t Epoch)>;
   using Revoked = std::function<void(int Shard)>;
 
-  ShardMembership(TimerService &Timers, StoreClient &Store, EventLog &Events,
+  ShardMembership(const asio::any_io_executor &Executor, TimerService &Timers,
+                  StoreClient &Store, EventLog &Events,
                   ShardMembershipOptions Options);
 
   void onAssigned(Assigned Callback) { Assigned_ = std::move(Callback); }
@@ -55,6 +57,12 @@
   /// Shards that the store lists with a holder.
   [[nodiscard]] std::size_t holdersKnown() const { return Holders_.size(); }
 
+  /// Members have left: asks the store at once for the shards that are free.
+  void joinSoon() {
+    JoinDue_.notify();
+    HoldersDue_.notify();
+  }
+
   /// A later epoch of the shard exists. It is given up, and taken again if the
   /// store still deals it to this process.
   void fenced(int Shard);
@@ -64,6 +72,9 @@
 
 private:
   asio::awaitable<void> followHolders();
+  /// Members of former processes at this address are gone: their shards need
+  /// not wait for the time to live.
+  asio::awaitable<void> removePredecessors();
   void apply(const GroupMembership &Membership, bool Interrupted);
   void revoke(int Shard);
 
@@ -77,6 +88,8 @@
   std::map<int, std::uint64_t> FencedAt_; ///< Generation at that time.
   std::map<int, std::string> Holders_;
   std::map<int, std::uint64_t> HighestEpoch_; ///< That anybody claimed.
+  Signal JoinDue_;
+  Signal HoldersDue_;
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
   bool Stopping_ = false;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -295,7 +295,7 @@
           .Free = Entry_.Capacity.minusClamped(committed()),
           .Resolved = Resolved_,
           .Usable = Resolved_ && Reachable_ && Healthy_ && Listed_ &&
-                    ClockKnown_ && AllKnown && !Entry_.Draining};
+                    Recorded_ && ClockKnown_ && AllKnown && !Entry_.Draining};
 }
 
 std::optional<std::string> WorkerAgent::refusalOf(const PlaceOrder &Order) {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -51,6 +51,11 @@
   asio::awaitable<void> run();
   void stop();
 
+  /// The shard's journal names the worker, so that a successor finds it even
+  /// if the platform's list does not have it. Nothing is started before.
+  void recorded() { Recorded_ = true; }
+  [[nodiscard]] bool isRecorded() const { return Recorded_; }
+
   /// The platform's list changed.
   void update(const WorkerEntry &Entry);
   void unlisted();
@@ -128,6 +133,7 @@
   bool Reachable_ = false;
   bool Healthy_ = true;
   bool Listed_ = true;
+  bool Recorded_ = false;
   bool Stopping_ = false;
 };
 
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -5,14 +5,6 @@
 
 namespace hickory {
 
-namespace {
-
-/// Workers whose entries lapsed while the store was away are listed again
-/// within two seconds.
-constexpr std::chrono::milliseconds ListSettleTime{2500};
-
-} // namespace
-
 WorkerPool::WorkerPool(const asio::any_io_executor &Executor,
                        TimerService &Timers, WorkerClient &Client,
                        EventLog &Events, ShardMap Shards,
@@ -28,6 +20,37 @@
       addAgent(Number, Entry);
 }
 
+void WorkerPool::restore(int Number, const std::vector<WorkerEntry> &Recorded) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end())
+    return;
+  Shard &Owner = It->second;
+  Owner.Restored = true;
+  for (const WorkerEntry &Entry : Recorded) {
+    const auto Agent = Owner.Agents.find(Entry.Id);
+    if (Agent != Owner.Agents.end()) {
+      Agent->second->recorded();
+      continue;
+    }
+    // It may still run what it was given; it is held until that is known.
+    const auto Added = addAgent(Number, Entry);
+    Added->recorded();
+    Added->unlisted();
+  }
+  for (const auto &[Id, Agent] : Owner.Agents)
+    if (!Agent->isRecorded() && Record_)
+      Record_(Number, Agent->entry());
+}
+
+void WorkerPool::recorded(int Number, const std::string &Worker) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end())
+    return;
+  const auto Agent = It->second.Agents.find(Worker);
+  if (Agent != It->second.Agents.end())
+    Agent->second->recorded();
+}
+
 void WorkerPool::revoke(int Number) {
   const auto It = Shards_.find(Number);
   if (It == Shards_.end())
@@ -37,7 +60,8 @@
   Shards_.erase(It);
 }
 
-void WorkerPool::addAgent(int Number, const WorkerEntry &Entry) {
+std::shared_ptr<WorkerAgent> WorkerPool::addAgent(int Number,
+                                                  const WorkerEntry &Entry) {
   Shard &Owner = Shards_.at(Number);
   WorkerAgent::Callbacks Listener{
       .Fenced =
@@ -56,18 +80,22 @@
                                     Owner.Epoch, std::move(Listener), Options_);
   Owner.Agents[Entry.Id] = Agent;
   asio::co_spawn(Executor_, Agent->run(), asio::detached);
+  return Agent;
 }
 
 void WorkerPool::updateList(const std::map<std::string, WorkerEntry> &Workers) {
   Listed_ = Workers;
+  ListKnown_ = true;
   for (auto &[Number, Owner] : Shards_)
-    std::erase_if(Owner.Agents, [&](auto &Item) {
+    std::erase_if(Owner.Agents, [&, Number = Number](auto &Item) {
       if (Listed_.contains(Item.first))
         return false;
       Item.second->unlisted();
       if (!Item.second->finished())
         return false;
       Item.second->stop();
+      if (Forget_)
+        Forget_(Number, Item.first);
       return true;
     });
   for (const auto &[Id, Entry] : Listed_) {
@@ -76,9 +104,11 @@
     if (It == Shards_.end())
       continue;
     const auto Agent = It->second.Agents.find(Id);
-    if (Agent == It->second.Agents.end())
+    if (Agent == It->second.Agents.end()) {
       addAgent(Number, Entry);
-    else
+      if (It->second.Restored && Record_)
+        Record_(Number, Entry);
+    } else
       Agent->second->update(Entry);
   }
 }
@@ -124,16 +154,12 @@
     Agent->learnDemand(Demand.Task, Demand.Run, Demand.Demand);
 }
 
-bool WorkerPool::listSettled() const {
-  const auto Since = ListCurrentSince_ ? ListCurrentSince_() : std::nullopt;
-  return Since && Timers_.now() - *Since >= ListSettleTime;
-}
-
 std::vector<HeldShard> WorkerPool::held() const {
   std::vector<HeldShard> All;
-  const bool Ready = listSettled();
   for (const auto &[Number, Owner] : Shards_)
-    All.push_back({.Shard = Number, .Epoch = Owner.Epoch, .Ready = Ready});
+    All.push_back({.Shard = Number,
+                   .Epoch = Owner.Epoch,
+                   .Ready = ListKnown_ && Owner.Restored});
   return All;
 }
 
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -27,14 +27,20 @@
 
   void assign(int Shard, std::uint64_t Epoch);
   void revoke(int Shard);
+  /// The workers that the shard's journal names. Until it is read, what runs
+  /// on the shard's workers is not known.
+  void restore(int Shard, const std::vector<WorkerEntry> &Recorded);
+  /// The journal of the shard names the worker now.
+  void recorded(int Shard, const std::string &Worker);
+  /// Asks to write down, or to forget, a worker of the shard.
+  void onRecord(std::function<void(int Shard, WorkerEntry Entry)> Callback) {
+    Record_ = std::move(Callback);
+  }
+  void onForget(std::function<void(int Shard, std::string Worker)> Callback) {
+    Forget_ = std::move(Callback);
+  }
   /// The platform's whole list of workers.
   void updateList(const std::map<std::string, WorkerEntry> &Workers);
-  /// Tells since when the list is kept up to date. Workers may be missing from
-  /// it for a while after the store was away.
-  void
-  followList(std::function<std::optional<Clock::time_point>()> CurrentSince) {
-    ListCurrentSince_ = std::move(CurrentSince);
-  }
 
   /// Refuses placements of jobs whose shard has a later holder.
   asio::awaitable<PlaceResult> place(ShardEpoch Job, PlaceOrder Order);
@@ -57,11 +63,11 @@
 private:
   struct Shard {
     std::uint64_t Epoch = 0;
+    bool Restored = false;
     std::map<std::string, std::shared_ptr<WorkerAgent>> Agents;
   };
 
-  [[nodiscard]] bool listSettled() const;
-  void addAgent(int Number, const WorkerEntry &Entry);
+  std::shared_ptr<WorkerAgent> addAgent(int Number, const WorkerEntry &Entry);
   [[nodiscard]] std::shared_ptr<WorkerAgent>
   agentOf(const std::string &Worker) const;
 
@@ -76,7 +82,9 @@
   std::map<int, Shard> Shards_;
   std::map<int, std::uint64_t> JobEpochs_;
   std::map<std::string, WorkerEntry> Listed_;
-  std::function<std::optional<Clock::time_point>()> ListCurrentSince_;
+  std::function<void(int, WorkerEntry)> Record_;
+  std::function<void(int, std::string)> Forget_;
+  bool ListKnown_ = false;
 };
 
 } // namespace hickory
