Leave shards to larger processes; lend idle lines to the adviser

Cause: the grown deployments have 40 to 44 processes of 0.12 to 0.5 cores and 24 shards. Change: processes below 0.2 cores take shards only if others have none; owners ask for long advice through them.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -59,6 +59,7 @@
   Jobs_.onStop([this](std::vector<RunId> Runs) {
     Dispatcher_.stopRuns(std::move(Runs));
   });
+  Dispatcher_.useHelpers([this] { return Node_.helpers(); });
   Supervisor_.add(Workers_);
   Supervisor_.add(Operator_);
   Supervisor_.add(Shards_);
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -47,9 +47,11 @@
     });
     Jobs_.tick();
     Starts_.wake();
-    co_await ExchangeDue_.waitFor(
-        Timers_, std::max(Options_.ExchangePeriod,
-                          Options_.ExchangePeriodPerPeer * Peers));
+    const auto Period = Shards_.held().empty()
+                            ? Options_.HelperPeriod
+                            : std::max(Options_.ExchangePeriod,
+                                       Options_.ExchangePeriodPerPeer * Peers);
+    co_await ExchangeDue_.waitFor(Timers_, Period);
   }
 }
 
@@ -104,6 +106,10 @@
 ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
   if (Request.Leaving)
     Shards_.joinSoon();
+  if (Request.Held.empty() && !Request.Sender.empty() && !Request.Leaving)
+    HelpersHeard_[Request.Sender] = Timers_.now();
+  else
+    HelpersHeard_.erase(Request.Sender);
   std::set<int> JobShards;
   for (const ShardEpoch &Item : Request.Held) {
     Pool_.fenceJobs(Item);
@@ -112,7 +118,8 @@
   for (const RunDemand &Demand : Request.Demands)
     Pool_.learnDemand(Demand);
   return {.Held = Pool_.held(),
-          .Workers = Pool_.loads(),
+          .Workers =
+              Request.Held.empty() ? std::vector<WorkerLoad>() : Pool_.loads(),
           .Runs = Pool_.runsOf(JobShards),
           .Waiting = Jobs_.waiting(),
           .WaitingKnown = Jobs_.waitingKnown()};
@@ -176,6 +183,15 @@
          Timers_.now() - It->second < Options_.SilenceLimit;
 }
 
+std::vector<std::string> CellNode::helpers() const {
+  std::vector<std::string> Found;
+  for (const auto &[Address, Heard] : HelpersHeard_)
+    if (Address != Options_.Address &&
+        Timers_.now() - Heard < Options_.HelperLifetime)
+      Found.push_back(Address);
+  return Found;
+}
+
 std::optional<int> CellNode::waiting(const std::string &Queue) const {
   const auto Peers = Shards_.peers();
   for (const std::string &Address : Peers)
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -22,6 +22,9 @@
   std::chrono::milliseconds ExchangePeriodPerPeer{50};
   /// A process that answers no exchange for so long gets no requests.
   std::chrono::milliseconds SilenceLimit{900};
+  /// Processes without shards need no view of workers and exchange rarely.
+  std::chrono::milliseconds HelperPeriod{1500};
+  std::chrono::milliseconds HelperLifetime{4000};
   std::chrono::milliseconds EndsLinger{5};
   std::chrono::milliseconds EndsRetry{250};
 };
@@ -52,6 +55,8 @@
   JobStateReply state(const JobReference &Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
 
+  /// Processes without shards that have called lately.
+  [[nodiscard]] std::vector<std::string> helpers() const;
   /// False if the process has not answered for a while.
   [[nodiscard]] bool isReachable(const std::string &Address) const;
   /// Jobs not begun of the queue over all processes; nothing until all have
@@ -89,6 +94,7 @@
   std::set<std::string> Exchanging_;
   /// Begin of the first call of those that failed since the latest answer.
   std::map<std::string, Clock::time_point> SilentSince_;
+  std::map<std::string, Clock::time_point> HelpersHeard_;
   std::map<std::string, std::vector<RunDemand>> Demands_;     ///< By peer.
   std::map<std::string, std::map<std::string, int>> Waiting_; ///< By peer.
   std::set<std::string> Delivering_;
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -145,8 +145,10 @@
                         const std::vector<Candidate> &Candidates, int Count) {
   const JobSpec &Job = Item.Job->Progress.spec();
   StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
-  // A short call must not wait for a long one: other lines may be free.
-  const bool ThroughPeers = Asking_ && !Item.Rank.Patient &&
+  // A short call must not wait for a long one: other lines may be free. Long
+  // calls go through processes that have none of their own, if there are any.
+  const bool Helped = Helpers_ && !Helpers_().empty();
+  const bool ThroughPeers = (Item.Rank.Patient ? Helped : Asking_) &&
                             AskingThroughPeers_ < Options_.AsksThroughPeers;
   if (Advice.Asking || (Asking_ && !ThroughPeers))
     return;
@@ -203,8 +205,11 @@
 Dispatcher::askThroughPeers(ReadyItem Item, std::vector<std::string> Workers) {
   const std::string Step = stepNameOf(Item);
   const Clock::time_point AskedAt = Timers_.now();
-  const auto Peers = Shards_.peers();
-  const std::vector<std::string> Addresses(Peers.begin(), Peers.end());
+  auto Addresses = Helpers_ ? Helpers_() : std::vector<std::string>();
+  if (Addresses.empty()) {
+    const auto Peers = Shards_.peers();
+    Addresses.assign(Peers.begin(), Peers.end());
+  }
   Result<Advice> Found = fail(ErrorCode::Overloaded, "all lines are busy");
   for (std::size_t Try = 0;
        Try < std::min(Options_.PeersAsked, Addresses.size()); ++Try) {
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -26,7 +26,7 @@
   std::size_t MaximumSteps = 200;
   std::chrono::milliseconds StopRetry{250};
   /// Calls to the adviser at a time that other processes make for this one.
-  int AsksThroughPeers = 3;
+  int AsksThroughPeers = 4;
   /// Processes asked until one has a free line.
   std::size_t PeersAsked = 2;
   std::chrono::milliseconds BusyPause{20};
@@ -48,6 +48,10 @@
   asio::awaitable<void> run();
   void wake() { Wake_.notify(); }
   void stop();
+  /// Processes whose lines to the adviser carry no calls of their own.
+  void useHelpers(std::function<std::vector<std::string>()> Helpers) {
+    Helpers_ = std::move(Helpers);
+  }
 
   /// Asks the adviser for another process, unless a call is on its way.
   asio::awaitable<AdviseReply> adviseForPeer(AdviseRequest Request);
@@ -110,6 +114,7 @@
   bool Asking_ = false; ///< The adviser handles one call at a time.
   int AskingThroughPeers_ = 0;
   std::size_t NextPeer_ = 0;
+  std::function<std::vector<std::string>()> Helpers_;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view PathPrefix = "/cell/";
 constexpr std::chrono::milliseconds ShortTimeout{1000};
+constexpr std::chrono::milliseconds AdviceTimeout{2500};
 /// Longer than all tries of a start at the worker.
 constexpr std::chrono::milliseconds PlaceTimeout{2600};
 /// Longer than an append to the journal takes under trouble.
@@ -90,7 +91,7 @@
   if (Address == OwnAddress_)
     co_return co_await Local_->advise(std::move(Request));
   co_return decode<AdviseReply>(
-      co_await call(Address, "advise", json(Request).dump(), ShortTimeout));
+      co_await call(Address, "advise", json(Request).dump(), AdviceTimeout));
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -11,9 +11,9 @@
 
 /// Expected room that is asked about, as a multiple of the need. Workers that
 /// are good may lose their room until the answer comes.
-constexpr double AskMargin = 2.0;
+constexpr double AskMargin = 1.7;
 constexpr std::size_t MinimumAsked = 4;
-constexpr std::size_t MaximumAsked = 48;
+constexpr std::size_t MaximumAsked = 100; // The adviser takes no more.
 
 std::uint64_t timesFits(std::uint64_t Free, std::uint64_t Demand,
                         std::uint64_t Most) {
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -42,6 +42,8 @@
   asio::co_spawn(co_await asio::this_coro::executor, followHolders(),
                  asio::detached);
   co_await removePredecessors();
+  if (Options_.ProcessorShare < Options_.LeastOwnerShare)
+    co_await waitInReserve();
   bool Reachable = true;
   while (!Stopping_ && !Left_) {
     const Clock::time_point SentAt = Timers_.now();
@@ -71,6 +73,19 @@
   co_return Result<void>{};
 }
 
+asio::awaitable<void> ShardMembership::waitInReserve() {
+  Clock::time_point CompleteAt = Timers_.now();
+  while (!Stopping_ && !Left_) {
+    const bool Unknown = !HoldersRead_;
+    if (Unknown || static_cast<int>(Holders_.size()) >= Options_.Shards)
+      CompleteAt = Timers_.now();
+    if (Timers_.now() - CompleteAt >= Options_.ReserveWait)
+      break;
+    co_await Timers_.sleepFor(Options_.HoldersPeriod);
+  }
+  Events_.emit("shards", "reserve_joins", {{"held", Holders_.size()}});
+}
+
 void ShardMembership::apply(const GroupMembership &Membership,
                             bool Interrupted) {
   Generation_ = Membership.Generation;
@@ -135,6 +150,7 @@
 asio::awaitable<void> ShardMembership::followHolders() {
   while (!Stopping_) {
     const auto Rows = co_await Store_.holders(Options_.Group);
+    HoldersRead_ = Rows.has_value();
     if (Rows) {
       std::map<int, std::string> Holders;
       for (const ShardHolder &Row : *Rows)
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -22,6 +22,13 @@
   std::chrono::milliseconds TimeToLive{1200};
   std::chrono::milliseconds JoinPeriod{300};
   std::chrono::milliseconds HoldersPeriod{400};
+  int Shards = 24;
+  /// Processor share of this process. Processes below LeastOwnerShare leave
+  /// the shards to larger ones, which carry more orders each, and take some
+  /// only when others have had none for ReserveWait.
+  double ProcessorShare = 1;
+  double LeastOwnerShare = 0.2;
+  std::chrono::milliseconds ReserveWait{3000};
 };
 
 /// Stays in the group that deals the shards and follows who holds which.
@@ -75,6 +82,8 @@
   /// Members of former processes at this address are gone: their shards need
   /// not wait for the time to live.
   asio::awaitable<void> removePredecessors();
+  /// Returns when this process is needed as an owner.
+  asio::awaitable<void> waitInReserve();
   void apply(const GroupMembership &Membership, bool Interrupted);
   void revoke(int Shard);
 
@@ -92,6 +101,7 @@
   Signal HoldersDue_;
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
+  bool HoldersRead_ = false; ///< The latest read succeeded.
   bool Stopping_ = false;
   bool Left_ = false;
 };
