Reserve the room of a gang before its members start

Ruled out: late orders, takeovers: one owner, no new epoch in the log. Change: gangs reserve at all holders, then start; a run that its worker lists before the answer counts as started; an order that is pending makes earlier exchanges say nothing of it.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -138,6 +138,11 @@
 asio::awaitable<PlaceReply> CellNode::place(PlaceRequest Request) {
   auto Reply = std::make_shared<PlaceReply>();
   Reply->Results.resize(Request.Orders.size());
+  if (Request.ReserveOnly) {
+    for (std::size_t I = 0; I < Request.Orders.size(); ++I)
+      Reply->Results[I] = Pool_.reserve(Request.Job, Request.Orders[I]);
+    co_return std::move(*Reply);
+  }
   auto Done = std::make_shared<Signal>(Executor_);
   auto Open = std::make_shared<std::size_t>(Request.Orders.size());
   for (std::size_t I = 0; I < Request.Orders.size(); ++I)
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds PassInterval{3};
+/// A member found room, and another one did not.
+constexpr const char *IncompleteGang = "gang_incomplete";
 constexpr double InitialGoodShare = 0.4;
 /// Weight of one answer in the share of good workers of a queue.
 constexpr double GoodShareWeight = 0.1;
@@ -279,7 +281,7 @@
       Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
   const auto Epoch = Jobs_.epochOf(Item.Job->Shard);
   const int Run = Progress.nextRun(Item.Step.Occurrence, Item.Step.Step);
-  std::map<std::string, std::vector<Placing>> ByAddress;
+  OrdersByAddress ByAddress;
   for (std::size_t I = 0; I < Chosen.size(); ++I) {
     const WorkerEntry &Worker = *Candidates[Chosen[I]].Worker;
     const RunId Id{.Task = {.Job = Job.Id,
@@ -312,11 +314,97 @@
        {"tasks", Chosen.size()},
        {"age_ms", milliseconds(Timers_.now() - Item.Job->AcceptedAt)}});
   const ShardEpoch Shard{.Shard = Item.Job->Shard, .Epoch = Epoch.value_or(0)};
+  if (Step.Gang) {
+    asio::co_spawn(Executor_, placeGang(Shard, std::move(ByAddress)),
+                   asio::detached);
+    return;
+  }
   for (auto &[Address, Orders] : ByAddress)
     asio::co_spawn(Executor_, placeAt(Address, Shard, std::move(Orders)),
                    asio::detached);
 }
 
+asio::awaitable<void>
+Dispatcher::reserveAt(std::string Address, PlaceRequest Request,
+                      std::shared_ptr<Reservations> Shared, std::size_t Index) {
+  if (!Address.empty())
+    Shared->Replies[Index] =
+        co_await Peers_.place(std::move(Address), std::move(Request));
+  if (--Shared->Open == 0)
+    Shared->Done.notify();
+}
+
+asio::awaitable<std::vector<Result<PlaceReply>>>
+Dispatcher::reserveAll(ShardEpoch Job, const OrdersByAddress &Orders) {
+  auto Shared = std::make_shared<Reservations>(Executor_);
+  Shared->Replies.resize(Orders.size(),
+                         fail(ErrorCode::NotSent, "the shard has no holder"));
+  Shared->Open = Orders.size();
+  std::size_t Index = 0;
+  for (const auto &[Address, Items] : Orders) {
+    PlaceRequest Request{.Job = Job, .ReserveOnly = true};
+    for (const Placing &Item : Items) {
+      PlaceOrder Order = Item.Order;
+      Order.Payload.clear();
+      Request.Orders.push_back(std::move(Order));
+    }
+    asio::co_spawn(Executor_,
+                   reserveAt(Address, std::move(Request), Shared, Index++),
+                   asio::detached);
+  }
+  co_await Shared->Done.wait();
+  co_return std::move(Shared->Replies);
+}
+
+asio::awaitable<void> Dispatcher::placeGang(ShardEpoch Job,
+                                            OrdersByAddress Orders) {
+  const auto Replies = co_await reserveAll(Job, Orders);
+  const bool Complete =
+      std::ranges::all_of(Replies, [](const Result<PlaceReply> &Reply) {
+        return Reply &&
+               std::ranges::all_of(Reply->Results, [](const auto &Result) {
+                 return Result.Status == PlaceStatus::Reserved;
+               });
+      });
+  std::size_t Index = 0;
+  for (auto &[Address, Items] : Orders)
+    if (Complete)
+      asio::co_spawn(Executor_, placeAt(Address, Job, std::move(Items)),
+                     asio::detached);
+    else
+      withdraw(Address, Items, Replies[Index++]);
+}
+
+void Dispatcher::withdraw(const std::string &Address,
+                          const std::vector<Placing> &Orders,
+                          const Result<PlaceReply> &Reply) {
+  StopRequest Kept;
+  for (std::size_t I = 0; I < Orders.size(); ++I) {
+    const Placing &Item = Orders[I];
+    View_.placed(Item.Run.Worker, Item.Order.Demand);
+    Ordering_.erase(keyOf(Item.Run));
+    PlaceResult Result{.Status = PlaceStatus::Rejected,
+                       .Reason = IncompleteGang};
+    if (Reply && I < Reply->Results.size() &&
+        Reply->Results[I].Status == PlaceStatus::Rejected)
+      Result = Reply->Results[I];
+    else
+      Kept.Runs.push_back({.Task = Item.Order.Task,
+                           .Run = Item.Run.Run,
+                           .Worker = Item.Run.Worker});
+    applyResult(Item, Result);
+  }
+  if (!Address.empty() && !Kept.Runs.empty())
+    asio::co_spawn(Executor_, release(Address, std::move(Kept)),
+                   asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::release(std::string Address,
+                                          StopRequest Request) {
+  // If the call is lost, the reservations end by themselves.
+  co_await Peers_.stop(std::move(Address), std::move(Request));
+}
+
 asio::awaitable<void> Dispatcher::placeAt(std::string Address, ShardEpoch Job,
                                           std::vector<Placing> Orders) {
   Result<PlaceReply> Reply =
@@ -348,8 +436,10 @@
     Jobs_.started(Item.Run);
     return;
   }
-  if (Result.Status == PlaceStatus::Pending)
+  if (Result.Status == PlaceStatus::Pending) {
+    Jobs_.ordered(Item.Run);
     return;
+  }
   Counters_.count("starts_rejected_total", 1,
                   fmt::format("reason=\"{}\"", Result.Reason));
   Events_.emit("dispatch", "rejected",
@@ -359,7 +449,10 @@
                 {"reason", Result.Reason}});
   if (Result.Reason == nameOf(OrderStatus::BadTicket))
     Jobs_.dropTicket(Item.Run);
-  View_.refused(Item.Run.Worker);
+  if (Result.Reason == IncompleteGang)
+    View_.released(Item.Run.Worker, Item.Order.Demand);
+  else
+    View_.refused(Item.Run.Worker);
   Jobs_.rejected(Item.Run, Timers_.now() + Options_.RejectedPause);
 }
 
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -71,6 +71,15 @@
     PlaceOrder Order;
   };
 
+  /// Answers that a gang waits for.
+  struct Reservations {
+    explicit Reservations(const asio::any_io_executor &Executor)
+        : Done(Executor) {}
+    std::vector<Result<PlaceReply>> Replies;
+    std::size_t Open = 0;
+    Signal Done;
+  };
+
   void pass();
   [[nodiscard]] std::vector<ReadyItem> collect() const;
   /// Returns false if the step still waits.
@@ -90,6 +99,18 @@
                    const Result<Advice> &Reply, Clock::time_point AskedAt);
   asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
                                 std::vector<Placing> Orders);
+  using OrdersByAddress = std::map<std::string, std::vector<Placing>>;
+  /// Starts a gang only when all its members have room.
+  asio::awaitable<void> placeGang(ShardEpoch Job, OrdersByAddress Orders);
+  /// What all addresses answer to the orders, in their order.
+  asio::awaitable<std::vector<Result<PlaceReply>>>
+  reserveAll(ShardEpoch Job, const OrdersByAddress &Orders);
+  asio::awaitable<void> reserveAt(std::string Address, PlaceRequest Request,
+                                  std::shared_ptr<Reservations> Shared,
+                                  std::size_t Index);
+  void withdraw(const std::string &Address, const std::vector<Placing> &Orders,
+                const Result<PlaceReply> &Reply);
+  asio::awaitable<void> release(std::string Address, StopRequest Request);
   void applyResult(const Placing &Item, const PlaceResult &Result);
   asio::awaitable<void> stopUntilAnswered(RunId Run);
   [[nodiscard]] static std::string stepNameOf(const ReadyItem &Item);
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -355,6 +355,11 @@
   co_return Reply;
 }
 
+void JobOwner::ordered(const RunId &Run) {
+  if (const JobPointer Job = findJob(Run.Task.Job))
+    Job->Progress.touch(Run, Timers_.now());
+}
+
 void JobOwner::started(const RunId &Run) {
   if (const JobPointer Job = findJob(Run.Task.Job))
     applyEffect(Job, Job->Progress.markRunning(Run, {}, Timers_.now()));
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -99,6 +99,8 @@
   /// The worker did not take the ticket that it was started with.
   void dropTicket(const RunId &Run);
   void started(const RunId &Run);
+  /// Its worker's holder has the order and reports its end in any case.
+  void ordered(const RunId &Run);
   /// The run never started. Its step may be tried again at the given time.
   void rejected(const RunId &Run, Clock::time_point NotBefore);
 
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -29,10 +29,12 @@
 struct PlaceRequest {
   ShardEpoch Job; ///< Shard of the jobs, as the caller holds it.
   std::vector<PlaceOrder> Orders;
+  bool ReserveOnly = false; ///< Commits the room; the starts follow.
 };
 
 enum class PlaceStatus {
   Started,
+  Reserved, ///< The room is kept for a short time.
   Pending,  ///< It may start; its end will be reported in any case.
   Rejected, ///< It does not run.
 };
@@ -143,7 +145,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardEpoch, Shard, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceOrder, Task, Run, Worker, Demand,
                                    Payload, Checkpoint, Ticket)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -121,6 +121,7 @@
       co_await Timers_.sleepFor(RetryDelay);
       continue;
     }
+    dropOldReservations();
     applyHold(*Reply, SentAt);
     co_await Timers_.sleepFor(Options_.HoldPause);
     if (!Stopping_ && !OpenEnds_.empty())
@@ -246,6 +247,9 @@
 }
 
 void WorkerAgent::endAll(RunEnd How) {
+  std::erase_if(Runs_, [](const auto &Item) {
+    return Item.second.State == Phase::Reserved;
+  });
   for (auto &[Name, Item] : Runs_) {
     if (Item.State != Phase::Ended)
       end(Item, How, 0);
@@ -298,6 +302,24 @@
                     Recorded_ && ClockKnown_ && AllKnown && !Entry_.Draining};
 }
 
+void WorkerAgent::dropOldReservations() {
+  std::erase_if(Runs_, [this](const auto &Item) {
+    return Item.second.State == Phase::Reserved &&
+           Timers_.now() - Item.second.ConfirmedAt > Options_.ReservationTime;
+  });
+}
+
+PlaceResult WorkerAgent::reserve(const PlaceOrder &Order) {
+  dropOldReservations();
+  if (const auto Refusal = refusalOf(Order))
+    return {.Status = PlaceStatus::Rejected, .Reason = *Refusal};
+  Runs_[Key(Order.Task, Order.Run)] = Run{.State = Phase::Reserved,
+                                          .Demand = Order.Demand,
+                                          .DemandKnown = true,
+                                          .ConfirmedAt = Timers_.now()};
+  return {.Status = PlaceStatus::Reserved};
+}
+
 std::optional<std::string> WorkerAgent::refusalOf(const PlaceOrder &Order) {
   const WorkerLoad Now = load();
   if (!Now.Usable)
@@ -321,6 +343,10 @@
 asio::awaitable<PlaceResult> WorkerAgent::start(PlaceOrder Order) {
   const auto Self = shared_from_this();
   const Key Name(Order.Task, Order.Run);
+  dropOldReservations();
+  if (const auto Kept = Runs_.find(Name);
+      Kept != Runs_.end() && Kept->second.State == Phase::Reserved)
+    Runs_.erase(Kept);
   if (const auto Refusal = refusalOf(Order))
     co_return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = *Refusal};
   Runs_[Name] = Run{.State = Phase::Starting,
@@ -338,6 +364,9 @@
         co_await Client_.start(Entry_, token(), extendLease(), std::move(Start),
                                Options_.StartTimeout);
     const auto It = Runs_.find(Name);
+    if (It != Runs_.end() && It->second.State == Phase::Running)
+      // The worker listed it before this answer came.
+      co_return PlaceResult{.Status = PlaceStatus::Started};
     if (It == Runs_.end() || It->second.State != Phase::Starting)
       // Its end is known already, or it is being stopped.
       co_return PlaceResult{.Status = PlaceStatus::Pending};
@@ -391,6 +420,10 @@
     return;
   }
   Run &Item = It->second;
+  if (Item.State == Phase::Reserved) {
+    Runs_.erase(It);
+    return;
+  }
   if (Item.State == Phase::Stopping || Item.State == Phase::Ended)
     return;
   Events_.emit("workers", "stopping",
@@ -435,13 +468,16 @@
 
 std::vector<RunReport> WorkerAgent::runs() const {
   std::vector<RunReport> All;
-  for (const auto &[Name, Item] : Runs_)
+  for (const auto &[Name, Item] : Runs_) {
+    if (Item.State == Phase::Reserved)
+      continue;
     All.push_back({.Task = Name.first,
                    .Run = Name.second,
                    .Worker = Entry_.Id,
                    .Checkpoint = Item.Checkpoint,
                    .DemandKnown = Item.DemandKnown,
                    .How = Item.State == Phase::Ended ? nameOf(Item.How) : ""});
+  }
   return All;
 }
 
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -26,6 +26,8 @@
   /// A worker answers a hold at once while it lists ends that are not
   /// acknowledged, so that the next hold waits for that.
   std::chrono::milliseconds DeliveryWait{100};
+  /// A reservation that is not used ends after so long.
+  std::chrono::milliseconds ReservationTime{1000};
   /// Least time between two holds, so that ends share one.
   std::chrono::milliseconds HoldPause{15};
 };
@@ -62,6 +64,8 @@
   /// True if nothing can run there any more and nobody lists it.
   [[nodiscard]] bool finished() const;
 
+  /// Keeps the room for a start that follows soon.
+  PlaceResult reserve(const PlaceOrder &Order);
   asio::awaitable<PlaceResult> start(PlaceOrder Order);
   /// Makes sure that the run does not go on or start. Its end is reported.
   void stopRun(const std::string &Task, int Run);
@@ -76,13 +80,14 @@
   void accepted(const std::string &Task, int Run);
 
 private:
-  enum class Phase { Starting, Running, Stopping, Ended };
+  enum class Phase { Reserved, Starting, Running, Stopping, Ended };
   struct Run {
     Phase State = Phase::Starting;
     Resources Demand;
     bool DemandKnown = false;
     std::string Checkpoint;
-    Clock::time_point ConfirmedAt{}; ///< Of the start or, stopping, the stop.
+    /// Time of the reservation, the start or, stopping, the stop.
+    Clock::time_point ConfirmedAt{};
     bool Confirmed = false;
     RunEnd How = RunEnd::Lost;
     std::int64_t EndNumber = 0; ///< 0: the worker does not list this end.
@@ -105,6 +110,7 @@
   void end(Run &Item, RunEnd How, std::int64_t Number);
   void holdFailed(bool Refused);
   asio::awaitable<void> stopUntilAnswered(Key Name);
+  void dropOldReservations();
   PlaceResult rejected(const Key &Name, const std::string &Reason);
   [[nodiscard]] std::optional<std::string> refusalOf(const PlaceOrder &Order);
   [[nodiscard]] std::int64_t acknowledged() const;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -131,16 +131,28 @@
   Highest = std::max(Highest, Job.Epoch);
 }
 
-asio::awaitable<PlaceResult> WorkerPool::place(ShardEpoch Job,
-                                               PlaceOrder Order) {
+std::optional<PlaceResult> WorkerPool::refusalOf(const ShardEpoch &Job,
+                                                 const std::string &Worker) {
   fenceJobs(Job);
   if (JobEpochs_[Job.Shard] > Job.Epoch)
-    co_return PlaceResult{.Status = PlaceStatus::Rejected,
-                          .Reason = "job_epoch"};
+    return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = "job_epoch"};
+  if (!agentOf(Worker))
+    return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = "not_holder"};
+  return std::nullopt;
+}
+
+PlaceResult WorkerPool::reserve(const ShardEpoch &Job,
+                                const PlaceOrder &Order) {
+  if (const auto Refusal = refusalOf(Job, Order.Worker))
+    return *Refusal;
+  return agentOf(Order.Worker)->reserve(Order);
+}
+
+asio::awaitable<PlaceResult> WorkerPool::place(ShardEpoch Job,
+                                               PlaceOrder Order) {
+  if (auto Refusal = refusalOf(Job, Order.Worker))
+    co_return std::move(*Refusal);
   const auto Agent = agentOf(Order.Worker);
-  if (!Agent)
-    co_return PlaceResult{.Status = PlaceStatus::Rejected,
-                          .Reason = "not_holder"};
   co_return co_await Agent->start(std::move(Order));
 }
 
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -44,6 +44,7 @@
 
   /// Refuses placements of jobs whose shard has a later holder.
   asio::awaitable<PlaceResult> place(ShardEpoch Job, PlaceOrder Order);
+  PlaceResult reserve(const ShardEpoch &Job, const PlaceOrder &Order);
   void stopRun(const RunReference &Run);
   void learnDemand(const RunDemand &Demand);
   /// From now on, placements from earlier epochs of the job's shard are
@@ -68,6 +69,8 @@
   };
 
   std::shared_ptr<WorkerAgent> addAgent(int Number, const WorkerEntry &Entry);
+  std::optional<PlaceResult> refusalOf(const ShardEpoch &Job,
+                                       const std::string &Worker);
   [[nodiscard]] std::shared_ptr<WorkerAgent>
   agentOf(const std::string &Worker) const;
 
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -170,6 +170,15 @@
   Step->LastRun = std::max(Step->LastRun, Run.Run);
 }
 
+void JobProgress::touch(const RunId &Run, Clock::time_point Now) {
+  StepProgress *Step = stepOf(Run.Task);
+  if (Step == nullptr)
+    return;
+  TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
+  if (isActive(Task.Phase) && Task.Run == Run.Run)
+    Task.Since = Now;
+}
+
 ProgressEffect JobProgress::markRunning(const RunId &Run,
                                         const std::string &Checkpoint,
                                         Clock::time_point Now) {
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -113,6 +113,8 @@
                              const std::string &Worker) const;
 
   void markPlacing(const RunId &Run, Clock::time_point Now);
+  /// What was sent before now says nothing of the run.
+  void touch(const RunId &Run, Clock::time_point Now);
   /// A confirmation, also of a run that this owner did not order itself.
   ProgressEffect markRunning(const RunId &Run, const std::string &Checkpoint,
                              Clock::time_point Now);
