--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -17,11 +17,11 @@
 CellNode::CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
                    ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
                    JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
-                   CellPeer &Peers, EventLog &Events, CellNodeOptions Options)
+                   CellPeer &Peers, CellNodeOptions Options)
     : Executor_(Executor), Timers_(Timers), Shards_(Shards), Map_(Map),
       Pool_(Pool), Jobs_(Jobs), View_(View), Starts_(Starts), Peers_(Peers),
-      Events_(Events), Options_(std::move(Options)), ExchangeDue_(Executor),
-      EndsDue_(Executor) {}
+      Options_(std::move(Options)), ExchangeDue_(Executor), EndsDue_(Executor) {
+}
 
 void CellNode::start() {
   asio::co_spawn(Executor_, exchangeLoop(), asio::detached);
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -36,7 +36,7 @@
   CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
            ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
            JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
-           CellPeer &Peers, EventLog &Events, CellNodeOptions Options);
+           CellPeer &Peers, CellNodeOptions Options);
 
   void start();
   void stop();
@@ -87,7 +87,6 @@
   CapacityView &View_;
   Dispatcher &Starts_;
   CellPeer &Peers_;
-  EventLog &Events_;
   CellNodeOptions Options_;
   Signal ExchangeDue_;
   Signal EndsDue_;
--- a/Source/Cell/DispatchOrder.h
+++ b/Source/Cell/DispatchOrder.h
@@ -3,7 +3,7 @@
 #include "Base/TimerService.h"
 #include "Work/JobProgress.h"
 
-#include <compare>
+#include <tuple>
 
 namespace hickory {
 
@@ -13,7 +13,10 @@
   bool Late = false;    ///< Can't meet its objective any more.
   Clock::time_point StartBy{};
 
-  auto operator<=>(const DispatchRank &) const = default;
+  bool operator<(const DispatchRank &Other) const {
+    return std::tie(Patient, Late, StartBy) <
+           std::tie(Other.Patient, Other.Late, Other.StartBy);
+  }
 };
 
 /// Ranks a ready step. Answers bursts: the most urgent queues go first, then
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -25,7 +25,7 @@
   std::string Producer = "owner";
   /// Bounds the number of appends under load; an idle shard appends at once.
   std::chrono::milliseconds MinimumInterval{70};
-  std::size_t MaximumBatchBytes = 256 * 1024;
+  std::size_t MaximumBatchBytes = 256U << 10U;
 };
 
 /// Writes the records of one shard in one epoch. One append is in flight at a
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -174,6 +174,7 @@
 asio::awaitable<void> ShardMembership::drain() {
   Left_ = true;
   std::vector<int> All;
+  All.reserve(Held_.size());
   for (const auto &[Shard, Epoch] : Held_)
     All.push_back(Shard);
   for (const int Shard : All)
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -168,6 +168,7 @@
 
 std::vector<HeldShard> WorkerPool::held() const {
   std::vector<HeldShard> All;
+  All.reserve(Shards_.size());
   for (const auto &[Number, Owner] : Shards_)
     All.push_back({.Shard = Number,
                    .Epoch = Owner.Epoch,
--- a/Tests/Platform/PlatformFormatsTest.cpp
+++ b/Tests/Platform/PlatformFormatsTest.cpp
@@ -158,6 +158,7 @@
     CPPUNIT_ASSERT(rc::check("records survive", [] {
       std::vector<KeyedRecord> Sent;
       const int Count = *rc::gen::inRange(0, 10);
+      Sent.reserve(static_cast<std::size_t>(Count));
       for (int I = 0; I < Count; ++I)
         Sent.push_back(
             {.Key = "k" + std::to_string(I),
