--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -82,7 +82,8 @@
 
   void pass();
   [[nodiscard]] std::vector<ReadyItem> collect() const;
-  /// Returns false if the step still waits.
+  /// Starts what has a place and a valid ticket, and asks for advice on the
+  /// rest.
   void serve(const ReadyItem &Item);
   [[nodiscard]] std::vector<Candidate>
   candidatesFor(const ReadyItem &Item) const;
