--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -22,9 +22,11 @@
                   Options_.Dispatch),
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
             Dispatcher_, Peers_, Events_, Options_.Node),
-      Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Events_),
+      Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
       Workers_(Timers_, Services.Store, Events_,
-               {.Name = "workers_list", .Topic = Options_.WorkersTopic},
+               {.Name = "workers_list",
+                .Topic = Options_.WorkersTopic,
+                .Needed = [this] { return Shards_.inUse(); }},
                [this](const auto &Values) { updateWorkers(Values); }),
       Operator_(Timers_, Services.Store, Events_,
                 {.Name = "configuration", .Topic = Options_.OperatorTopic},
@@ -100,8 +102,8 @@
 }
 
 bool CellDaemon::ready() const {
-  return !Draining_ && Configuration_.Version > 0 && Workers_.ready() &&
-         Shards_.holdersKnown() > 0;
+  return !Draining_ && Configuration_.Version > 0 &&
+         (Workers_.ready() || !Shards_.inUse()) && Shards_.holdersKnown() > 0;
 }
 
 asio::awaitable<void> CellDaemon::drain() {
--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -8,6 +8,8 @@
 constexpr int OutcomeUnknown = 504;
 /// A shard without an owner has one again after about so long.
 constexpr std::chrono::seconds TakeoverTime{1};
+constexpr std::chrono::milliseconds HandoverTime{250};
+constexpr std::chrono::milliseconds HandoverPoll{40};
 
 } // namespace
 
@@ -38,12 +40,20 @@
 
 asio::awaitable<GatewayAnswer> CellGateway::submit(JobSpec Job) {
   const std::string Id = Job.Id;
-  const auto Owner = ownerOf(Id);
-  Result<SubmitReply> Reply =
-      fail(ErrorCode::NotSent, "the shard has no owner that answers");
-  if (Owner)
-    Reply = co_await Peers_.submit(*Owner, std::move(Job));
-  co_return answer(Id, "submit_failed", Reply);
+  const Clock::time_point GiveUpAt = Timers_.now() + HandoverTime;
+  while (true) {
+    const auto Owner = ownerOf(Id);
+    Result<SubmitReply> Reply =
+        fail(ErrorCode::NotSent, "the shard has no owner that answers");
+    if (Owner)
+      Reply = co_await Peers_.submit(*Owner, Job);
+    // A planned handover takes less time than the caller's way back.
+    const bool MovedOn =
+        Owner && (Reply ? Reply->NotOwner : Reply.error().hadNoEffect());
+    if (!MovedOn || Timers_.now() >= GiveUpAt)
+      co_return answer(Id, "submit_failed", Reply);
+    co_await Timers_.sleepFor(HandoverPoll);
+  }
 }
 
 asio::awaitable<GatewayAnswer> CellGateway::cancel(std::string Id) {
--- a/Source/Cell/CellGateway.h
+++ b/Source/Cell/CellGateway.h
@@ -21,9 +21,9 @@
 public:
   CellGateway(ShardMembership &Shards, ShardMap Map, CellPeer &Peers,
               CellNode &Node, const CellConfiguration &Configuration,
-              EventLog &Events)
+              TimerService &Timers, EventLog &Events)
       : Shards_(Shards), Map_(Map), Peers_(Peers), Node_(Node),
-        Configuration_(Configuration), Events_(Events) {}
+        Configuration_(Configuration), Timers_(Timers), Events_(Events) {}
 
   [[nodiscard]] bool configured() const { return Configuration_.Version > 0; }
   /// Null if no queue has the path.
@@ -47,6 +47,7 @@
   CellPeer &Peers_;
   CellNode &Node_;
   const CellConfiguration &Configuration_;
+  TimerService &Timers_;
   EventLog &Events_;
 };
 
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -169,6 +169,8 @@
 }
 
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
+  if (!Jobs_.owns(Job.Id))
+    co_return SubmitReply{.NotOwner = true};
   const int Status = co_await Jobs_.submit(std::move(Job));
   co_return SubmitReply{.Status = Status};
 }
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -501,6 +501,11 @@
   return Demands;
 }
 
+bool JobOwner::owns(const std::string &Id) const {
+  const auto It = Shards_.find(Map_.shardOf(Id));
+  return It != Shards_.end() && It->second.Ready;
+}
+
 std::vector<ShardEpoch> JobOwner::held() const {
   std::vector<ShardEpoch> All;
   for (const auto &[Number, Owner] : Shards_)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -104,6 +104,8 @@
   /// The run never started. Its step may be tried again at the given time.
   void rejected(const RunId &Run, Clock::time_point NotBefore);
 
+  /// True if jobs with this id can be accepted here now.
+  [[nodiscard]] bool owns(const std::string &Id) const;
   [[nodiscard]] int shardCount() const { return Map_.count(); }
   [[nodiscard]] std::vector<ShardEpoch> held() const;
   [[nodiscard]] std::optional<std::uint64_t> epochOf(int Shard) const;
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -17,6 +17,11 @@
 asio::awaitable<Result<void>> KeyedFollower::run() {
   bool Current = false;
   while (!Stopping_) {
+    if (Options_.Needed && !Options_.Needed()) {
+      Current = false;
+      co_await Timers_.sleepFor(RetryDelay);
+      continue;
+    }
     const bool Read = Current ? co_await readTail() : co_await readNewest();
     if (Read != Reachable_) {
       Reachable_ = Read;
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -18,6 +18,8 @@
   std::chrono::milliseconds Wait{1500};
   /// Between two reads, so that many changes cost few calls.
   std::chrono::milliseconds Pause{300};
+  /// While it is set and returns false, nothing is read.
+  std::function<bool()> Needed;
 };
 
 /// Keeps a copy of the newest record of each key of a topic.
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -131,6 +131,8 @@
 
 struct SubmitReply {
   int Status = 503; ///< HTTP status for the caller.
+  /// The receiver does not hold the shard, or has not read its journal yet.
+  bool NotOwner = false;
 };
 
 struct JobReference {
@@ -165,7 +167,7 @@
                                    WaitingKnown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status, NotOwner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
 
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -24,7 +24,7 @@
   std::uint64_t Epoch = 0;
   std::string Producer = "owner";
   /// Bounds the number of appends under load; an idle shard appends at once.
-  std::chrono::milliseconds MinimumInterval{50};
+  std::chrono::milliseconds MinimumInterval{70};
   std::size_t MaximumBatchBytes = 256 * 1024;
 };
 
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -75,6 +75,7 @@
 
 asio::awaitable<void> ShardMembership::waitInReserve() {
   Clock::time_point CompleteAt = Timers_.now();
+  InUse_ = false;
   while (!Stopping_ && !Left_) {
     const bool Unknown = !HoldersRead_;
     if (Unknown || static_cast<int>(Holders_.size()) >= Options_.Shards)
@@ -83,6 +84,7 @@
       break;
     co_await Timers_.sleepFor(Options_.HoldersPeriod);
   }
+  InUse_ = true;
   Events_.emit("shards", "reserve_joins", {{"held", Holders_.size()}});
 }
 
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -61,6 +61,8 @@
   [[nodiscard]] const std::map<int, std::uint64_t> &held() const {
     return Held_;
   }
+  /// False while this process leaves the shards to larger ones.
+  [[nodiscard]] bool inUse() const { return InUse_; }
   /// Shards that the store lists with a holder.
   [[nodiscard]] std::size_t holdersKnown() const { return Holders_.size(); }
 
@@ -101,6 +103,7 @@
   Signal HoldersDue_;
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
+  bool InUse_ = true;
   bool HoldersRead_ = false; ///< The latest read succeeded.
   bool Stopping_ = false;
   bool Left_ = false;
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(testNewOwnerStartsNothingBeforeAllWorkersReported);
   CPPUNIT_TEST(testNewOwnerHearsOfEndsBeforeItStartsAgain);
   CPPUNIT_TEST(testRunThatItsWorkerNoLongerHasIsStartedAgain);
+  CPPUNIT_TEST(testPendingOrderIsNotEndedByAnOlderExchange);
   CPPUNIT_TEST(testRunOfUnknownJobIsStopped);
   CPPUNIT_TEST(testCancelIsStoredAndStopsRuns);
   CPPUNIT_TEST(testUnknownJobIsGone);
@@ -201,6 +202,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
   }
 
+  // fleetbench trouble-2 275423249159: TWICE, the answer to an exchange that
+  // was sent before the order arrived ended a run that went on.
+  void testPendingOrderIsNotEndedByAnOlderExchange() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    Bench.submit(*Owner);
+    const auto &Job = Owner->active().begin()->second;
+    Job->Progress.markPlacing(OwnerBench::firstRun(), Bench.Timers.now());
+    Bench.run(10ms);
+    const Clock::time_point SentAt = Bench.Timers.now();
+    Bench.run(10ms);
+    Owner->ordered(OwnerBench::firstRun());
+    Owner->applyExchange(Bench.report({}), SentAt, OwnerBench::nothingOrdered);
+    CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
+  }
+
   void testRunOfUnknownJobIsStopped() {
     OwnerBench Bench;
     const auto Owner = Bench.owner(1);
--- a/Tests/Cell/ShardMembershipTest.cpp
+++ b/Tests/Cell/ShardMembershipTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(testFencedShardIsTakenAgainInLaterGenerationOnly);
   CPPUNIT_TEST(testClaimOfFormerHolderIsRefused);
   CPPUNIT_TEST(testPredecessorAtTheSameAddressIsRemoved);
+  CPPUNIT_TEST(testSmallProcessOwnsOnlyWhatOthersDoNot);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,25 @@
                          *Bench.Shards.holderOf(7));
   }
 
+  void testSmallProcessOwnsOnlyWhatOthersDoNot() {
+    CellTestBench Bench;
+    Bench.Store.Membership = {.Generation = 4, .Shards = {1}};
+    Bench.Store.Holders = {{.Shard = 0, .Member = "10.0.0.2:7000/a"},
+                           {.Shard = 1, .Member = "10.0.0.2:7000/a"}};
+    ShardMembership Shards(
+        Bench.Context.get_executor(), Bench.Timers, Bench.Store, Bench.Events,
+        {.Member = "10.0.0.1:7000/b", .Shards = 2, .ProcessorShare = 0.12});
+    asio::co_spawn(Bench.Context, Shards.run(), asio::detached);
+    Bench.run(10s);
+    CPPUNIT_ASSERT(Shards.held().empty() && !Shards.inUse());
+    Bench.Store.Holders.pop_back();
+    Bench.run(2s);
+    CPPUNIT_ASSERT(Shards.held().empty());
+    Bench.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Shards.held().size());
+    Shards.stop();
+  }
+
   void testPredecessorAtTheSameAddressIsRemoved() {
     MembershipBench Bench;
     Bench.Store.Holders = {{.Shard = 1, .Member = "10.0.0.1:7000/a"},
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -59,6 +59,9 @@
   CPPUNIT_TEST(testFormerHolderIsFenced);
   CPPUNIT_TEST(testStopBeforeTheStartKeepsItFromStarting);
   CPPUNIT_TEST(testDrainingWorkerTakesNoWork);
+  CPPUNIT_TEST(testReservedRoomIsKeptForItsStartOnly);
+  CPPUNIT_TEST(testUnusedReservationEnds);
+  CPPUNIT_TEST(testRunListedBeforeTheAnswerCountsAsStarted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -213,6 +216,52 @@
     CPPUNIT_ASSERT_EQUAL(0, Bench.Worker.Starts);
   }
 
+  // Load: two owners place gangs on the last hole of a worker.
+  void testReservedRoomIsKeptForItsStartOnly() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    const PlaceOrder Order{.Task = "j.0.0.0",
+                           .Run = 1,
+                           .Worker = "w",
+                           .Demand = {.CpusMilli = 3000}};
+    CPPUNIT_ASSERT(Agent->reserve(Order).Status == PlaceStatus::Reserved);
+    const auto Other = Bench.start(Agent, "k.0.0.0", 3000);
+    const auto Own = Bench.begin(Agent->start(Order));
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Other).Status == PlaceStatus::Rejected);
+    CPPUNIT_ASSERT((**Own).Status == PlaceStatus::Started);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
+  }
+
+  void testUnusedReservationEnds() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    PlaceOrder Order{.Task = "j.0.0.0",
+                     .Run = 1,
+                     .Worker = "w",
+                     .Demand = {.CpusMilli = 3000}};
+    Agent->reserve(Order);
+    Agent->stopRun(Order.Task, Order.Run);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Agent->load().Free.CpusMilli);
+    CPPUNIT_ASSERT(Agent->undelivered().empty());
+    Order.Run = 2;
+    Agent->reserve(Order);
+    Bench.run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Agent->load().Free.CpusMilli);
+    CPPUNIT_ASSERT(Agent->runs().empty());
+  }
+
+  // fleetbench trouble-2: the start's answer came after the hold that listed
+  // the run, and the run was taken for one that might not exist.
+  void testRunListedBeforeTheAnswerCountsAsStarted() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.Worker.LoseStartAnswers = true;
+    const auto Result = Bench.start(Agent, "j.0.0.0");
+    Bench.run(5s);
+    CPPUNIT_ASSERT((**Result).Status == PlaceStatus::Started);
+  }
+
   void testDrainingWorkerTakesNoWork() {
     AgentBench Bench;
     const auto Agent = Bench.hold();
