--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -17,11 +17,13 @@
       Jobs_(Context.get_executor(), Timers_, Services.Store, Events_, Map_,
             Options_.Jobs),
       View_(Pool_), Peers_(Services.Peers, Options_.Address),
+      Adviser_(Timers_, Services.Adviser, Peers_,
+               {.Address = Options_.Address}),
       Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
-                  Services.Adviser, Shards_, Configuration_, Events_, Metrics_,
+                  Adviser_, Shards_, Configuration_, Events_, Metrics_,
                   Options_.Dispatch),
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
-            Dispatcher_, Peers_, Options_.Node),
+            Dispatcher_, Adviser_, Peers_, Options_.Node),
       Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
       Workers_(Timers_, Services.Store, Events_,
                {.Name = "workers_list",
@@ -61,7 +63,8 @@
   Jobs_.onStop([this](std::vector<RunId> Runs) {
     Dispatcher_.stopRuns(std::move(Runs));
   });
-  Dispatcher_.useHelpers([this] { return Node_.helpers(); });
+  Adviser_.useProcesses([this] { return Node_.owners(); },
+                        [this] { return Node_.helpers(); });
   Supervisor_.add(Workers_);
   Supervisor_.add(Operator_);
   Supervisor_.add(Shards_);
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -93,6 +93,7 @@
   JobOwner Jobs_;
   CapacityView View_;
   HttpCellPeer Peers_;
+  AdviceRouter Adviser_;
   Dispatcher Dispatcher_;
   CellNode Node_;
   CellGateway Gateway_;
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -1,5 +1,7 @@
 #include "Cell/CellNode.h"
 
+#include "Base/WaitForAll.h"
+
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <fmt/format.h>
@@ -17,11 +19,12 @@
 CellNode::CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
                    ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
                    JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
-                   CellPeer &Peers, CellNodeOptions Options)
+                   AdviceRouter &Adviser, CellPeer &Peers,
+                   CellNodeOptions Options)
     : Executor_(Executor), Timers_(Timers), Shards_(Shards), Map_(Map),
-      Pool_(Pool), Jobs_(Jobs), View_(View), Starts_(Starts), Peers_(Peers),
-      Options_(std::move(Options)), ExchangeDue_(Executor), EndsDue_(Executor) {
-}
+      Pool_(Pool), Jobs_(Jobs), View_(View), Starts_(Starts), Adviser_(Adviser),
+      Peers_(Peers), Options_(std::move(Options)), ExchangeDue_(Executor),
+      EndsDue_(Executor) {}
 
 void CellNode::start() {
   asio::co_spawn(Executor_, exchangeLoop(), asio::detached);
@@ -127,31 +130,37 @@
 
 asio::awaitable<void> CellNode::placeOne(ShardEpoch Job, PlaceOrder Order,
                                          std::shared_ptr<PlaceReply> Reply,
-                                         std::size_t Index,
-                                         std::shared_ptr<Signal> Done,
-                                         std::shared_ptr<std::size_t> Open) {
+                                         std::size_t Index) {
   Reply->Results[Index] = co_await Pool_.place(Job, std::move(Order));
-  if (--*Open == 0)
-    Done->notify();
+}
+
+void CellNode::addLoads(const std::vector<std::string> &Workers,
+                        PlaceReply &Reply) const {
+  std::set<std::string> Refused;
+  for (std::size_t I = 0; I < Workers.size(); ++I)
+    if (Reply.Results[I].Status == PlaceStatus::Rejected)
+      Refused.insert(Workers[I]);
+  Reply.Loads = Pool_.loadsOf(Refused);
 }
 
 asio::awaitable<PlaceReply> CellNode::place(PlaceRequest Request) {
   auto Reply = std::make_shared<PlaceReply>();
   Reply->Results.resize(Request.Orders.size());
+  std::vector<std::string> Workers;
+  for (const PlaceOrder &Order : Request.Orders)
+    Workers.push_back(Order.Worker);
   if (Request.ReserveOnly) {
     for (std::size_t I = 0; I < Request.Orders.size(); ++I)
       Reply->Results[I] = Pool_.reserve(Request.Job, Request.Orders[I]);
+    addLoads(Workers, *Reply);
     co_return std::move(*Reply);
   }
-  auto Done = std::make_shared<Signal>(Executor_);
-  auto Open = std::make_shared<std::size_t>(Request.Orders.size());
+  std::vector<asio::awaitable<void>> Starts;
   for (std::size_t I = 0; I < Request.Orders.size(); ++I)
-    asio::co_spawn(Executor_,
-                   placeOne(Request.Job, std::move(Request.Orders[I]), Reply, I,
-                            Done, Open),
-                   asio::detached);
-  if (*Open > 0)
-    co_await Done->wait();
+    Starts.push_back(
+        placeOne(Request.Job, std::move(Request.Orders[I]), Reply, I));
+  co_await waitForAll(Executor_, std::move(Starts));
+  addLoads(Workers, *Reply);
   co_return std::move(*Reply);
 }
 
@@ -161,11 +170,15 @@
 }
 
 asio::awaitable<EndsReply> CellNode::ends(EndsRequest Request) {
+  View_.applyLoads(Request.Loads);
   co_return co_await Jobs_.ends(std::move(Request));
 }
 
 asio::awaitable<AdviseReply> CellNode::advise(AdviseRequest Request) {
-  co_return co_await Starts_.adviseForPeer(std::move(Request));
+  auto Reply = co_await Adviser_.askForPeer(std::move(Request));
+  // Steps of this process may have waited for the line.
+  Starts_.wake();
+  co_return Reply;
 }
 
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
@@ -190,12 +203,22 @@
          Timers_.now() - It->second < Options_.SilenceLimit;
 }
 
-std::vector<std::string> CellNode::helpers() const {
-  std::vector<std::string> Found;
+std::set<std::string> CellNode::owners() const {
+  auto Found = Shards_.peers();
+  std::erase_if(Found, [this](const std::string &Address) {
+    return !isReachable(Address);
+  });
+  if (!Shards_.held().empty())
+    Found.insert(Options_.Address);
+  return Found;
+}
+
+std::set<std::string> CellNode::helpers() const {
+  std::set<std::string> Found;
   for (const auto &[Address, Heard] : HelpersHeard_)
     if (Address != Options_.Address &&
         Timers_.now() - Heard < Options_.HelperLifetime)
-      Found.push_back(Address);
+      Found.insert(Address);
   return Found;
 }
 
@@ -235,7 +258,10 @@
 
 asio::awaitable<void> CellNode::deliver(std::string Address,
                                         std::vector<EndReport> Ends) {
-  EndsRequest Request{.Ends = Ends};
+  std::set<std::string> Workers;
+  for (const EndReport &End : Ends)
+    Workers.insert(End.Worker);
+  EndsRequest Request{.Ends = Ends, .Loads = Pool_.loadsOf(Workers)};
   const auto Reply = co_await Peers_.ends(Address, std::move(Request));
   const bool Complete = Reply && Reply->Accepted.size() == Ends.size();
   if (!Complete)
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -36,7 +36,7 @@
   CellNode(const asio::any_io_executor &Executor, TimerService &Timers,
            ShardMembership &Shards, ShardMap Map, WorkerPool &Pool,
            JobOwner &Jobs, CapacityView &View, Dispatcher &Starts,
-           CellPeer &Peers, CellNodeOptions Options);
+           AdviceRouter &Adviser, CellPeer &Peers, CellNodeOptions Options);
 
   void start();
   void stop();
@@ -56,7 +56,9 @@
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
 
   /// Processes without shards that have called lately.
-  [[nodiscard]] std::vector<std::string> helpers() const;
+  [[nodiscard]] std::set<std::string> helpers() const;
+  /// Processes that hold shards and answer, this one included.
+  [[nodiscard]] std::set<std::string> owners() const;
   /// False if the process has not answered for a while.
   [[nodiscard]] bool isReachable(const std::string &Address) const;
   /// Jobs not begun of the queue over all processes; nothing until all have
@@ -64,6 +66,9 @@
   [[nodiscard]] std::optional<int> waiting(const std::string &Queue) const;
 
 private:
+  /// Tells the caller what room there is where it found none.
+  void addLoads(const std::vector<std::string> &Workers,
+                PlaceReply &Reply) const;
   asio::awaitable<void> exchangeLoop();
   asio::awaitable<void> announceTo(std::string Address);
   asio::awaitable<void> exchangeWith(std::string Address);
@@ -74,9 +79,7 @@
                                 std::vector<EndReport> Ends);
   asio::awaitable<void> placeOne(ShardEpoch Job, PlaceOrder Order,
                                  std::shared_ptr<PlaceReply> Reply,
-                                 std::size_t Index,
-                                 std::shared_ptr<Signal> Done,
-                                 std::shared_ptr<std::size_t> Open);
+                                 std::size_t Index);
 
   asio::any_io_executor Executor_;
   TimerService &Timers_;
@@ -86,6 +89,7 @@
   JobOwner &Jobs_;
   CapacityView &View_;
   Dispatcher &Starts_;
+  AdviceRouter &Adviser_;
   CellPeer &Peers_;
   CellNodeOptions Options_;
   Signal ExchangeDue_;
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "Cell/Dispatcher.h"
 
+#include "Base/WaitForAll.h"
+
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -15,6 +17,8 @@
 constexpr double InitialGoodShare = 0.4;
 /// Weight of one answer in the share of good workers of a queue.
 constexpr double GoodShareWeight = 0.1;
+/// Of one call, by which queues are told apart.
+constexpr std::size_t UsualWorkersAsked = 30;
 
 std::string keyOf(const RunId &Run) {
   return fmt::format("{}#{}", Run.Task.toString(), Run.Run);
@@ -28,7 +32,7 @@
 
 Dispatcher::Dispatcher(const asio::any_io_executor &Executor,
                        TimerService &Timers, JobOwner &Jobs, CapacityView &View,
-                       CellPeer &Peers, AdviceClient &Adviser,
+                       CellPeer &Peers, AdviceRouter &Adviser,
                        ShardMembership &Shards,
                        const CellConfiguration &Configuration, EventLog &Events,
                        Metrics &Counters, DispatcherOptions Options)
@@ -143,111 +147,73 @@
     askFor(Item, Candidates, Left);
 }
 
+AdviceCost Dispatcher::costOf(const ReadyItem &Item,
+                              std::size_t Workers) const {
+  const AdvicePolicy &Policy = *Item.Job->Progress.spec().Queue.Advice;
+  const auto timeFor = [&Policy](std::size_t Count) {
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        Policy.Decide + Policy.PerWorker * static_cast<double>(Count));
+  };
+  return {.Time = timeFor(Workers),
+          .Urgent = !Item.Rank.Patient,
+          .Long =
+              timeFor(UsualWorkersAsked) > longestShortCall(Configuration_)};
+}
+
 void Dispatcher::askFor(const ReadyItem &Item,
                         const std::vector<Candidate> &Candidates, int Count) {
   const JobSpec &Job = Item.Job->Progress.spec();
   StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
-  // A short call must not wait for a long one: other lines may be free. Long
-  // calls go through processes that have none of their own, if there are any.
-  const bool Helped = Helpers_ && !Helpers_().empty();
-  const bool ThroughPeers = (Item.Rank.Patient ? Helped : Asking_) &&
-                            AskingThroughPeers_ < Options_.AsksThroughPeers;
-  if (Advice.Asking || (Asking_ && !ThroughPeers))
+  const AdviceCost Usual = costOf(Item, UsualWorkersAsked);
+  const Clock::time_point Now = Timers_.now();
+  if (Advice.Asking || Advice.AskAgainAt > Now || !Adviser_.mayAsk(Usual))
     return;
   const PlacementNeed Need{
       .Step = &Job.Steps[static_cast<std::size_t>(Item.Step.Step)],
       .Count = Count};
   auto Workers =
-      chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name));
+      chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name),
+                         Now + Usual.Time + Options_.TicketMargin);
   if (Workers.empty())
     return;
   Advice.Asking = true;
-  if (ThroughPeers) {
-    ++AskingThroughPeers_;
-    asio::co_spawn(Executor_, askThroughPeers(Item, std::move(Workers)),
-                   asio::detached);
-    return;
-  }
-  Asking_ = true;
-  asio::co_spawn(Executor_, ask(Item, std::move(Workers)), asio::detached);
+  const AdviceCost Cost = costOf(Item, Workers.size());
+  AdviceCall Call{
+      .Step = stepNameOf(Item), .Workers = std::move(Workers), .Cost = Cost};
+  asio::co_spawn(Executor_, ask(Item, std::move(Call)), asio::detached);
 }
 
-asio::awaitable<void> Dispatcher::ask(ReadyItem Item,
-                                      std::vector<std::string> Workers) {
-  const std::string Step = stepNameOf(Item);
+asio::awaitable<void> Dispatcher::ask(ReadyItem Item, AdviceCall Call) {
   const Clock::time_point AskedAt = Timers_.now();
-  const auto Reply = co_await Adviser_.ask(Step, Workers);
-  Asking_ = false;
-  applyAdvice(Item, Workers, Reply, AskedAt);
-  if (!Reply)
-    co_await Timers_.sleepFor(Options_.StopRetry);
-  wake();
-}
-
-asio::awaitable<AdviseReply> Dispatcher::adviseForPeer(AdviseRequest Request) {
-  AdviseReply Answer;
-  if (Asking_)
-    co_return Answer;
-  Asking_ = true;
-  const auto Reply = co_await Adviser_.ask(std::move(Request.Step),
-                                           std::move(Request.Workers));
-  Asking_ = false;
-  wake();
+  const auto Reply = co_await Adviser_.ask(Call);
+  applyAdvice(Item, Call, Reply, AskedAt);
   if (!Reply)
-    co_return Answer;
-  Answer.Answered = true;
-  for (const Ticket &Item : Reply->Good) {
-    Answer.Good.push_back(Item.Worker);
-    Answer.Tickets.push_back(Item.Text);
-  }
-  co_return Answer;
-}
-
-asio::awaitable<void>
-Dispatcher::askThroughPeers(ReadyItem Item, std::vector<std::string> Workers) {
-  const std::string Step = stepNameOf(Item);
-  const Clock::time_point AskedAt = Timers_.now();
-  auto Addresses = Helpers_ ? Helpers_() : std::vector<std::string>();
-  if (Addresses.empty()) {
-    const auto Peers = Shards_.peers();
-    Addresses.assign(Peers.begin(), Peers.end());
-  }
-  Result<Advice> Found = fail(ErrorCode::Overloaded, "all lines are busy");
-  for (std::size_t Try = 0;
-       Try < std::min(Options_.PeersAsked, Addresses.size()); ++Try) {
-    const std::string &Address = Addresses[NextPeer_++ % Addresses.size()];
-    AdviseRequest Request{.Step = Step, .Workers = Workers};
-    const auto Reply = co_await Peers_.advise(Address, std::move(Request));
-    if (!Reply || !Reply->Answered)
-      continue;
-    Advice Answer;
-    for (std::size_t I = 0; I < Reply->Good.size(); ++I)
-      Answer.Good.push_back(
-          {.Worker = Reply->Good[I], .Text = Reply->Tickets.at(I)});
-    Found = std::move(Answer);
-    break;
-  }
-  --AskingThroughPeers_;
-  applyAdvice(Item, Workers, Found, AskedAt);
-  if (!Found)
-    co_await Timers_.sleepFor(Options_.BusyPause);
+    co_await Timers_.sleepFor(Call.Cost.Long ? Options_.LongCallPause
+                                             : Options_.ShortCallPause);
   wake();
 }
 
-void Dispatcher::applyAdvice(const ReadyItem &Item,
-                             const std::vector<std::string> &Workers,
+void Dispatcher::applyAdvice(const ReadyItem &Item, const AdviceCall &Call,
                              const Result<Advice> &Reply,
                              Clock::time_point AskedAt) {
   const QueuePolicy &Queue = Item.Job->Progress.spec().Queue;
   StepAdvice &Known = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
   Known.Asking = false;
+  if (!Reply) {
+    Counters_.count("advice_without_answer_total");
+    Known.AskAgainAt =
+        Timers_.now() +
+        (Call.Cost.Long ? Options_.LongCallPause : Options_.ShortCallPause);
+    if (Reply.error().Code == ErrorCode::Overloaded)
+      return;
+  }
   const auto Took = Timers_.now() - AskedAt;
   Counters_.count("advice_calls_total");
   Counters_.observe("advice_ms", static_cast<double>(milliseconds(Took)));
   Events_.emit("dispatch", "advice",
                {{"step", stepNameOf(Item)},
                 {"queue", Queue.Name},
-                {"asked", Workers.size()},
+                {"asked", Call.Workers.size()},
                 {"good", Reply ? Reply->Good.size() : 0},
                 {"error", Reply ? "" : Reply.error().Message},
                 {"took_ms", milliseconds(Took)}});
@@ -255,10 +221,10 @@
     return;
   // The ticket was made just before the answer was sent.
   Advice Answer{.Good = Reply->Good, .Validity = Queue.Advice->Validity};
-  Known.apply(Workers, Answer, Timers_.now());
+  Known.apply(Call.Workers, Answer, Timers_.now());
   double &Share = goodShareOf(Queue.Name);
   Share += GoodShareWeight * (static_cast<double>(Reply->Good.size()) /
-                                  static_cast<double>(Workers.size()) -
+                                  static_cast<double>(Call.Workers.size()) -
                               Share);
 }
 
@@ -327,19 +293,15 @@
 asio::awaitable<void>
 Dispatcher::reserveAt(std::string Address, PlaceRequest Request,
                       std::shared_ptr<Reservations> Shared, std::size_t Index) {
-  if (!Address.empty())
-    Shared->Replies[Index] =
-        co_await Peers_.place(std::move(Address), std::move(Request));
-  if (--Shared->Open == 0)
-    Shared->Done.notify();
+  (*Shared)[Index] =
+      co_await Peers_.place(std::move(Address), std::move(Request));
 }
 
-asio::awaitable<std::vector<Result<PlaceReply>>>
+asio::awaitable<Dispatcher::Reservations>
 Dispatcher::reserveAll(ShardEpoch Job, const OrdersByAddress &Orders) {
-  auto Shared = std::make_shared<Reservations>(Executor_);
-  Shared->Replies.resize(Orders.size(),
-                         fail(ErrorCode::NotSent, "the shard has no holder"));
-  Shared->Open = Orders.size();
+  auto Shared = std::make_shared<Reservations>(
+      Orders.size(), fail(ErrorCode::NotSent, "the shard has no holder"));
+  std::vector<asio::awaitable<void>> Calls;
   std::size_t Index = 0;
   for (const auto &[Address, Items] : Orders) {
     PlaceRequest Request{.Job = Job, .ReserveOnly = true};
@@ -348,12 +310,12 @@
       Order.Payload.clear();
       Request.Orders.push_back(std::move(Order));
     }
-    asio::co_spawn(Executor_,
-                   reserveAt(Address, std::move(Request), Shared, Index++),
-                   asio::detached);
+    if (!Address.empty())
+      Calls.push_back(reserveAt(Address, std::move(Request), Shared, Index));
+    ++Index;
   }
-  co_await Shared->Done.wait();
-  co_return std::move(Shared->Replies);
+  co_await waitForAll(Executor_, std::move(Calls));
+  co_return std::move(*Shared);
 }
 
 asio::awaitable<void> Dispatcher::placeGang(ShardEpoch Job,
@@ -394,6 +356,8 @@
                            .Worker = Item.Run.Worker});
     applyResult(Item, Result);
   }
+  if (Reply)
+    View_.applyLoads(Reply->Loads);
   if (!Address.empty() && !Kept.Runs.empty())
     asio::co_spawn(Executor_, release(Address, std::move(Kept)),
                    asio::detached);
@@ -428,6 +392,8 @@
       // Unknown: the holder makes sure that it ends and reports that.
       stopRuns({Item.Run});
   }
+  if (Reply)
+    View_.applyLoads(Reply->Loads);
 }
 
 void Dispatcher::applyResult(const Placing &Item, const PlaceResult &Result) {
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "Base/EventLog.h"
 #include "Base/Metrics.h"
 #include "Base/Signal.h"
+#include "Cell/AdviceRouter.h"
 #include "Cell/CapacityView.h"
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellPeer.h"
@@ -25,13 +26,11 @@
   /// Steps looked at in one pass; the rest is less urgent.
   std::size_t MaximumSteps = 200;
   std::chrono::milliseconds StopRetry{250};
-  /// Calls to the adviser at a time that other processes make for this one.
-  int AsksThroughPeers = 4;
-  /// Processes asked until one has a free line.
-  std::size_t PeersAsked = 2;
-  std::chrono::milliseconds BusyPause{20};
+  /// A step asks again so long after no line to the adviser was free.
+  std::chrono::milliseconds ShortCallPause{15};
+  std::chrono::milliseconds LongCallPause{120};
   /// A step waits so long after a worker refused one of its tasks.
-  std::chrono::milliseconds RejectedPause{60};
+  std::chrono::milliseconds RejectedPause{20};
 };
 
 /// Starts the ready steps of the jobs of this process: asks for advice, chooses
@@ -40,7 +39,7 @@
 public:
   Dispatcher(const asio::any_io_executor &Executor, TimerService &Timers,
              JobOwner &Jobs, CapacityView &View, CellPeer &Peers,
-             AdviceClient &Adviser, ShardMembership &Shards,
+             AdviceRouter &Adviser, ShardMembership &Shards,
              const CellConfiguration &Configuration, EventLog &Events,
              Metrics &Counters, DispatcherOptions Options);
 
@@ -48,13 +47,6 @@
   asio::awaitable<void> run();
   void wake() { Wake_.notify(); }
   void stop();
-  /// Processes whose lines to the adviser carry no calls of their own.
-  void useHelpers(std::function<std::vector<std::string>()> Helpers) {
-    Helpers_ = std::move(Helpers);
-  }
-
-  /// Asks the adviser for another process, unless a call is on its way.
-  asio::awaitable<AdviseReply> adviseForPeer(AdviseRequest Request);
 
   void stopRuns(std::vector<RunId> Runs);
   /// True while an order for the run has no definite answer.
@@ -71,14 +63,8 @@
     PlaceOrder Order;
   };
 
-  /// Answers that a gang waits for.
-  struct Reservations {
-    explicit Reservations(const asio::any_io_executor &Executor)
-        : Done(Executor) {}
-    std::vector<Result<PlaceReply>> Replies;
-    std::size_t Open = 0;
-    Signal Done;
-  };
+  /// Answers of all holders of a gang's workers.
+  using Reservations = std::vector<Result<PlaceReply>>;
 
   void pass();
   [[nodiscard]] std::vector<ReadyItem> collect() const;
@@ -91,21 +77,20 @@
                const std::vector<std::size_t> &Chosen);
   void askFor(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
               int Count);
-  asio::awaitable<void> ask(ReadyItem Item, std::vector<std::string> Workers);
-  /// Asks through the first other process whose line to the adviser is free.
-  asio::awaitable<void> askThroughPeers(ReadyItem Item,
-                                        std::vector<std::string> Workers);
-  void applyAdvice(const ReadyItem &Item,
-                   const std::vector<std::string> &Workers,
+  asio::awaitable<void> ask(ReadyItem Item, AdviceCall Call);
+  void applyAdvice(const ReadyItem &Item, const AdviceCall &Call,
                    const Result<Advice> &Reply, Clock::time_point AskedAt);
+  /// What a call about so many workers costs.
+  [[nodiscard]] AdviceCost costOf(const ReadyItem &Item,
+                                  std::size_t Workers) const;
   asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
                                 std::vector<Placing> Orders);
   using OrdersByAddress = std::map<std::string, std::vector<Placing>>;
   /// Starts a gang only when all its members have room.
   asio::awaitable<void> placeGang(ShardEpoch Job, OrdersByAddress Orders);
   /// What all addresses answer to the orders, in their order.
-  asio::awaitable<std::vector<Result<PlaceReply>>>
-  reserveAll(ShardEpoch Job, const OrdersByAddress &Orders);
+  asio::awaitable<Reservations> reserveAll(ShardEpoch Job,
+                                           const OrdersByAddress &Orders);
   asio::awaitable<void> reserveAt(std::string Address, PlaceRequest Request,
                                   std::shared_ptr<Reservations> Shared,
                                   std::size_t Index);
@@ -123,7 +108,7 @@
   JobOwner &Jobs_;
   CapacityView &View_;
   CellPeer &Peers_;
-  AdviceClient &Adviser_;
+  AdviceRouter &Adviser_;
   ShardMembership &Shards_;
   const CellConfiguration &Configuration_;
   EventLog &Events_;
@@ -133,10 +118,6 @@
   std::set<std::string> Ordering_; ///< TASK#RUN
   std::set<std::string> Stopping_;
   std::map<std::string, double> GoodShare_; ///< By queue.
-  bool Asking_ = false; ///< The adviser handles one call at a time.
-  int AskingThroughPeers_ = 0;
-  std::size_t NextPeer_ = 0;
-  std::function<std::vector<std::string>()> Helpers_;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -9,7 +9,8 @@
 
 constexpr std::string_view PathPrefix = "/cell/";
 constexpr std::chrono::milliseconds ShortTimeout{1000};
-constexpr std::chrono::milliseconds AdviceTimeout{2500};
+/// Beyond the time that the adviser needs for a call.
+constexpr std::chrono::milliseconds AdviceMargin{700};
 /// Longer than all tries of a start at the worker.
 constexpr std::chrono::milliseconds PlaceTimeout{2600};
 /// Longer than an append to the journal takes under trouble.
@@ -90,8 +91,10 @@
 HttpCellPeer::advise(std::string Address, AdviseRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->advise(std::move(Request));
+  const auto Timeout =
+      std::chrono::milliseconds(2 * Request.Milliseconds) + AdviceMargin;
   co_return decode<AdviseReply>(
-      co_await call(Address, "advise", json(Request).dump(), AdviceTimeout));
+      co_await call(Address, "advise", json(Request).dump(), Timeout));
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -1,5 +1,7 @@
 #include "Cell/JobOwner.h"
 
+#include "Base/WaitForAll.h"
+
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -96,7 +98,7 @@
       Progress[Id] = std::move(Value);
       continue;
     }
-    auto Job = std::make_shared<OwnedJob>(Value.get<JobSpec>());
+    auto Job = std::make_shared<OwnedJob>(Value.get<JobSpec>(), Owner.Journal);
     Job->Shard = Number;
     Job->Accepted = true;
     Job->AcceptedAt = Timers_.now();
@@ -106,7 +108,7 @@
     JobPointer &Job = Owner.Jobs[Id];
     if (!Job) {
       // Only the final state is kept of a finished job.
-      Job = std::make_shared<OwnedJob>(JobSpec{.Id = Id});
+      Job = std::make_shared<OwnedJob>(JobSpec{.Id = Id}, Owner.Journal);
       Job->Shard = Number;
       Job->Accepted = true;
     }
@@ -141,20 +143,29 @@
   Journal->stop();
 }
 
+JobOwner::JournalPointer JobOwner::journalOf(int Number) const {
+  const auto It = Shards_.find(Number);
+  return It == Shards_.end() ? nullptr : It->second.Journal;
+}
+
 void JobOwner::recordWorker(int Number, WorkerEntry Entry) {
-  asio::co_spawn(Executor_, writeWorker(Number, std::move(Entry)),
-                 asio::detached);
+  if (auto Journal = journalOf(Number))
+    asio::co_spawn(Executor_,
+                   writeWorker(Number, std::move(Journal), std::move(Entry)),
+                   asio::detached);
 }
 
-asio::awaitable<void> JobOwner::writeWorker(int Number, WorkerEntry Entry) {
-  while (Shards_.contains(Number)) {
+asio::awaitable<void> JobOwner::writeWorker(int Number, JournalPointer Journal,
+                                            WorkerEntry Entry) {
+  while (journalOf(Number) == Journal) {
     const json Value = {{"service", Entry.Service},
                         {"address", Entry.Address},
                         {"capacity", Entry.Capacity}};
     std::vector<KeyedRecord> Records;
     Records.push_back({.Key = WorkerPrefix + Entry.Id, .Value = Value.dump()});
-    if (co_await write(Number, std::move(Records)) == JournalOutcome::Written) {
-      if (WorkerRecorded_)
+    const auto Outcome = co_await write(Journal, std::move(Records));
+    if (Outcome == JournalOutcome::Written) {
+      if (WorkerRecorded_ && journalOf(Number) == Journal)
         WorkerRecorded_(Number, Entry.Id);
       co_return;
     }
@@ -165,7 +176,9 @@
 void JobOwner::forgetWorker(int Number, const std::string &Worker) {
   std::vector<KeyedRecord> Records;
   Records.push_back({.Key = WorkerPrefix + Worker});
-  asio::co_spawn(Executor_, forget(Number, std::move(Records)), asio::detached);
+  if (auto Journal = journalOf(Number))
+    asio::co_spawn(Executor_, forget(std::move(Journal), std::move(Records)),
+                   asio::detached);
 }
 
 JobOwner::JobPointer JobOwner::findJob(const std::string &Id) const {
@@ -182,11 +195,7 @@
 }
 
 asio::awaitable<JournalOutcome>
-JobOwner::write(int Number, std::vector<KeyedRecord> Records) {
-  const auto It = Shards_.find(Number);
-  if (It == Shards_.end())
-    co_return JournalOutcome::NotWritten;
-  const auto Journal = It->second.Journal;
+JobOwner::write(JournalPointer Journal, std::vector<KeyedRecord> Records) {
   co_return co_await Journal->write(std::move(Records),
                                     Timers_.now() + Options_.WriteLimit);
 }
@@ -205,7 +214,7 @@
   if (!Job) {
     if (Owner->Jobs.size() >= Options_.MaximumJobsPerShard)
       co_return TryLater;
-    Job = std::make_shared<OwnedJob>(std::move(Spec));
+    Job = std::make_shared<OwnedJob>(std::move(Spec), Owner->Journal);
     Job->Shard = Number;
     Job->AcceptedAt = Timers_.now();
     Owner->Jobs[Id] = Job;
@@ -221,7 +230,8 @@
   Records.push_back(
       {.Key = JobPrefix + Id, .Value = json(Job->Progress.spec()).dump()});
   ++Job->Submitting;
-  const JournalOutcome Outcome = co_await write(Number, std::move(Records));
+  const JournalOutcome Outcome =
+      co_await write(Job->Journal, std::move(Records));
   --Job->Submitting;
   if (Outcome == JournalOutcome::Written && !Job->Accepted) {
     Job->Accepted = true;
@@ -248,7 +258,7 @@
     applyEffect(Job, Job->Progress.cancel(Timers_.now()));
   }
   std::vector<JobPointer> Changed{Job};
-  co_await flush(Job->Shard, std::move(Changed));
+  co_await flush(Job->Journal, std::move(Changed));
   co_return Job->FinishWritten ? Accepted : OutcomeUnknown;
 }
 
@@ -291,7 +301,7 @@
     Work_();
 }
 
-asio::awaitable<void> JobOwner::flush(int Number,
+asio::awaitable<void> JobOwner::flush(JournalPointer Journal,
                                       std::vector<JobPointer> Jobs) {
   std::vector<KeyedRecord> Records;
   std::vector<std::pair<JobPointer, std::uint64_t>> Versions;
@@ -311,7 +321,8 @@
   }
   if (Records.empty())
     co_return;
-  const JournalOutcome Outcome = co_await write(Number, std::move(Records));
+  const JournalOutcome Outcome =
+      co_await write(std::move(Journal), std::move(Records));
   if (Outcome != JournalOutcome::Written)
     co_return;
   for (const auto &[Job, Version] : Versions) {
@@ -321,37 +332,67 @@
   }
 }
 
+asio::awaitable<void>
+JobOwner::confirmUnknown(JournalPointer Journal,
+                         std::vector<KeyedRecord> Records,
+                         std::shared_ptr<bool> Confirmed) {
+  *Confirmed = co_await write(std::move(Journal), std::move(Records)) ==
+               JournalOutcome::Written;
+}
+
+JobOwner::JobPointer JobOwner::applyEnd(const EndReport &End) {
+  const auto Task = TaskName::parse(End.Task);
+  const JobPointer Job = Task ? findJob(Task->Job) : nullptr;
+  if (!Job)
+    return nullptr;
+  const RunId Run{.Task = *Task, .Run = End.Run, .Worker = End.Worker};
+  const ProgressEffect Effect = Job->Progress.markEnded(
+      Run, runEndFromName(End.How), End.Checkpoint, Timers_.now());
+  Events_.emit("jobs", "run_ended",
+               {{"task", End.Task},
+                {"run", End.Run},
+                {"worker", End.Worker},
+                {"how", End.How},
+                {"applied", Effect.Applied}});
+  applyEffect(Job, Effect);
+  return Job;
+}
+
 asio::awaitable<EndsReply> JobOwner::ends(EndsRequest Request) {
-  EndsReply Reply;
-  std::map<int, std::vector<JobPointer>> Touched;
-  std::vector<JobPointer> Jobs;
-  std::vector<bool> Known;
+  struct Unknown {
+    std::vector<KeyedRecord> Records;
+    std::shared_ptr<bool> Confirmed = std::make_shared<bool>(false);
+  };
+  std::map<JournalPointer, std::vector<JobPointer>> Changed;
+  std::map<JournalPointer, Unknown> Others;
+  /// Per end: its job, or else whether the end was accepted for it.
+  std::vector<std::pair<JobPointer, std::shared_ptr<bool>>> Answers;
   for (const EndReport &End : Request.Ends) {
     const auto Task = TaskName::parse(End.Task);
-    const std::string Id = Task ? Task->Job : std::string();
-    Known.push_back(!Task || readyShard(Id) != nullptr);
-    JobPointer Job = Task ? findJob(Id) : nullptr;
+    const Shard *Owner = Task ? readyShard(Task->Job) : nullptr;
+    const JobPointer Job = Owner != nullptr ? applyEnd(End) : nullptr;
+    auto Accepted = std::make_shared<bool>(!Task);
     if (Job) {
-      const RunId Run{.Task = *Task, .Run = End.Run, .Worker = End.Worker};
-      const ProgressEffect Effect = Job->Progress.markEnded(
-          Run, runEndFromName(End.How), End.Checkpoint, Timers_.now());
-      Events_.emit("jobs", "run_ended",
-                   {{"task", End.Task},
-                    {"run", End.Run},
-                    {"worker", End.Worker},
-                    {"how", End.How},
-                    {"applied", Effect.Applied}});
-      applyEffect(Job, Effect);
       if (Job->WrittenVersion != Job->Version)
-        Touched[Job->Shard].push_back(Job);
+        Changed[Job->Journal].push_back(Job);
+    } else if (Owner != nullptr) {
+      Unknown &Other = Others[Owner->Journal];
+      Other.Records.push_back({.Key = ProgressPrefix + Task->Job});
+      Accepted = Other.Confirmed;
     }
-    Jobs.push_back(std::move(Job));
+    Answers.emplace_back(Job, std::move(Accepted));
   }
-  for (auto &[Number, Changed] : Touched)
-    co_await flush(Number, std::move(Changed));
-  for (std::size_t I = 0; I < Jobs.size(); ++I)
-    Reply.Accepted.push_back(
-        Known[I] && (!Jobs[I] || Jobs[I]->WrittenVersion == Jobs[I]->Version));
+  std::vector<asio::awaitable<void>> Writes;
+  for (auto &[Journal, Jobs] : Changed)
+    Writes.push_back(flush(Journal, std::move(Jobs)));
+  for (auto &[Journal, Other] : Others)
+    Writes.push_back(
+        confirmUnknown(Journal, std::move(Other.Records), Other.Confirmed));
+  co_await waitForAll(Executor_, std::move(Writes));
+  EndsReply Reply;
+  for (const auto &[Job, Accepted] : Answers)
+    Reply.Accepted.push_back(Job ? Job->WrittenVersion == Job->Version
+                                 : *Accepted);
   co_return Reply;
 }
 
@@ -555,17 +596,17 @@
       return true;
     });
     if (!Unwritten.empty())
-      asio::co_spawn(Executor_, flush(Number, std::move(Unwritten)),
+      asio::co_spawn(Executor_, flush(Owner.Journal, std::move(Unwritten)),
                      asio::detached);
     if (!Dropped.empty())
-      asio::co_spawn(Executor_, forget(Number, std::move(Dropped)),
+      asio::co_spawn(Executor_, forget(Owner.Journal, std::move(Dropped)),
                      asio::detached);
   }
 }
 
-asio::awaitable<void> JobOwner::forget(int Number,
+asio::awaitable<void> JobOwner::forget(JournalPointer Journal,
                                        std::vector<KeyedRecord> Records) {
-  co_await write(Number, std::move(Records));
+  co_await write(std::move(Journal), std::move(Records));
 }
 
 } // namespace hickory
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -27,8 +27,12 @@
 
 /// A job of a shard that this process holds.
 struct OwnedJob {
-  explicit OwnedJob(JobSpec Spec) : Progress(std::move(Spec)) {}
+  OwnedJob(JobSpec Spec, std::shared_ptr<ShardJournal> Journal)
+      : Progress(std::move(Spec)), Journal(std::move(Journal)) {}
   JobProgress Progress;
+  /// Of the term in which this object was made: in a later term of the same
+  /// process, what is known here may be out of date.
+  std::shared_ptr<ShardJournal> Journal;
   Clock::time_point AcceptedAt{};
   Clock::time_point FinishedAt{};
   int Shard = 0;
@@ -47,6 +51,7 @@
 class JobOwner {
 public:
   using JobPointer = std::shared_ptr<OwnedJob>;
+  using JournalPointer = std::shared_ptr<ShardJournal>;
 
   JobOwner(const asio::any_io_executor &Executor, TimerService &Timers,
            StoreClient &Store, EventLog &Events, ShardMap Shards,
@@ -121,7 +126,7 @@
 private:
   struct Shard {
     std::uint64_t Epoch = 0;
-    std::shared_ptr<ShardJournal> Journal;
+    JournalPointer Journal;
     bool Ready = false;
     Clock::time_point ReadyAt{};
     std::set<int> Cleared; ///< Shards of workers that reported since.
@@ -132,12 +137,23 @@
   void load(int Number, Shard &Owner, const std::vector<KeyedRecord> &Records);
   [[nodiscard]] JobPointer findJob(const std::string &Id) const;
   Shard *readyShard(const std::string &Id);
-  asio::awaitable<JournalOutcome> write(int Number,
+  asio::awaitable<JournalOutcome> write(JournalPointer Journal,
                                         std::vector<KeyedRecord> Records);
-  asio::awaitable<void> flush(int Number, std::vector<JobPointer> Jobs);
-  asio::awaitable<void> writeWorker(int Number, WorkerEntry Entry);
-  asio::awaitable<void> forget(int Number, std::vector<KeyedRecord> Records);
+  asio::awaitable<void> flush(JournalPointer Journal,
+                              std::vector<JobPointer> Jobs);
+  asio::awaitable<void> writeWorker(int Number, JournalPointer Journal,
+                                    WorkerEntry Entry);
+  asio::awaitable<void> forget(JournalPointer Journal,
+                               std::vector<KeyedRecord> Records);
+  /// Ends of jobs that are not known here are accepted only by the current
+  /// owner of the shard, which an append proves.
+  asio::awaitable<void> confirmUnknown(JournalPointer Journal,
+                                       std::vector<KeyedRecord> Records,
+                                       std::shared_ptr<bool> Confirmed);
+  [[nodiscard]] JournalPointer journalOf(int Number) const;
   void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
+  /// Returns the job of the end; null if it is not known.
+  JobPointer applyEnd(const EndReport &End);
   void applyRunReport(const RunReport &Report);
   /// The run goes on somewhere; it is kept or stopped.
   void adopt(const JobPointer &Job, const RunId &Run,
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -44,8 +44,16 @@
   std::string Reason;
 };
 
+struct WorkerLoad {
+  std::string Id;
+  Resources Free;
+  bool Resolved = false; ///< Everything that runs there is known.
+  bool Usable = false;   ///< Takes new work.
+};
+
 struct PlaceReply {
   std::vector<PlaceResult> Results; ///< In the order of the request.
+  std::vector<WorkerLoad> Loads;    ///< Of the workers that took no order.
 };
 
 struct RunReference {
@@ -68,6 +76,7 @@
 
 struct EndsRequest {
   std::vector<EndReport> Ends;
+  std::vector<WorkerLoad> Loads; ///< Of the workers that the ends name.
 };
 
 struct EndsReply {
@@ -90,13 +99,6 @@
   Resources Demand;
 };
 
-struct WorkerLoad {
-  std::string Id;
-  Resources Free;
-  bool Resolved = false; ///< Everything that runs there is known.
-  bool Usable = false;   ///< Takes new work.
-};
-
 struct HeldShard {
   int Shard = 0;
   std::uint64_t Epoch = 0;
@@ -121,10 +123,13 @@
 struct AdviseRequest {
   std::string Step;
   std::vector<std::string> Workers;
+  std::int64_t Milliseconds = 0; ///< That the adviser needs for the call.
+  bool Urgent = false;
+  bool Long = false;
 };
 
 struct AdviseReply {
-  bool Answered = false; ///< False if the receiver has a call of its own.
+  bool Answered = false; ///< False if the receiver's line is taken.
   std::vector<std::string> Good;
   std::vector<std::string> Tickets; ///< In the order of Good.
 };
@@ -149,23 +154,24 @@
                                    Payload, Checkpoint, Ticket)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopRequest, Runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndReport, Task, Run, Worker, How,
                                    Checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, Task, Run, Worker, Checkpoint,
                                    DemandKnown, How)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands,
                                    Leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Held, Workers, Runs, Waiting,
                                    WaitingKnown)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
+                                   Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status, NotOwner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -108,10 +108,9 @@
   return Chosen;
 }
 
-std::vector<std::string>
-chooseWorkersToAsk(const PlacementNeed &Need,
-                   const std::vector<Candidate> &Candidates,
-                   const StepAdvice &Known, double GoodShare) {
+std::vector<std::string> chooseWorkersToAsk(
+    const PlacementNeed &Need, const std::vector<Candidate> &Candidates,
+    const StepAdvice &Known, double GoodShare, Clock::time_point HeldUntil) {
   std::vector<std::string> Asked;
   double Expected = 0;
   for (const std::size_t I : sortedForStep(Need, Candidates)) {
@@ -119,6 +118,12 @@
     const int Slots = slotsOn(Need, Candidates[I]);
     if (Slots == 0 || Known.isBad(Id))
       continue;
+    if (Known.ticketFor(Id, HeldUntil) != nullptr) {
+      // Other steps have taken its room already, a gang waits for the rest.
+      if (Need.Step->Gang)
+        Expected += Slots;
+      continue;
+    }
     if (Asked.size() == MaximumAsked ||
         (Asked.size() >= MinimumAsked && Expected >= AskMargin * Need.Count))
       break;
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -47,11 +47,11 @@
 
 /// Chooses the workers to ask the adviser about, given the share of workers
 /// that were good for the queue so far. A call costs almost the same for few
-/// and for many workers, so that enough are asked at once. Empty if not even
-/// all of them are expected to have room enough.
-std::vector<std::string>
-chooseWorkersToAsk(const PlacementNeed &Need,
-                   const std::vector<Candidate> &Candidates,
-                   const StepAdvice &Known, double GoodShare);
+/// and for many workers, so that enough are asked at once. Workers whose ticket
+/// holds until the given time, which is after the answer, are not asked about
+/// again. Empty if not even all of them are expected to have room enough.
+std::vector<std::string> chooseWorkersToAsk(
+    const PlacementNeed &Need, const std::vector<Candidate> &Candidates,
+    const StepAdvice &Known, double GoodShare, Clock::time_point HeldUntil);
 
 } // namespace hickory
--- a/Source/Cell/StepAdvice.h
+++ b/Source/Cell/StepAdvice.h
@@ -51,7 +51,8 @@
       It->second.ValidUntil = {};
   }
 
-  bool Asking = false; ///< A call is waiting or on its way.
+  bool Asking = false;            ///< A call is waiting or on its way.
+  Clock::time_point AskAgainAt{}; ///< No line was free.
 
 private:
   std::map<std::string, Good> Good_;
--- a/Source/Cell/WorkerClient.h
+++ b/Source/Cell/WorkerClient.h
@@ -113,7 +113,8 @@
 public:
   virtual ~AdviceClient() = default;
   virtual asio::awaitable<Result<Advice>>
-  ask(std::string Step, std::vector<std::string> Workers) = 0;
+  ask(std::string Step, std::vector<std::string> Workers,
+      std::chrono::milliseconds Timeout) = 0;
 };
 
 } // namespace hickory
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -184,6 +184,15 @@
   return All;
 }
 
+std::vector<WorkerLoad>
+WorkerPool::loadsOf(const std::set<std::string> &Workers) const {
+  std::vector<WorkerLoad> Found;
+  for (const std::string &Id : Workers)
+    if (const WorkerAgent *Agent = find(Id))
+      Found.push_back(Agent->load());
+  return Found;
+}
+
 std::vector<RunReport>
 WorkerPool::runsOf(const std::set<int> &JobShards) const {
   std::vector<RunReport> All;
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -53,6 +53,8 @@
 
   [[nodiscard]] std::vector<HeldShard> held() const;
   [[nodiscard]] std::vector<WorkerLoad> loads() const;
+  [[nodiscard]] std::vector<WorkerLoad>
+  loadsOf(const std::set<std::string> &Workers) const;
   [[nodiscard]] const WorkerAgent *find(const std::string &Worker) const;
   /// Runs of jobs of these shards, ended ones until they are accepted.
   [[nodiscard]] std::vector<RunReport>
--- /dev/null
+++ b/Tests/Cell/AdviceRouterTest.cpp
@@ -0,0 +1,110 @@
+#include "Cell/AdviceRouter.h"
+
+#include "Cell/CellTestBench.h"
+#include "Cell/FakeAdvice.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+class AdviceRouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdviceRouterTest);
+  CPPUNIT_TEST(testUrgentCallGoesAroundALongOne);
+  CPPUNIT_TEST(testLongCallLeavesAShortLineFree);
+  CPPUNIT_TEST(testAsksTheNextProcessWhenALineIsTaken);
+  CPPUNIT_TEST(testLimitsCallsThroughOthers);
+  CPPUNIT_TEST(testAnswersOthersOnlyOnAFreeLine);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Long calls go to "a" and "b", short ones to "c" and "d".
+  struct Cell {
+    explicit Cell(const std::string &Own)
+        : Router(Bench.Timers, Adviser, Peers, {.Address = Own}) {
+      Router.useProcesses(
+          [] {
+            return std::set<std::string>{"a", "b", "c", "d"};
+          },
+          [] { return std::set<std::string>(); });
+    }
+    auto ask(const std::string &Step, const AdviceCost &Cost) {
+      return Bench.begin(
+          Router.ask({.Step = Step, .Workers = {"w"}, .Cost = Cost}));
+    }
+    CellTestBench Bench;
+    FakeAdviceClient Adviser{Bench.Timers, 600ms};
+    FakeAdvicePeers Peers;
+    AdviceRouter Router;
+  };
+
+  static constexpr AdviceCost Urgent{.Time = 10ms, .Urgent = true};
+  static constexpr AdviceCost LongCall{.Time = 600ms, .Long = true};
+
+  // Urgent steps of a process waited while its line had a long call.
+  void testUrgentCallGoesAroundALongOne() {
+    Cell At("a");
+    const auto First = At.ask("gang", LongCall);
+    const auto Second = At.ask("urgent", Urgent);
+    CPPUNIT_ASSERT(!*First);
+    CPPUNIT_ASSERT(*Second && Second->value()->Good.size() == 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), At.Peers.Called.size());
+    CPPUNIT_ASSERT(At.Peers.Called[0] == "c" || At.Peers.Called[0] == "d");
+    At.Bench.run(600ms);
+    CPPUNIT_ASSERT(First->value()->Good.size() == 1);
+  }
+
+  void testLongCallLeavesAShortLineFree() {
+    Cell At("c");
+    const auto Answer = At.ask("gang", LongCall);
+    CPPUNIT_ASSERT(*Answer);
+    CPPUNIT_ASSERT(At.Adviser.Asked.empty());
+    CPPUNIT_ASSERT(At.Peers.Called[0] == "a" || At.Peers.Called[0] == "b");
+    CPPUNIT_ASSERT(At.Peers.Calls[0].Long);
+  }
+
+  void testAsksTheNextProcessWhenALineIsTaken() {
+    Cell At("c");
+    At.Peers.Busy = {"a"};
+    const auto Answer = At.ask("gang", LongCall);
+    CPPUNIT_ASSERT(*Answer && Answer->value().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), At.Peers.Called.back());
+    At.Peers.Busy = {"a", "b"};
+    const auto Refused = At.ask("gang", LongCall);
+    CPPUNIT_ASSERT(*Refused);
+    CPPUNIT_ASSERT(ErrorCode::Overloaded == Refused->value().error().Code);
+  }
+
+  // Steps without a line poll the others: their number is bounded.
+  void testLimitsCallsThroughOthers() {
+    Cell At("a");
+    CPPUNIT_ASSERT(At.Router.mayAsk(LongCall));
+    const auto First = At.ask("gang", LongCall);
+    CPPUNIT_ASSERT(At.Router.mayAsk(LongCall));
+    AdviceRouter Alone(At.Bench.Timers, At.Adviser, At.Peers, {.Address = "a"});
+    Alone.useProcesses([] { return std::set<std::string>{"a"}; },
+                       [] { return std::set<std::string>(); });
+    const auto Only =
+        At.Bench.begin(Alone.ask({.Step = "gang", .Cost = LongCall}));
+    CPPUNIT_ASSERT(!Alone.mayAsk(LongCall));
+    CPPUNIT_ASSERT(!Alone.mayAsk(Urgent));
+  }
+
+  void testAnswersOthersOnlyOnAFreeLine() {
+    Cell At("a");
+    const AdviseRequest Request{
+        .Step = "other", .Workers = {"w"}, .Milliseconds = 600, .Long = true};
+    const auto First = At.Bench.begin(At.Router.askForPeer(Request));
+    const auto Second = At.Bench.begin(At.Router.askForPeer(Request));
+    CPPUNIT_ASSERT(*Second && !Second->value().Answered);
+    At.Bench.run(600ms);
+    CPPUNIT_ASSERT(*First && First->value().Answered);
+    CPPUNIT_ASSERT_EQUAL(std::string("ticket"), First->value().Tickets[0]);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdviceRouterTest);
+
+} // namespace hickory
--- /dev/null
+++ b/Tests/Cell/FakeAdvice.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Base/TimerService.h"
+#include "Cell/CellPeer.h"
+#include "Cell/WorkerClient.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// Calls all workers good after a fixed time.
+class FakeAdviceClient final : public AdviceClient {
+public:
+  FakeAdviceClient(TimerService &Timers, std::chrono::milliseconds Takes)
+      : Timers_(Timers), Takes_(Takes) {}
+
+  std::vector<std::string> Asked; ///< Steps, in the order of the calls.
+
+  asio::awaitable<Result<Advice>>
+  ask(std::string Step, std::vector<std::string> Workers,
+      std::chrono::milliseconds /*Timeout*/) override {
+    Asked.push_back(std::move(Step));
+    co_await Timers_.sleepFor(Takes_);
+    Advice Reply;
+    for (std::string &Worker : Workers)
+      Reply.Good.push_back({.Worker = std::move(Worker), .Text = "ticket"});
+    co_return Reply;
+  }
+
+private:
+  TimerService &Timers_;
+  std::chrono::milliseconds Takes_;
+};
+
+/// Other processes of which only the lines to the adviser exist.
+class FakeAdvicePeers final : public CellPeer {
+public:
+  std::vector<std::string> Called;  ///< Addresses, in order.
+  std::set<std::string> Busy;       ///< Their lines are taken.
+  std::vector<AdviseRequest> Calls; ///< In the order of Called.
+
+  asio::awaitable<Result<AdviseReply>> advise(std::string Address,
+                                              AdviseRequest Request) override {
+    Called.push_back(Address);
+    Calls.push_back(Request);
+    AdviseReply Reply{.Answered = !Busy.contains(Address)};
+    if (Reply.Answered)
+      for (std::string &Worker : Request.Workers) {
+        Reply.Good.push_back(std::move(Worker));
+        Reply.Tickets.emplace_back("ticket of a peer");
+      }
+    co_return Reply;
+  }
+
+  asio::awaitable<Result<PlaceReply>> place(std::string,
+                                            PlaceRequest) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<void>> stop(std::string, StopRequest) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<EndsReply>> ends(std::string, EndsRequest) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<ExchangeReply>> exchange(std::string,
+                                                  ExchangeRequest) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<SubmitReply>> submit(std::string, JobSpec) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<JobStateReply>> state(std::string,
+                                               JobReference) override {
+    co_return notHere();
+  }
+  asio::awaitable<Result<SubmitReply>> cancel(std::string,
+                                              JobReference) override {
+    co_return notHere();
+  }
+
+private:
+  static tl::unexpected<Error> notHere() {
+    return fail(ErrorCode::NotSent, "not part of this fake");
+  }
+};
+
+} // namespace hickory
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
   /// Asked for the fate of each append that carries records.
   std::function<Fate()> ChooseFate;
+  /// Appends of records to these are neither done nor answered.
+  std::set<int> SilentPartitions;
   GroupMembership Membership;
   bool GroupReachable = true;
   std::vector<ShardHolder> Holders;
@@ -56,7 +59,9 @@
       co_return AppendReply{};
     }
     ++Appends;
-    const Fate Chosen = ChooseFate ? ChooseFate() : Fate::Answered;
+    Fate Chosen = ChooseFate ? ChooseFate() : Fate::Answered;
+    if (SilentPartitions.contains(Number))
+      Chosen = Fate::Silent;
     if (Chosen == Fate::NotDone)
       co_return AppendReply{.Status = AppendStatus::NotDone};
     if (Chosen == Fate::Silent) {
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 namespace hickory {
 
@@ -21,14 +22,35 @@
 constexpr const char *FirstTask = "0123456789abcdef.0.0.0";
 
 struct OwnerBench : CellTestBench {
-  std::unique_ptr<JobOwner> owner(std::uint64_t Epoch) {
+  std::unique_ptr<JobOwner> owner(std::uint64_t Epoch, int Shards = 1) {
     auto Owner =
         std::make_unique<JobOwner>(Context.get_executor(), Timers, Store,
-                                   Events, ShardMap(1), JobOwnerOptions{});
-    Owner->assign(0, Epoch);
+                                   Events, ShardMap(Shards), JobOwnerOptions{});
+    for (int Shard = 0; Shard < Shards; ++Shard)
+      Owner->assign(Shard, Epoch);
     run(100ms);
     return Owner;
   }
+  /// Submits a job of two tasks in that shard and places both.
+  std::string submitIn(JobOwner &Owner, int Shard) {
+    JobSpec Job = jobOf(2);
+    for (int Number = 0; ShardMap(Owner.shardCount()).shardOf(Job.Id) != Shard;
+         ++Number)
+      Job.Id = fmt::format("{:016x}", Number);
+    begin(Owner.submit(Job));
+    run(200ms);
+    for (int Index = 0; Index < 2; ++Index)
+      Owner.active().at(Job.Id)->Progress.markPlacing(
+          {.Task = {.Job = Job.Id, .Index = Index}, .Run = 1, .Worker = "w"},
+          Timers.now());
+    return Job.Id;
+  }
+  static EndReport doneOf(const std::string &Job, int Index) {
+    return {.Task = TaskName{.Job = Job, .Index = Index}.toString(),
+            .Run = 1,
+            .Worker = "w",
+            .How = "done"};
+  }
   int submit(JobOwner &Owner, int Tasks = 1) {
     const auto Status = begin(Owner.submit(jobOf(Tasks)));
     run(2s);
@@ -75,6 +97,8 @@
   CPPUNIT_TEST(testCancelIsStoredAndStopsRuns);
   CPPUNIT_TEST(testUnknownJobIsGone);
   CPPUNIT_TEST(testJournalNamesWorkers);
+  CPPUNIT_TEST(testEndsOfAFormerTermDoNotOverwriteTheNext);
+  CPPUNIT_TEST(testFormerOwnerAcceptsNoEndOfAnUnknownJob);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -273,6 +297,47 @@
     Bench.run(200ms);
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), Read.at(0).Address);
   }
+
+  // A process lost a shard and received it again while it waited for the
+  // journal of another one. What it knew in the first term then overwrote what
+  // it had acknowledged in the second, and a task that was done ran again.
+  void testEndsOfAFormerTermDoNotOverwriteTheNext() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1, 2);
+    const std::string Slow = Bench.submitIn(*Owner, 0);
+    const std::string Job = Bench.submitIn(*Owner, 1);
+    Bench.Store.SilentPartitions = {0};
+    EndsRequest Both;
+    Both.Ends = {OwnerBench::doneOf(Slow, 0), OwnerBench::doneOf(Job, 0)};
+    const auto Former = Bench.begin(Owner->ends(Both));
+    Bench.run(100ms);
+    Owner->assign(1, 2);
+    Bench.run(100ms);
+    EndsRequest All;
+    All.Ends = {OwnerBench::doneOf(Job, 0), OwnerBench::doneOf(Job, 1)};
+    const auto Next = Bench.begin(Owner->ends(All));
+    Bench.run(200ms);
+    CPPUNIT_ASSERT((**Next).Accepted.at(1));
+    Bench.run(3s);
+    CPPUNIT_ASSERT(!(**Former).Accepted.at(0));
+    Bench.Store.SilentPartitions.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                         Bench.owner(3, 2)->state(Job).State);
+  }
+
+  // The job was accepted by the next owner of the shard, which this process
+  // has not heard of: the end is that owner's to store.
+  void testFormerOwnerAcceptsNoEndOfAnUnknownJob() {
+    OwnerBench Bench;
+    const auto Former = Bench.owner(1);
+    const auto Unknown = Bench.endFirst(*Former, "done");
+    Bench.run(1s);
+    CPPUNIT_ASSERT((**Unknown).Accepted.at(0));
+    const auto Next = Bench.owner(2);
+    const auto Late = Bench.endFirst(*Former, "done");
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!(**Late).Accepted.at(0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobOwnerTest);
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -8,6 +8,8 @@
 
 namespace hickory {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 /// Workers of 32 processors in racks of 8, with some room taken.
@@ -45,6 +47,8 @@
   CPPUNIT_TEST(testAsksEnoughForTheShareThatIsGood);
   CPPUNIT_TEST(testDoesNotAskForGangWithoutRoom);
   CPPUNIT_TEST(testDoesNotAskAboutRefusedWorkers);
+  CPPUNIT_TEST(testDoesNotAskAgainWhileTicketsHold);
+  CPPUNIT_TEST(testAsksElsewhereForTheRestOfAStep);
   CPPUNIT_TEST(testBurstOfSmallTasksKeepsRoomForGangs);
   CPPUNIT_TEST(propertyNeverBeyondTheRoom);
   CPPUNIT_TEST_SUITE_END();
@@ -111,10 +115,11 @@
     const StepSpec Gang = stepOf(6, 9000, true);
     const PlacementNeed Need{.Step = &Gang, .Count = 6};
     const std::size_t Asked =
-        chooseWorkersToAsk(Need, Workers.Candidates, {}, 0.3).size();
+        chooseWorkersToAsk(Need, Workers.Candidates, {}, 0.3, {}).size();
     CPPUNIT_ASSERT(static_cast<double>(Asked) * 0.3 >= 6);
     CPPUNIT_ASSERT(
-        chooseWorkersToAsk(Need, Workers.Candidates, {}, 0.9).size() < Asked);
+        chooseWorkersToAsk(Need, Workers.Candidates, {}, 0.9, {}).size() <
+        Asked);
   }
 
   // A call about a gang costs half a second of the line: it must have a chance.
@@ -122,7 +127,7 @@
     const Farm Workers(std::vector<std::uint64_t>(5, 9000));
     const StepSpec Gang = stepOf(6, 9000, true);
     CPPUNIT_ASSERT(chooseWorkersToAsk({.Step = &Gang, .Count = 6},
-                                      Workers.Candidates, {}, 0.9)
+                                      Workers.Candidates, {}, 0.9, {})
                        .empty());
   }
 
@@ -133,7 +138,41 @@
     Known.apply({"w00", "w01"}, {.Good = {{.Worker = "w01", .Text = "t"}}}, {});
     CPPUNIT_ASSERT((std::vector<std::string>{"w01", "w02"}) ==
                    chooseWorkersToAsk({.Step = &Step, .Count = 1},
-                                      Workers.Candidates, Known, 0.4));
+                                      Workers.Candidates, Known, 0.4,
+                                      Clock::time_point(1s)));
+  }
+
+  // A gang that waits for room asked about all workers again and again, and
+  // held a line for half a second each time.
+  void testDoesNotAskAgainWhileTicketsHold() {
+    const Farm Workers({9000, 9000, 9000, 9000});
+    const StepSpec Gang = stepOf(4, 9000, true);
+    const PlacementNeed Need{.Step = &Gang, .Count = 4};
+    StepAdvice Known;
+    Known.apply({"w00", "w01"},
+                {.Good = {{.Worker = "w00", .Text = "a"},
+                          {.Worker = "w01", .Text = "b"}},
+                 .Validity = 2s},
+                {});
+    const auto Ask = [&](Clock::duration HeldUntil) {
+      return chooseWorkersToAsk(Need, Workers.Candidates, Known, 1.0,
+                                Clock::time_point(HeldUntil));
+    };
+    CPPUNIT_ASSERT((std::vector<std::string>{"w02", "w03"}) == Ask(1s));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Ask(3s).size());
+  }
+
+  // The room behind held tickets is used up when tasks of a step are left.
+  void testAsksElsewhereForTheRestOfAStep() {
+    const Farm Workers({9000, 9000});
+    const StepSpec Step = stepOf(3, 5000);
+    StepAdvice Known;
+    Known.apply({"w00"},
+                {.Good = {{.Worker = "w00", .Text = "a"}}, .Validity = 2s}, {});
+    CPPUNIT_ASSERT((std::vector<std::string>{"w01"}) ==
+                   chooseWorkersToAsk({.Step = &Step, .Count = 2},
+                                      Workers.Candidates, Known, 0.5,
+                                      Clock::time_point(1s)));
   }
 
   // Load: 120 tasks of 2 cores arrive on 48 workers, half of them with 14 cores
