Collect room for waiting gangs, set suspect workers aside, tell a slow store from a failing one

Change: the first waiting gangs claim workers that are good for them, and steps that can wait leave these alone; one call tells which workers are good, further ones wait until there is room (the test that no call is made without room is replaced: one call for new workers, none after it). AnswerTime raises the time-outs of appends and joins with the store's answers. Hurried records are given up 250 ms after the store began to refuse. The gateway waits 600 ms for a handover, since callers come back after 1 s.

--- a/Source/Cell/CapacityView.cpp
+++ b/Source/Cell/CapacityView.cpp
@@ -7,6 +7,7 @@
     Remote &Item = Remote_[Load.Id];
     Item.Free = Load.Free.minusClamped(Item.OnItsWay);
     Item.Usable = Load.Usable;
+    Item.Suspect = Load.Suspect;
   }
 }
 
@@ -43,11 +44,14 @@
         It == Remote_.end() ? Resources{} : It->second.OnItsWay;
     return {.Free = Load.Free.minusClamped(OnItsWay),
             .Usable = Load.Usable,
-            .Local = true};
+            .Local = true,
+            .Suspect = Load.Suspect};
   }
   if (It == Remote_.end())
     return {};
-  return {.Free = It->second.Free, .Usable = It->second.Usable};
+  return {.Free = It->second.Free,
+          .Usable = It->second.Usable,
+          .Suspect = It->second.Suspect};
 }
 
 } // namespace hickory
--- a/Source/Cell/CapacityView.h
+++ b/Source/Cell/CapacityView.h
@@ -30,6 +30,7 @@
     Resources Free;
     bool Usable = false;
     bool Local = false;
+    bool Suspect = false; ///< To be used only if many others are, too.
   };
   [[nodiscard]] Room roomOn(const std::string &Worker) const;
   [[nodiscard]] const std::map<std::string, WorkerEntry> &workers() const {
@@ -41,6 +42,7 @@
     Resources Free;
     Resources OnItsWay;
     bool Usable = false;
+    bool Suspect = false;
   };
 
   const WorkerPool &Pool_;
--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -8,7 +8,9 @@
 constexpr int OutcomeUnknown = 504;
 /// A shard without an owner has one again after about so long.
 constexpr std::chrono::seconds TakeoverTime{1};
-constexpr std::chrono::milliseconds HandoverTime{250};
+/// A process that was killed is back, or replaced, within about this time,
+/// which is less than a caller's way back.
+constexpr std::chrono::milliseconds HandoverTime{600};
 constexpr std::chrono::milliseconds HandoverPoll{40};
 
 } // namespace
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -87,6 +87,8 @@
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   if (Reply->WaitingKnown)
     Waiting_[Address] = Reply->Waiting;
+  if (Address != Options_.Address)
+    Starts_.hearClaims(Address, Reply->Claims);
   Jobs_.applyExchange(*Reply, SentAt, [this](const RunId &Run) {
     return Starts_.isOrdering(Run);
   });
@@ -125,7 +127,8 @@
               Request.Held.empty() ? std::vector<WorkerLoad>() : Pool_.loads(),
           .Runs = Pool_.runsOf(JobShards),
           .Waiting = Jobs_.waiting(),
-          .WaitingKnown = Jobs_.waitingKnown()};
+          .WaitingKnown = Jobs_.waitingKnown(),
+          .Claims = Starts_.claims()};
 }
 
 asio::awaitable<void> CellNode::placeOne(ShardEpoch Job, PlaceOrder Order,
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -24,6 +24,13 @@
   return fmt::format("{}#{}", Run.Task.toString(), Run.Run);
 }
 
+/// Gangs that are late already come after all others.
+constexpr std::chrono::hours LateClaim{1};
+
+Clock::time_point claimTime(const DispatchRank &Rank) {
+  return Rank.Late ? Rank.StartBy + LateClaim : Rank.StartBy;
+}
+
 std::int64_t milliseconds(Clock::duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
@@ -86,8 +93,63 @@
 }
 
 void Dispatcher::pass() {
+  const auto Former = Claims_.own();
+  NextClaim_.reset();
   for (const ReadyItem &Item : collect())
     serve(Item);
+  Claims_.setOwn(std::move(NextClaim_));
+  const auto &Claim = Claims_.own();
+  if (Claim && (!Former || Former->Step != Claim->Step))
+    Events_.emit(
+        "dispatch", "claim",
+        {{"step", Claim->Step},
+         {"workers", Claim->Workers.size()},
+         {"start_in_ms", milliseconds(Claim->StartBy - Timers_.now())}});
+}
+
+std::vector<ClaimReport> Dispatcher::claims() const {
+  std::vector<ClaimReport> Reports;
+  if (const auto &Claim = Claims_.own())
+    Reports.push_back(
+        {.Step = Claim->Step,
+         .Workers = Claim->Workers,
+         .StartInMs = milliseconds(Claim->StartBy - Timers_.now())});
+  return Reports;
+}
+
+void Dispatcher::hearClaims(const std::string &Address,
+                            const std::vector<ClaimReport> &Reports) {
+  std::vector<GangClaim> Heard;
+  const Clock::time_point Now = Timers_.now();
+  for (const ClaimReport &Report : Reports)
+    Heard.push_back(
+        {.Step = Report.Step,
+         .Workers = Report.Workers,
+         .StartBy = Now + std::chrono::milliseconds(Report.StartInMs)});
+  Claims_.hear(Address, std::move(Heard), Now);
+}
+
+void Dispatcher::claimFor(const ReadyItem &Item,
+                          const std::vector<Candidate> &Candidates) {
+  const JobSpec &Job = Item.Job->Progress.spec();
+  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const Clock::time_point StartBy = claimTime(Item.Rank);
+  if (!Step.Gang || !Item.Rank.Patient || NextClaim_ ||
+      !Claims_.mayClaim(StartBy, View_.workers().size(), Timers_.now()))
+    return;
+  const StepAdvice &Advice =
+      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  std::vector<Candidate> Good;
+  for (const Candidate &Each : Candidates)
+    if (!Job.Queue.Advice || Advice.isGood(Each.Worker->Id))
+      Good.push_back(Each);
+  const PlacementNeed Need{.Step = &Step,
+                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  auto Workers = chooseClaim(Need, Good);
+  if (!Workers.empty())
+    NextClaim_ = GangClaim{.Step = stepNameOf(Item),
+                           .Workers = std::move(Workers),
+                           .StartBy = StartBy};
 }
 
 std::vector<Candidate> Dispatcher::candidatesFor(const ReadyItem &Item) const {
@@ -96,9 +158,15 @@
   const std::string Service = serviceOf(Job);
   const PlacementNeed Need{.Step = &Step,
                            .Count = static_cast<int>(Item.Step.Tasks.size())};
+  std::set<std::string> Kept;
+  if (Item.Rank.Patient)
+    Kept = Claims_.keptFrom(stepNameOf(Item),
+                            Step.Gang ? std::optional(claimTime(Item.Rank))
+                                      : std::nullopt,
+                            Timers_.now());
   std::vector<Candidate> Found;
   for (const auto &[Id, Worker] : View_.workers()) {
-    if (Worker.Service != Service || Worker.Draining)
+    if (Worker.Service != Service || Worker.Draining || Kept.contains(Id))
       continue;
     const bool Labelled =
         std::ranges::all_of(Step.Requirements, [&](const std::string &Label) {
@@ -110,13 +178,15 @@
     Candidate New{.Worker = &Worker,
                   .Free = usableFree(Room.Free, Worker.Capacity,
                                      Job.Queue.Priority, Options_.Placement),
-                  .Local = Room.Local};
+                  .Local = Room.Local,
+                  .Suspect = Room.Suspect};
     if (Step.AntiAffinity > 0)
       New.AlreadyPlaced =
           Item.Job->Progress.placedOn(Item.Step.Occurrence, Item.Step.Step, Id);
-    if (slotsOn(Need, New) > 0)
+    if (Step.Gang || slotsOn(Need, New) > 0)
       Found.push_back(New);
   }
+  dropSuspects(Found);
   return Found;
 }
 
@@ -129,7 +199,10 @@
   if (!Job.Queue.Advice) {
     if (!Item.Job->Accepted)
       return;
-    placeOn(Item, Candidates, placeStep(Need, Candidates));
+    const auto Chosen = placeStep(Need, Candidates);
+    placeOn(Item, Candidates, Chosen);
+    if (Chosen.empty())
+      claimFor(Item, Candidates);
     return;
   }
   const StepAdvice &Advice =
@@ -143,6 +216,8 @@
                                          : std::vector<std::size_t>();
   placeOn(Item, Ticketed, Chosen);
   const int Left = Need.Count - static_cast<int>(Chosen.size());
+  if (Left == Need.Count && Item.Job->Accepted)
+    claimFor(Item, Candidates);
   if (Left > 0 && (Item.Job->Accepted || Ticketed.empty()))
     askFor(Item, Candidates, Left);
 }
@@ -263,7 +338,9 @@
                      .Demand = Step.Demand,
                      .Payload = Job.Payload,
                      .Checkpoint = Progress.checkpointOf(Id.Task),
-                     .Ticket = Ticket == nullptr ? "" : *Ticket};
+                     .Ticket = Ticket == nullptr ? "" : *Ticket,
+                     .ExpectedMs =
+                         Job.Queue.Priority == 0 ? Step.Estimated.count() : 0};
     Progress.markPlacing(Id, Timers_.now());
     Ordering_.insert(keyOf(Id));
     View_.reserve(Worker.Id, Step.Demand);
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellPeer.h"
 #include "Cell/DispatchOrder.h"
+#include "Cell/GangClaim.h"
 #include "Cell/JobOwner.h"
 #include "Cell/Placement.h"
 #include "Cell/ShardMembership.h"
@@ -48,6 +49,12 @@
   void wake() { Wake_.notify(); }
   void stop();
 
+  /// The claim of a gang of this process, for others.
+  [[nodiscard]] std::vector<ClaimReport> claims() const;
+  /// Another process said what it claims.
+  void hearClaims(const std::string &Address,
+                  const std::vector<ClaimReport> &Reports);
+
   void stopRuns(std::vector<RunId> Runs);
   /// True while an order for the run has no definite answer.
   [[nodiscard]] bool isOrdering(const RunId &Run) const;
@@ -71,8 +78,12 @@
   /// Starts what has a place and a valid ticket, and asks for advice on the
   /// rest.
   void serve(const ReadyItem &Item);
+  /// Workers that may run the step; for a gang also those without room now.
   [[nodiscard]] std::vector<Candidate>
   candidatesFor(const ReadyItem &Item) const;
+  /// Collects room for the first gang that waits.
+  void claimFor(const ReadyItem &Item,
+                const std::vector<Candidate> &Candidates);
   void placeOn(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
                const std::vector<std::size_t> &Chosen);
   void askFor(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
@@ -118,6 +129,8 @@
   std::set<std::string> Ordering_; ///< TASK#RUN
   std::set<std::string> Stopping_;
   std::map<std::string, double> GoodShare_; ///< By queue.
+  GangClaims Claims_;
+  std::optional<GangClaim> NextClaim_; ///< Made by the pass under way.
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -16,8 +16,7 @@
 constexpr const char *ProgressPrefix = "p/";
 constexpr const char *WorkerPrefix = "w/";
 constexpr std::chrono::milliseconds RecordRetry{200};
-/// While the journal has failed for so long, new jobs are refused at once.
-constexpr std::chrono::milliseconds JournalPatience{250};
+
 constexpr int Accepted = 200;
 constexpr int Gone = 410;
 constexpr int TryLater = 503;
@@ -209,7 +208,7 @@
   JobPointer Job = findJob(Id);
   if (Job && Job->Accepted)
     co_return Accepted;
-  if (Owner->Journal->failingFor() > JournalPatience)
+  if (Owner->Journal->isUnavailable())
     co_return TryLater;
   if (!Job) {
     if (Owner->Jobs.size() >= Options_.MaximumJobsPerShard)
@@ -230,8 +229,8 @@
   Records.push_back(
       {.Key = JobPrefix + Id, .Value = json(Job->Progress.spec()).dump()});
   ++Job->Submitting;
-  const JournalOutcome Outcome =
-      co_await write(Job->Journal, std::move(Records));
+  const JournalOutcome Outcome = co_await Job->Journal->write(
+      std::move(Records), Timers_.now() + Options_.WriteLimit, true);
   --Job->Submitting;
   if (Outcome == JournalOutcome::Written && !Job->Accepted) {
     Job->Accepted = true;
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -24,6 +24,8 @@
   std::string Payload;
   std::string Checkpoint;
   std::string Ticket;
+  /// Estimated time of the task; 0 if it is too rough to judge a worker by.
+  std::int64_t ExpectedMs = 0;
 };
 
 struct PlaceRequest {
@@ -49,6 +51,7 @@
   Resources Free;
   bool Resolved = false; ///< Everything that runs there is known.
   bool Usable = false;   ///< Takes new work.
+  bool Suspect = false;  ///< Its runs fail, or take too long.
 };
 
 struct PlaceReply {
@@ -112,12 +115,20 @@
   bool Leaving = false; ///< The sender has just given all shards up.
 };
 
+/// Room that a waiting gang collects.
+struct ClaimReport {
+  std::string Step;
+  std::vector<std::string> Workers;
+  std::int64_t StartInMs = 0; ///< Until the gang must start to be in time.
+};
+
 struct ExchangeReply {
   std::vector<HeldShard> Held;
   std::vector<WorkerLoad> Workers;
   std::vector<RunReport> Runs;        ///< Of the sender's jobs.
   std::map<std::string, int> Waiting; ///< Jobs not begun, by queue.
   bool WaitingKnown = false; ///< The journals of all held shards are read.
+  std::vector<ClaimReport> Claims;
 };
 
 struct AdviseRequest {
@@ -151,10 +162,11 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardEpoch, Shard, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceOrder, Task, Run, Worker, Demand,
-                                   Payload, Checkpoint, Ticket)
+                                   Payload, Checkpoint, Ticket, ExpectedMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
+                                   Suspect)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopRequest, Runs)
@@ -168,8 +180,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands,
                                    Leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Held, Workers, Runs, Waiting,
-                                   WaitingKnown)
+                                   WaitingKnown, Claims)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
                                    Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -12,6 +12,9 @@
 /// Expected room that is asked about, as a multiple of the need. Workers that
 /// are good may lose their room until the answer comes.
 constexpr double AskMargin = 1.7;
+/// Room on the good workers of a gang, were they empty, as a multiple of the
+/// need: the gang waits for the part of it that is free first.
+constexpr double PotentialMargin = 2.0;
 constexpr std::size_t MinimumAsked = 4;
 constexpr std::size_t MaximumAsked = 100; // The adviser takes no more.
 
@@ -72,6 +75,12 @@
 
 } // namespace
 
+int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &On) {
+  Candidate Empty = On;
+  Empty.Free = On.Worker->Capacity;
+  return slotsOn(Need, Empty);
+}
+
 int slotsOn(const PlacementNeed &Need, const Candidate &On) {
   auto Most = static_cast<std::uint64_t>(Need.Count);
   if (Need.Step->AntiAffinity > 0)
@@ -85,6 +94,14 @@
   return static_cast<int>(Most);
 }
 
+void dropSuspects(std::vector<Candidate> &Candidates) {
+  const auto Suspects = static_cast<std::size_t>(
+      std::ranges::count_if(Candidates, &Candidate::Suspect));
+  if (Suspects <= Candidates.size() / 3)
+    std::erase_if(Candidates,
+                  [](const Candidate &Each) { return Each.Suspect; });
+}
+
 Resources usableFree(const Resources &Free, const Resources &Capacity,
                      int Priority, const PlacementOptions &Options) {
   if (Priority == 0)
@@ -108,31 +125,74 @@
   return Chosen;
 }
 
+namespace {
+
+std::vector<std::string> chooseForGang(const PlacementNeed &Need,
+                                       const std::vector<Candidate> &Candidates,
+                                       const StepAdvice &Known,
+                                       double GoodShare,
+                                       Clock::time_point HeldUntil) {
+  std::vector<std::string> Asked;
+  std::vector<std::string> New;
+  double Room = 0;
+  double Potential = 0; ///< If nothing else ran on the workers.
+  double KnownPotential = 0;
+  int Whole = 0;
+  for (const std::size_t I : sortedForStep(Need, Candidates)) {
+    const std::string &Id = Candidates[I].Worker->Id;
+    const int Total = slotsWhenEmpty(Need, Candidates[I]);
+    if (Total == 0 || Known.isBad(Id))
+      continue;
+    Whole += Total;
+    const int Slots = slotsOn(Need, Candidates[I]);
+    const double Share = Known.isGood(Id) ? 1.0 : GoodShare;
+    const bool Held = Known.ticketFor(Id, HeldUntil) != nullptr;
+    const bool Enough =
+        Asked.size() == MaximumAsked ||
+        (Asked.size() >= MinimumAsked && Room >= AskMargin * Need.Count);
+    const bool Learn =
+        !Known.isGood(Id) && Potential < PotentialMargin * Need.Count;
+    const bool Ask = !Held && !Enough && (Slots > 0 || Learn);
+    if (Known.isGood(Id))
+      KnownPotential += Total;
+    if (!Ask && !Held)
+      continue;
+    Room += Share * Slots;
+    Potential += Share * Total;
+    if (Ask)
+      Asked.push_back(Id);
+    if (Ask && !Known.isGood(Id))
+      New.push_back(Id);
+  }
+  if (Room >= Need.Count)
+    return Asked;
+  if (Whole < Need.Count || KnownPotential >= PotentialMargin * Need.Count)
+    New.clear();
+  return New;
+}
+
+} // namespace
+
 std::vector<std::string> chooseWorkersToAsk(
     const PlacementNeed &Need, const std::vector<Candidate> &Candidates,
     const StepAdvice &Known, double GoodShare, Clock::time_point HeldUntil) {
+  if (Need.Step->Gang)
+    return chooseForGang(Need, Candidates, Known, GoodShare, HeldUntil);
   std::vector<std::string> Asked;
   double Expected = 0;
   for (const std::size_t I : sortedForStep(Need, Candidates)) {
     const std::string &Id = Candidates[I].Worker->Id;
     const int Slots = slotsOn(Need, Candidates[I]);
-    if (Slots == 0 || Known.isBad(Id))
-      continue;
-    if (Known.ticketFor(Id, HeldUntil) != nullptr) {
-      // Other steps have taken its room already, a gang waits for the rest.
-      if (Need.Step->Gang)
-        Expected += Slots;
+    // Other steps have taken the room behind a ticket that holds.
+    if (Slots == 0 || Known.isBad(Id) ||
+        Known.ticketFor(Id, HeldUntil) != nullptr)
       continue;
-    }
     if (Asked.size() == MaximumAsked ||
         (Asked.size() >= MinimumAsked && Expected >= AskMargin * Need.Count))
       break;
     Expected += (Known.isGood(Id) ? 1.0 : GoodShare) * Slots;
     Asked.push_back(Id);
   }
-  const double Needed = Need.Step->Gang ? Need.Count : 0;
-  if (Expected < Needed)
-    Asked.clear();
   return Asked;
 }
 
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -15,6 +15,7 @@
   Resources Free;
   bool Local = false;    ///< Held by this process.
   int AlreadyPlaced = 0; ///< Tasks of the step that it has.
+  bool Suspect = false;  ///< Its runs fail, or take too long.
 };
 
 /// Tasks of one step that wait for a place.
@@ -32,6 +33,12 @@
 
 /// Number of tasks of the step that fit on the candidate, at most Count.
 int slotsOn(const PlacementNeed &Need, const Candidate &On);
+/// The same if nothing else ran there.
+int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &On);
+
+/// Leaves out suspect workers, unless so many are that the estimates or the
+/// jobs must be wrong instead.
+void dropSuspects(std::vector<Candidate> &Candidates);
 
 /// Amount that a queue of this priority may use of a worker.
 Resources usableFree(const Resources &Free, const Resources &Capacity,
@@ -49,7 +56,8 @@
 /// that were good for the queue so far. A call costs almost the same for few
 /// and for many workers, so that enough are asked at once. Workers whose ticket
 /// holds until the given time, which is after the answer, are not asked about
-/// again. Empty if not even all of them are expected to have room enough.
+/// again. For a gang without room enough, only new workers are named, so that
+/// it is known which ones to claim; later calls wait until there is room.
 std::vector<std::string> chooseWorkersToAsk(
     const PlacementNeed &Need, const std::vector<Candidate> &Candidates,
     const StepAdvice &Known, double GoodShare, Clock::time_point HeldUntil);
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -87,7 +87,9 @@
       continue;
     }
     const Clock::time_point Begin = Timers_.now();
+    Appending_ = true;
     co_await appendBatch(std::move(Entries));
+    Appending_ = false;
     const auto Spent = Timers_.now() - Begin;
     if (!Stopped_ && Spent < Options_.MinimumInterval)
       co_await Timers_.sleepFor(Options_.MinimumInterval - Spent);
@@ -99,14 +101,17 @@
   for (const auto &Item : Entries)
     Records.insert(Records.end(), Item->Records.begin(), Item->Records.end());
   bool MayBeDone = false;
-  auto Timeout = Options_.FirstTimeout;
-  while (!Stopped_) {
+  for (int Failures = 0; !Stopped_; ++Failures) {
     AppendStamp Stamp{.Producer = Options_.Producer,
                       .Epoch = Options_.Epoch,
                       .Sequence = NextSequence_};
+    LastTry_ = Timers_.now();
     const auto Reply = co_await Store_.append(
-        Options_.Topic, Options_.Shard, Records, std::move(Stamp), Timeout);
-    Timeout = std::min(2 * Timeout, Options_.LongestTimeout);
+        Options_.Topic, Options_.Shard, Records, std::move(Stamp),
+        Answers_.timeout(Options_.FirstTimeout, Options_.LongestTimeout,
+                         Failures));
+    if (Reply)
+      Answers_.answered(Timers_.now() - LastTry_);
     if (Reply && Reply->Status == AppendStatus::Appended) {
       FailingSince_.reset();
       ++NextSequence_;
@@ -140,6 +145,8 @@
         (*It)->Changed.notify();
         Queue_.push_front(*It);
       }
+      if (failingFor() > Options_.Patience)
+        giveUpHurried();
       co_await Timers_.sleepFor(RetryDelay);
       co_return;
     }
@@ -149,6 +156,17 @@
          MayBeDone ? JournalOutcome::Unknown : JournalOutcome::NotWritten);
 }
 
+void ShardJournal::giveUpHurried() {
+  Batch Given;
+  std::erase_if(Queue_, [&Given](const std::shared_ptr<Entry> &Item) {
+    if (!Item->Hurried)
+      return false;
+    Given.push_back(Item);
+    return true;
+  });
+  finish(Given, JournalOutcome::NotWritten);
+}
+
 void ShardJournal::finish(const Batch &Entries, JournalOutcome Outcome) {
   for (const auto &Item : Entries) {
     Item->Outcome = Outcome;
@@ -158,12 +176,13 @@
 
 asio::awaitable<JournalOutcome>
 ShardJournal::write(std::vector<KeyedRecord> Records,
-                    Clock::time_point Deadline) {
+                    Clock::time_point Deadline, bool Hurried) {
   if (Stopped_)
     co_return JournalOutcome::NotWritten;
   const auto Self = shared_from_this();
   auto Item = std::make_shared<Entry>(Executor_);
   Item->Records = std::move(Records);
+  Item->Hurried = Hurried;
   Queue_.push_back(Item);
   Work_.notify();
   while (!Item->Outcome) {
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -2,6 +2,7 @@
 
 #include "Base/Signal.h"
 #include "Base/TimerService.h"
+#include "Cell/AnswerTime.h"
 #include "Cell/StoreClient.h"
 
 #include <deque>
@@ -25,11 +26,17 @@
   std::string Producer = "owner";
   /// Bounds the number of appends under load; an idle shard appends at once.
   std::chrono::milliseconds MinimumInterval{50};
-  /// Of the first try of an append; doubled for each further one, so that lost
-  /// answers cost little and slow ones are still waited for.
+  /// Of the first try of an append, while the store answers fast; doubled for
+  /// each further one, so that lost answers cost little and slow ones are still
+  /// waited for.
   std::chrono::milliseconds FirstTimeout{400};
   std::chrono::milliseconds LongestTimeout{1600};
   std::size_t MaximumBatchBytes = 256U << 10U;
+  /// When the store has refused records for so long, those that need a quick
+  /// answer are given up.
+  std::chrono::milliseconds Patience{250};
+  /// While it fails, new records are tried once in so long.
+  std::chrono::milliseconds ProbeInterval{200};
 };
 
 /// Writes the records of one shard in one epoch. One append is in flight at a
@@ -51,14 +58,21 @@
 
   /// Appends until stop().
   asio::awaitable<void> run();
+  /// Hurried: the caller would rather try again than wait for the store.
   asio::awaitable<JournalOutcome> write(std::vector<KeyedRecord> Records,
-                                        Clock::time_point Deadline);
+                                        Clock::time_point Deadline,
+                                        bool Hurried = false);
   void stop();
   /// Time since the first failed try to append; zero if the latest succeeded.
   [[nodiscard]] Clock::duration failingFor() const {
     return FailingSince_ ? Timers_.now() - *FailingSince_
                          : Clock::duration::zero();
   }
+  /// True while a new record would most likely not be written.
+  [[nodiscard]] bool isUnavailable() const {
+    return failingFor() > Options_.Patience &&
+           (Appending_ || Timers_.now() - LastTry_ < Options_.ProbeInterval);
+  }
 
 private:
   struct Entry {
@@ -68,12 +82,15 @@
     std::optional<JournalOutcome> Outcome;
     bool Attempted = false;
     bool Withdrawn = false;
+    bool Hurried = false;
   };
   using Batch = std::vector<std::shared_ptr<Entry>>;
 
   Batch takeBatch();
   asio::awaitable<void> appendBatch(Batch Entries);
   void finish(const Batch &Entries, JournalOutcome Outcome);
+  /// Gives up the records that wait and need a quick answer.
+  void giveUpHurried();
   void fence();
   asio::awaitable<std::optional<std::vector<KeyedRecord>>> readAll();
 
@@ -86,6 +103,9 @@
   Signal Work_;
   std::uint64_t NextSequence_ = 1;
   std::optional<Clock::time_point> FailingSince_;
+  Clock::time_point LastTry_{};
+  bool Appending_ = false;
+  AnswerTime Answers_;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -53,8 +53,12 @@
     const auto Reply = co_await Store_.join(
         Options_.Group, Options_.Member, Options_.Topic, Options_.TimeToLive,
         Generation_,
-        Failures < QuickTries ? Options_.JoinTimeout
-                              : Options_.LongestJoinTimeout);
+        Failures < QuickTries
+            ? StoreAnswers_.timeout(Options_.JoinTimeout,
+                                    Options_.LongestJoinTimeout, 0)
+            : Options_.LongestJoinTimeout);
+    if (Reply)
+      StoreAnswers_.answered(Timers_.now() - SentAt);
     Failures = Reply ? 0 : Failures + 1;
     if (Left_)
       break;
@@ -158,9 +162,11 @@
 
 asio::awaitable<void> ShardMembership::followHolders() {
   while (!Stopping_) {
+    const Clock::time_point AskedAt = Timers_.now();
     const auto Rows = co_await Store_.holders(Options_.Group);
     HoldersRead_ = Rows.has_value();
     if (Rows) {
+      StoreAnswers_.answered(Timers_.now() - AskedAt);
       std::map<int, std::string> Holders;
       for (const ShardHolder &Row : *Rows)
         if (!Row.Member.empty())
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -4,6 +4,7 @@
 #include "Base/Part.h"
 #include "Base/Signal.h"
 #include "Base/TimerService.h"
+#include "Cell/AnswerTime.h"
 #include "Cell/StoreClient.h"
 
 #include <functional>
@@ -23,7 +24,7 @@
   std::chrono::milliseconds JoinPeriod{300};
   std::chrono::milliseconds HoldersPeriod{400};
   /// Several tries fit in the time to live, so that one lost answer does not
-  /// cost the shards. Doubled while no try succeeds.
+  /// cost the shards. More while the store answers slowly.
   std::chrono::milliseconds JoinTimeout{300};
   std::chrono::milliseconds LongestJoinTimeout{700};
   int Shards = 24;
@@ -107,6 +108,7 @@
   Signal HoldersDue_;
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
+  AnswerTime StoreAnswers_;
   bool InUse_ = true;
   bool HoldersRead_ = false; ///< The latest read succeeded.
   bool Stopping_ = false;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -123,6 +123,7 @@
     }
     dropOldReservations();
     applyHold(*Reply, SentAt);
+    judge();
     co_await Timers_.sleepFor(Options_.HoldPause);
     if (!Stopping_ && !OpenEnds_.empty())
       co_await Delivered_.waitFor(Timers_, Options_.DeliveryWait);
@@ -173,6 +174,14 @@
     Listener_.EndsChanged();
 }
 
+void WorkerAgent::judge() {
+  const bool Suspect = Health_.isSuspect(Timers_.now());
+  if (Suspect != Suspect_)
+    Events_.emit("workers", Suspect ? "set_aside" : "tried_again",
+                 {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
+  Suspect_ = Suspect;
+}
+
 void WorkerAgent::reborn(std::int64_t Born) {
   Events_.emit("workers", "reborn", {{"worker", Entry_.Id}, {"born", Born}});
   endAll(RunEnd::Lost);
@@ -216,7 +225,12 @@
   HighestEnd_ = std::max(HighestEnd_, Row.Number);
   Run &Item = Runs_[Key(Row.Task, Row.Run)];
   Item.Checkpoint = std::max(Item.Checkpoint, Row.Checkpoint);
-  end(Item, runEndFromName(Row.How), Row.Number);
+  const RunEnd How = runEndFromName(Row.How);
+  if (How == RunEnd::Done || How == RunEnd::Failed)
+    Health_.ended(Row.Task, Row.Run, How == RunEnd::Failed, Timers_.now());
+  else
+    Health_.forget(Row.Task, Row.Run);
+  end(Item, How, Row.Number);
 }
 
 void WorkerAgent::end(Run &Item, RunEnd How, std::int64_t Number) {
@@ -247,6 +261,7 @@
 }
 
 void WorkerAgent::endAll(RunEnd How) {
+  Health_ = WorkerHealth();
   std::erase_if(Runs_, [](const auto &Item) {
     return Item.second.State == Phase::Reserved;
   });
@@ -299,7 +314,8 @@
           .Free = Entry_.Capacity.minusClamped(committed()),
           .Resolved = Resolved_,
           .Usable = Resolved_ && Reachable_ && Healthy_ && Listed_ &&
-                    Recorded_ && ClockKnown_ && AllKnown && !Entry_.Draining};
+                    Recorded_ && ClockKnown_ && AllKnown && !Entry_.Draining,
+          .Suspect = Suspect_};
 }
 
 void WorkerAgent::dropOldReservations() {
@@ -375,6 +391,9 @@
       continue;
     }
     if (Reply->Status == OrderStatus::Ok) {
+      Health_.started(Order.Task, Order.Run,
+                      std::chrono::milliseconds(Order.ExpectedMs),
+                      Timers_.now());
       It->second.State = Phase::Running;
       It->second.Confirmed = true;
       It->second.ConfirmedAt = Timers_.now();
@@ -428,6 +447,7 @@
     return;
   Events_.emit("workers", "stopping",
                {{"task", Task}, {"run", RunNumber}, {"worker", Entry_.Id}});
+  Health_.forget(Task, RunNumber);
   Item.State = Phase::Stopping;
   Item.Confirmed = false;
   asio::co_spawn(Executor_, stopUntilAnswered(Name), asio::detached);
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -5,6 +5,7 @@
 #include "Base/TimerService.h"
 #include "Cell/PeerMessages.h"
 #include "Cell/WorkerClient.h"
+#include "Cell/WorkerHealth.h"
 #include "Work/JobProgress.h"
 
 #include <functional>
@@ -110,6 +111,7 @@
   void end(Run &Item, RunEnd How, std::int64_t Number);
   void holdFailed(bool Refused);
   asio::awaitable<void> stopUntilAnswered(Key Name);
+  void judge();
   void dropOldReservations();
   PlaceResult rejected(const Key &Name, const std::string &Reason);
   [[nodiscard]] std::optional<std::string> refusalOf(const PlaceOrder &Order);
@@ -133,6 +135,7 @@
   std::chrono::milliseconds Clock_{0};
   Clock::time_point ClockAt_{};
   Clock::time_point LastExtension_;
+  WorkerHealth Health_;
   Signal Delivered_;
   bool ClockKnown_ = false;
   bool Resolved_ = false;
@@ -140,6 +143,7 @@
   bool Healthy_ = true;
   bool Listed_ = true;
   bool Recorded_ = false;
+  bool Suspect_ = false;
   bool Stopping_ = false;
 };
 
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -31,6 +31,7 @@
   std::set<int> SilentPartitions;
   GroupMembership Membership;
   bool GroupReachable = true;
+  std::chrono::milliseconds AppendTime{4};
   std::vector<ShardHolder> Holders;
   std::vector<std::string> Left; ///< Members that were removed.
   int Appends = 0;
@@ -46,7 +47,11 @@
   asio::awaitable<Result<AppendReply>>
   append(std::string /*Topic*/, int Number, std::vector<KeyedRecord> Records,
          AppendStamp Stamp, std::chrono::milliseconds Timeout) override {
-    co_await Timers_.sleepFor(std::chrono::milliseconds(4));
+    if (AppendTime > Timeout) {
+      co_await Timers_.sleepFor(Timeout);
+      co_return fail(ErrorCode::Timeout, "no answer");
+    }
+    co_await Timers_.sleepFor(AppendTime);
     Partition &Target = Partitions_[Number];
     if (Stamp.Epoch < Target.Epoch)
       co_return AppendReply{.Status = AppendStatus::Fenced};
--- /dev/null
+++ b/Tests/Cell/GangClaimTest.cpp
@@ -0,0 +1,135 @@
+#include "Cell/GangClaim.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+class GangClaimTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GangClaimTest);
+  CPPUNIT_TEST(testClaimsFewestWorkersThatFreeRoomSoon);
+  CPPUNIT_TEST(testNoClaimWhereTheGangNeverFits);
+  CPPUNIT_TEST(testClaimKeepsOtherWorkAway);
+  CPPUNIT_TEST(testEarlierGangComesFirst);
+  CPPUNIT_TEST(testNumberOfClaimsIsBounded);
+  CPPUNIT_TEST(testSilentProcessClaimsNothing);
+  CPPUNIT_TEST(testWideGangStartsUnderAStreamOfSmallTasks);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  static constexpr Clock::time_point Now{};
+
+  /// Workers of 16 processors.
+  struct Farm {
+    explicit Farm(const std::vector<std::uint64_t> &Free) {
+      Entries.reserve(Free.size());
+      for (std::size_t I = 0; I < Free.size(); ++I) {
+        Entries.push_back(
+            {.Id = fmt::format("w{:02}", I),
+             .Capacity = {.CpusMilli = 16000, .MemoryMb = 64000}});
+        All.push_back({.Worker = &Entries.back(),
+                       .Free = {.CpusMilli = Free[I], .MemoryMb = 64000}});
+      }
+    }
+    std::vector<WorkerEntry> Entries;
+    std::vector<Candidate> All;
+  };
+  static StepSpec gangOf(int Count) {
+    return {.Count = Count,
+            .Demand = {.CpusMilli = 4500, .MemoryMb = 1000},
+            .Gang = true};
+  }
+
+  void testClaimsFewestWorkersThatFreeRoomSoon() {
+    const Farm Workers({1000, 9000, 500, 4500, 16000});
+    const StepSpec Gang = gangOf(6);
+    CPPUNIT_ASSERT((std::vector<std::string>{"w04", "w01"}) ==
+                   chooseClaim({.Step = &Gang, .Count = 6}, Workers.All));
+  }
+
+  void testNoClaimWhereTheGangNeverFits() {
+    const Farm Workers({16000, 16000});
+    const StepSpec Gang = gangOf(7);
+    CPPUNIT_ASSERT(
+        chooseClaim({.Step = &Gang, .Count = 7}, Workers.All).empty());
+  }
+
+  void testClaimKeepsOtherWorkAway() {
+    GangClaims Claims;
+    Claims.setOwn(
+        GangClaim{.Step = "a.0.0", .Workers = {"w"}, .StartBy = Now + 1s});
+    CPPUNIT_ASSERT(Claims.keptFrom("a.0.0", Now + 1s, Now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Claims.keptFrom("b.0.0", std::nullopt, Now).size());
+  }
+
+  // Two gangs that each hold a part of what the other needs never start.
+  void testEarlierGangComesFirst() {
+    GangClaims Claims;
+    Claims.setOwn(
+        GangClaim{.Step = "a.0.0", .Workers = {"v"}, .StartBy = Now + 2s});
+    Claims.hear("other",
+                {{.Step = "b.0.0", .Workers = {"w"}, .StartBy = Now + 1s}},
+                Now);
+    CPPUNIT_ASSERT(Claims.keptFrom("a.0.0", Now + 2s, Now).contains("w"));
+    CPPUNIT_ASSERT(Claims.keptFrom("b.0.0", Now + 1s, Now).empty());
+  }
+
+  void testNumberOfClaimsIsBounded() {
+    GangClaims Claims({.WorkersPerClaim = 24});
+    for (const char *Address : {"p", "q"})
+      Claims.hear(Address,
+                  {{.Step = Address, .Workers = {"w"}, .StartBy = Now + 1s}},
+                  Now);
+    CPPUNIT_ASSERT(!Claims.mayClaim(Now + 2s, 48, Now));
+    CPPUNIT_ASSERT(Claims.mayClaim(Now + 2s, 72, Now));
+    CPPUNIT_ASSERT(Claims.mayClaim(Now, 48, Now));
+  }
+
+  void testSilentProcessClaimsNothing() {
+    GangClaims Claims;
+    Claims.hear("other", {{.Step = "b.0.0", .Workers = {"w"}, .StartBy = Now}},
+                Now);
+    CPPUNIT_ASSERT(Claims.keptFrom("c.0.0", std::nullopt, Now + 10s).empty());
+    CPPUNIT_ASSERT(Claims.mayClaim(Now + 2s, 1, Now + 10s));
+  }
+
+  // Load: ten full workers run tasks of 1 core, each frees one core per step of
+  // time, and a new small task waits for each that ends. Without a claim, a
+  // gang of 9 members of 4.5 cores never finds its room.
+  void testWideGangStartsUnderAStreamOfSmallTasks() {
+    CPPUNIT_ASSERT(!startsWithin(40, false));
+    CPPUNIT_ASSERT(startsWithin(40, true));
+  }
+
+  static bool startsWithin(int Steps, bool Claim) {
+    Farm Workers(std::vector<std::uint64_t>(10, 0));
+    const StepSpec Gang = gangOf(9);
+    const StepSpec Small{.Demand = {.CpusMilli = 1000, .MemoryMb = 100}};
+    const PlacementNeed Need{.Step = &Gang, .Count = 9};
+    GangClaims Claims;
+    for (int Step = 0; Step < Steps; ++Step) {
+      for (Candidate &Worker : Workers.All)
+        Worker.Free.CpusMilli =
+            std::min<std::uint64_t>(16000, Worker.Free.CpusMilli + 1000);
+      if (placeStep(Need, Workers.All).size() == 9)
+        return true;
+      if (Claim)
+        Claims.setOwn(GangClaim{.Step = "gang",
+                                .Workers = chooseClaim(Need, Workers.All)});
+      const auto Kept = Claims.keptFrom("small", std::nullopt, Now);
+      for (Candidate &Worker : Workers.All)
+        if (!Kept.contains(Worker.Worker->Id))
+          Worker.Free.CpusMilli -=
+              1000 * placeStep({.Step = &Small, .Count = 1}, {Worker}).size();
+    }
+    return false;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GangClaimTest);
+
+} // namespace hickory
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -45,11 +45,13 @@
   CPPUNIT_TEST(testAntiAffinityLimitsTasksOfOneWorker);
   CPPUNIT_TEST(testOnlyUrgentQueuesUseTheHeadroom);
   CPPUNIT_TEST(testAsksEnoughForTheShareThatIsGood);
-  CPPUNIT_TEST(testDoesNotAskForGangWithoutRoom);
+  CPPUNIT_TEST(testAsksOnceForGangWithoutRoom);
+  CPPUNIT_TEST(testDoesNotAskForGangThatNeverFits);
   CPPUNIT_TEST(testDoesNotAskAboutRefusedWorkers);
   CPPUNIT_TEST(testDoesNotAskAgainWhileTicketsHold);
   CPPUNIT_TEST(testAsksElsewhereForTheRestOfAStep);
   CPPUNIT_TEST(testBurstOfSmallTasksKeepsRoomForGangs);
+  CPPUNIT_TEST(testSuspectWorkersAreLeftOutWhileTheyAreFew);
   CPPUNIT_TEST(propertyNeverBeyondTheRoom);
   CPPUNIT_TEST_SUITE_END();
 
@@ -122,11 +124,33 @@
         Asked);
   }
 
-  // A call about a gang costs half a second of the line: it must have a chance.
-  void testDoesNotAskForGangWithoutRoom() {
+  // A call about a gang costs half a second of the line. Without room, one call
+  // tells which workers to wait for; further ones must have a chance.
+  void testAsksOnceForGangWithoutRoom() {
     const Farm Workers(std::vector<std::uint64_t>(5, 9000));
     const StepSpec Gang = stepOf(6, 9000, true);
-    CPPUNIT_ASSERT(chooseWorkersToAsk({.Step = &Gang, .Count = 6},
+    const PlacementNeed Need{.Step = &Gang, .Count = 6};
+    StepAdvice Known;
+    const auto Asked =
+        chooseWorkersToAsk(Need, Workers.Candidates, Known, 0.9, {});
+    CPPUNIT_ASSERT(!Asked.empty());
+    Advice Reply;
+    for (const std::string &Worker : Asked)
+      Reply.Good.push_back({.Worker = Worker, .Text = "ticket"});
+    Known.apply(Asked, Reply, {});
+    CPPUNIT_ASSERT(chooseWorkersToAsk(Need, Workers.Candidates, Known, 0.9,
+                                      Clock::time_point(1s))
+                       .empty());
+    const Farm WithRoom(std::vector<std::uint64_t>(5, 18000));
+    CPPUNIT_ASSERT(!chooseWorkersToAsk(Need, WithRoom.Candidates, Known, 0.9,
+                                       Clock::time_point(1s))
+                        .empty());
+  }
+
+  void testDoesNotAskForGangThatNeverFits() {
+    const Farm Workers(std::vector<std::uint64_t>(2, 9000));
+    const StepSpec Gang = stepOf(7, 9000, true);
+    CPPUNIT_ASSERT(chooseWorkersToAsk({.Step = &Gang, .Count = 7},
                                       Workers.Candidates, {}, 0.9, {})
                        .empty());
   }
@@ -163,6 +187,18 @@
   }
 
   // The room behind held tickets is used up when tasks of a step are left.
+  void testSuspectWorkersAreLeftOutWhileTheyAreFew() {
+    Farm Workers({9000, 9000, 9000});
+    Workers.Candidates[1].Suspect = true;
+    auto Few = Workers.Candidates;
+    dropSuspects(Few);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Few.size());
+    Workers.Candidates[2].Suspect = true;
+    auto Many = Workers.Candidates;
+    dropSuspects(Many);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Many.size());
+  }
+
   void testAsksElsewhereForTheRestOfAStep() {
     const Farm Workers({9000, 9000});
     const StepSpec Step = stepOf(3, 5000);
--- a/Tests/Cell/ShardJournalTest.cpp
+++ b/Tests/Cell/ShardJournalTest.cpp
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(testFormerOwnerIsFenced);
   CPPUNIT_TEST(testAcquireReadsAllPages);
   CPPUNIT_TEST(testFailingJournalSaysSo);
+  CPPUNIT_TEST(testRefusedRecordIsGivenUpSoon);
+  CPPUNIT_TEST(testSlowStoreIsWaitedFor);
   CPPUNIT_TEST(propertyOutcomesAreTrue);
   CPPUNIT_TEST_SUITE_END();
 
@@ -138,13 +140,58 @@
     const auto Journal = Bench.open(1);
     Bench.Store.ChooseFate = [] { return FakeStoreClient::Fate::NotDone; };
     Bench.write(Journal, "a", 5s);
-    Bench.run(1s);
-    CPPUNIT_ASSERT(Journal->failingFor() > 500ms);
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(!Journal->isUnavailable());
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(Journal->isUnavailable());
+    CPPUNIT_ASSERT(Journal->failingFor() > 300ms);
+
     Bench.Store.ChooseFate = nullptr;
     Bench.run(500ms);
+    CPPUNIT_ASSERT(!Journal->isUnavailable());
     CPPUNIT_ASSERT(Journal->failingFor() == 0ms);
   }
 
+  // Callers whose record the store refused were held until their time was up.
+  void testRefusedRecordIsGivenUpSoon() {
+    JournalBench Bench;
+    const auto Journal = Bench.open(1);
+    Bench.Store.ChooseFate = [] { return FakeStoreClient::Fate::NotDone; };
+    const auto Hurry = [&](const char *Key) {
+      return Bench.begin(
+          Journal->write(recordOf(Key), Bench.Timers.now() + 1200ms, true));
+    };
+    const auto First = Hurry("a");
+    const auto Patient = Bench.write(Journal, "p", 1200ms);
+    Bench.run(300ms);
+    const auto Second = Hurry("b");
+    Bench.run(120ms);
+    CPPUNIT_ASSERT(First->has_value() && Second->has_value());
+    CPPUNIT_ASSERT(**First == JournalOutcome::NotWritten);
+    CPPUNIT_ASSERT(**Second == JournalOutcome::NotWritten);
+    Bench.Store.ChooseFate = nullptr;
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(**Patient == JournalOutcome::Written);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Store.values(3).size());
+  }
+
+  // A store that needs 450 ms for an answer is slow, not down: each append
+  // timed out once, and new jobs were refused meanwhile.
+  void testSlowStoreIsWaitedFor() {
+    JournalBench Bench;
+    const auto Journal = Bench.open(1);
+    Bench.Store.AppendTime = 450ms;
+    Bench.write(Journal, "a", 5s);
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Store.values(3).size());
+    for (const char *Key : {"b", "c", "d"}) {
+      const auto Outcome = Bench.write(Journal, Key);
+      Bench.run(500ms);
+      CPPUNIT_ASSERT(**Outcome == JournalOutcome::Written);
+      CPPUNIT_ASSERT(!Journal->isUnavailable());
+    }
+  }
+
   void propertyOutcomesAreTrue() {
     CPPUNIT_ASSERT(rc::check("written is stored, not written is not", [] {
       JournalBench Bench;
