Relieve processes that do not reach the store; take gone processes out at once

Change: after two failed joins a process asks another one to take it out of the group. That one does so only if its own calls have succeeded for longer than the other's have failed, so that an outage for all moves nothing. A member whose address refuses connections is taken out once.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -27,6 +27,9 @@
       EndsDue_(Executor) {}
 
 void CellNode::start() {
+  Shards_.onRelief([this](std::string Member, Clock::duration FailingFor) {
+    return askRelief(std::move(Member), FailingFor);
+  });
   asio::co_spawn(Executor_, exchangeLoop(), asio::detached);
   asio::co_spawn(Executor_, endsLoop(), asio::detached);
 }
@@ -77,6 +80,8 @@
   Exchanging_.erase(Address);
   if (!Reply) {
     SilentSince_.try_emplace(Address, SentAt);
+    if (Reply.error().Code == ErrorCode::Refused)
+      refusedBy(Address);
     co_return;
   }
   SilentSince_.erase(Address);
@@ -184,6 +189,34 @@
   co_return Reply;
 }
 
+asio::awaitable<RelieveReply> CellNode::relieve(RelieveRequest Request) {
+  const bool Done = co_await Shards_.relieve(
+      std::move(Request.Member), std::chrono::milliseconds(Request.FailingMs));
+  co_return RelieveReply{.Done = Done};
+}
+
+asio::awaitable<bool> CellNode::askRelief(std::string Member,
+                                          Clock::duration FailingFor) {
+  std::vector<std::string> Answering;
+  for (const std::string &Address : Shards_.peers())
+    if (!SilentSince_.contains(Address))
+      Answering.push_back(Address);
+  if (Answering.empty())
+    co_return false;
+  RelieveRequest Request{
+      .Member = std::move(Member),
+      .FailingMs =
+          std::chrono::duration_cast<std::chrono::milliseconds>(FailingFor)
+              .count()};
+  const auto Reply = co_await Peers_.relieve(
+      Answering[NextRelief_++ % Answering.size()], std::move(Request));
+  co_return Reply && Reply->Done;
+}
+
+void CellNode::refusedBy(const std::string &Address) {
+  asio::co_spawn(Executor_, Shards_.removeRefusing(Address), asio::detached);
+}
+
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
   if (!Jobs_.owns(Job.Id))
     co_return SubmitReply{.NotOwner = true};
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -51,10 +51,14 @@
   asio::awaitable<EndsReply> ends(EndsRequest Request) override;
   ExchangeReply exchange(const ExchangeRequest &Request) override;
   asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
+  asio::awaitable<RelieveReply> relieve(RelieveRequest Request) override;
   asio::awaitable<SubmitReply> submit(JobSpec Job) override;
   JobStateReply state(const JobReference &Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
 
+  /// A call found that nothing listens at the address.
+  void refusedBy(const std::string &Address);
+
   /// Processes without shards that have called lately.
   [[nodiscard]] std::set<std::string> helpers() const;
   /// Processes that hold shards and answer, this one included.
@@ -71,6 +75,9 @@
                 PlaceReply &Reply) const;
   asio::awaitable<void> exchangeLoop();
   asio::awaitable<void> announceTo(std::string Address);
+  /// Asks one process that answers to take this one out of the group.
+  asio::awaitable<bool> askRelief(std::string Member,
+                                  Clock::duration FailingFor);
   asio::awaitable<void> exchangeWith(std::string Address);
   /// Leaves out what the sender says of shards that have a later holder.
   void dropOutdated(ExchangeReply &Reply, const std::string &Address);
@@ -101,6 +108,7 @@
   std::map<std::string, std::vector<RunDemand>> Demands_;     ///< By peer.
   std::map<std::string, std::map<std::string, int>> Waiting_; ///< By peer.
   std::set<std::string> Delivering_;
+  std::size_t NextRelief_ = 0; ///< Another process is asked each time.
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -19,6 +19,8 @@
   virtual ExchangeReply exchange(const ExchangeRequest &Request) = 0;
   /// Asks the adviser for another process whose own call takes long.
   virtual asio::awaitable<AdviseReply> advise(AdviseRequest Request) = 0;
+  /// Takes a process that does not reach the store out of the group.
+  virtual asio::awaitable<RelieveReply> relieve(RelieveRequest Request) = 0;
   virtual asio::awaitable<SubmitReply> submit(JobSpec Job) = 0;
   virtual JobStateReply state(const JobReference &Job) = 0;
   virtual asio::awaitable<SubmitReply> cancel(JobReference Job) = 0;
@@ -39,6 +41,8 @@
   exchange(std::string Address, ExchangeRequest Request) = 0;
   virtual asio::awaitable<Result<AdviseReply>>
   advise(std::string Address, AdviseRequest Request) = 0;
+  virtual asio::awaitable<Result<RelieveReply>>
+  relieve(std::string Address, RelieveRequest Request) = 0;
   virtual asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                                       JobSpec Job) = 0;
   virtual asio::awaitable<Result<JobStateReply>> state(std::string Address,
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds ShortTimeout{1000};
 /// Beyond the time that the adviser needs for a call.
 constexpr std::chrono::milliseconds AdviceMargin{700};
+/// The caller's own joins wait for it.
+constexpr std::chrono::milliseconds ReliefTimeout{300};
 /// Longer than all tries of a start at the worker.
 constexpr std::chrono::milliseconds PlaceTimeout{2600};
 /// Longer than an append to the journal takes under trouble.
@@ -97,6 +99,14 @@
       co_await call(Address, "advise", json(Request).dump(), Timeout));
 }
 
+asio::awaitable<Result<RelieveReply>>
+HttpCellPeer::relieve(std::string Address, RelieveRequest Request) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->relieve(std::move(Request));
+  co_return decode<RelieveReply>(
+      co_await call(Address, "relieve", json(Request).dump(), ReliefTimeout));
+}
+
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
                                                           JobSpec Job) {
   if (Address == OwnAddress_)
@@ -133,6 +143,8 @@
     co_return Handler.exchange(Body.get<ExchangeRequest>());
   if (Name == "advise")
     co_return co_await Handler.advise(Body.get<AdviseRequest>());
+  if (Name == "relieve")
+    co_return co_await Handler.relieve(Body.get<RelieveRequest>());
   if (Name == "submit")
     co_return co_await Handler.submit(Body.get<JobSpec>());
   if (Name == "state")
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -25,6 +25,8 @@
   exchange(std::string Address, ExchangeRequest Request) override;
   asio::awaitable<Result<AdviseReply>> advise(std::string Address,
                                               AdviseRequest Request) override;
+  asio::awaitable<Result<RelieveReply>>
+  relieve(std::string Address, RelieveRequest Request) override;
   asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                               JobSpec Job) override;
   asio::awaitable<Result<JobStateReply>> state(std::string Address,
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -145,6 +145,15 @@
   std::vector<std::string> Tickets; ///< In the order of Good.
 };
 
+struct RelieveRequest {
+  std::string Member;         ///< Of the group that deals the shards.
+  std::int64_t FailingMs = 0; ///< Since when its calls to the store fail.
+};
+
+struct RelieveReply {
+  bool Done = false;
+};
+
 struct SubmitReply {
   int Status = 503; ///< HTTP status for the caller.
   /// The receiver does not hold the shard, or has not read its journal yet.
@@ -186,6 +195,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
                                    Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelieveRequest, Member, FailingMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelieveReply, Done)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status, NotOwner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -67,7 +67,10 @@
       Events_.emit("shards", Reachable ? "group_regained" : "group_lost",
                    {{"error", Reply ? "" : Reply.error().Message}});
     }
+    noteJoin(Reply.has_value(), SentAt);
     if (!Reply) {
+      if (Failures % Options_.FailuresBeforeRelief == 0)
+        co_await askRelief();
       co_await Timers_.sleepFor(Failures < QuickTries ? RetryDelay
                                                       : Options_.JoinPeriod);
       continue;
@@ -84,6 +87,43 @@
   co_return Result<void>{};
 }
 
+void ShardMembership::noteJoin(bool Succeeded, Clock::time_point SentAt) {
+  auto &Since = Succeeded ? HealthySince_ : FailingSince_;
+  if (!Since)
+    Since = SentAt;
+  (Succeeded ? FailingSince_ : HealthySince_).reset();
+}
+
+asio::awaitable<void> ShardMembership::askRelief() {
+  if (!AskRelief_ || Held_.empty() || !FailingSince_)
+    co_return;
+  const auto FailingFor = Timers_.now() - *FailingSince_;
+  if (!co_await AskRelief_(Options_.Member, FailingFor))
+    co_return;
+  Events_.emit("shards", "relieved", {{"shards", Held_.size()}});
+  revokeAll();
+}
+
+asio::awaitable<bool> ShardMembership::relieve(std::string Member,
+                                               Clock::duration FailingFor) {
+  if (!HealthySince_ ||
+      Timers_.now() - *HealthySince_ < FailingFor + Options_.ReliefMargin)
+    co_return false;
+  Events_.emit("shards", "relieving", {{"member", Member}});
+  const auto Reply = co_await Store_.leave(Options_.Group, std::move(Member));
+  joinSoon();
+  co_return Reply.has_value();
+}
+
+asio::awaitable<void> ShardMembership::removeRefusing(std::string Address) {
+  std::vector<std::string> Gone;
+  for (const std::string &Member : Members_)
+    if (addressOf(Member) == Address && Removed_.insert(Member).second)
+      Gone.push_back(Member);
+  for (const std::string &Member : Gone)
+    co_await relieve(Member, Clock::duration::zero());
+}
+
 asio::awaitable<void> ShardMembership::waitInReserve() {
   Clock::time_point CompleteAt = Timers_.now();
   InUse_ = false;
@@ -138,6 +178,11 @@
     Revoked_(Shard);
 }
 
+void ShardMembership::revokeAll() {
+  while (!Held_.empty())
+    revoke(Held_.begin()->first);
+}
+
 void ShardMembership::fenced(int Shard) {
   if (!Held_.contains(Shard))
     return;
@@ -168,9 +213,12 @@
     if (Rows) {
       StoreAnswers_.answered(Timers_.now() - AskedAt);
       std::map<int, std::string> Holders;
+      Members_.clear();
       for (const ShardHolder &Row : *Rows)
-        if (!Row.Member.empty())
+        if (!Row.Member.empty()) {
           Holders[Row.Shard] = addressOf(Row.Member);
+          Members_.insert(Row.Member);
+        }
       const std::string Own = addressOf(Options_.Member);
       for (const auto &[Shard, Epoch] : Held_)
         Holders[Shard] = Own;
@@ -186,12 +234,7 @@
 
 asio::awaitable<void> ShardMembership::drain() {
   Left_ = true;
-  std::vector<int> All;
-  All.reserve(Held_.size());
-  for (const auto &[Shard, Epoch] : Held_)
-    All.push_back(Shard);
-  for (const int Shard : All)
-    revoke(Shard);
+  revokeAll();
   co_await Store_.leave(Options_.Group, Options_.Member);
 }
 
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -34,6 +34,12 @@
   double ProcessorShare = 1;
   double LeastOwnerShare = 0.2;
   std::chrono::milliseconds ReserveWait{3000};
+  /// Failed joins after which another process is asked to take this one out of
+  /// the group.
+  int FailuresBeforeRelief = 2;
+  /// A process relieves another one only if its own calls have succeeded for
+  /// so much longer than the other one's have failed.
+  std::chrono::milliseconds ReliefMargin{200};
 };
 
 /// Stays in the group that deals the shards and follows who holds which.
@@ -45,6 +51,10 @@
 public:
   using Assigned = std::function<void(int Shard, std::uint64_t Epoch)>;
   using Revoked = std::function<void(int Shard)>;
+  /// Asks another process to relieve this one, whose calls to the store have
+  /// failed for that time. Returns whether it did.
+  using AskRelief = std::function<asio::awaitable<bool>(
+      std::string Member, Clock::duration FailingFor)>;
 
   ShardMembership(const asio::any_io_executor &Executor, TimerService &Timers,
                   StoreClient &Store, EventLog &Events,
@@ -52,6 +62,7 @@
 
   void onAssigned(Assigned Callback) { Assigned_ = std::move(Callback); }
   void onRevoked(Revoked Callback) { Revoked_ = std::move(Callback); }
+  void onRelief(AskRelief Callback) { AskRelief_ = std::move(Callback); }
 
   [[nodiscard]] std::string_view name() const override { return "shards"; }
   asio::awaitable<Result<void>> run() override;
@@ -77,6 +88,14 @@
     HoldersDue_.notify();
   }
 
+  /// Takes a member that does not reach the store out of the group, so that its
+  /// shards need not wait for the time to live. Returns false if the store is
+  /// as likely away for all.
+  asio::awaitable<bool> relieve(std::string Member, Clock::duration FailingFor);
+  /// Nothing listens at the address: its process is gone. Each member is taken
+  /// out once only, since a link may refuse connections to a live process.
+  asio::awaitable<void> removeRefusing(std::string Address);
+
   /// A later epoch of the shard exists. It is given up, and taken again if the
   /// store still deals it to this process.
   void fenced(int Shard);
@@ -93,6 +112,9 @@
   asio::awaitable<void> waitInReserve();
   void apply(const GroupMembership &Membership, bool Interrupted);
   void revoke(int Shard);
+  void revokeAll();
+  asio::awaitable<void> askRelief();
+  void noteJoin(bool Succeeded, Clock::time_point SentAt);
 
   TimerService &Timers_;
   StoreClient &Store_;
@@ -100,6 +122,7 @@
   ShardMembershipOptions Options_;
   Assigned Assigned_;
   Revoked Revoked_;
+  AskRelief AskRelief_;
   std::map<int, std::uint64_t> Held_;
   std::map<int, std::uint64_t> FencedAt_; ///< Generation at that time.
   std::map<int, std::string> Holders_;
@@ -109,6 +132,11 @@
   std::uint64_t Generation_ = 0;
   Clock::time_point LastJoin_{};
   AnswerTime StoreAnswers_;
+  /// Begin of the calls since which all joins succeeded, or all failed.
+  std::optional<Clock::time_point> HealthySince_;
+  std::optional<Clock::time_point> FailingSince_;
+  std::set<std::string> Members_; ///< With shards, as last read.
+  std::set<std::string> Removed_;
   bool InUse_ = true;
   bool HoldersRead_ = false; ///< The latest read succeeded.
   bool Stopping_ = false;
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -68,6 +68,10 @@
                                                   ExchangeRequest) override {
     co_return notHere();
   }
+  asio::awaitable<Result<RelieveReply>> relieve(std::string,
+                                                RelieveRequest) override {
+    co_return notHere();
+  }
   asio::awaitable<Result<SubmitReply>> submit(std::string, JobSpec) override {
     co_return notHere();
   }
--- a/Tests/Cell/ShardMembershipTest.cpp
+++ b/Tests/Cell/ShardMembershipTest.cpp
@@ -45,6 +45,9 @@
   CPPUNIT_TEST(testPredecessorAtTheSameAddressIsRemoved);
   CPPUNIT_TEST(testSmallProcessOwnsOnlyWhatOthersDoNot);
   CPPUNIT_TEST(testLostAnswersToJoinsLeaveTimeForAnother);
+  CPPUNIT_TEST(testProcessWithoutStoreIsRelieved);
+  CPPUNIT_TEST(testNobodyIsRelievedWhileTheStoreIsAwayForAll);
+  CPPUNIT_TEST(testProcessThatIsGoneIsTakenOutOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +155,68 @@
     CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.1:7000/a"} ==
                    Bench.Store.Left);
   }
+
+  // A store that turned one process away cost its shards 1.2 s.
+  void testProcessWithoutStoreIsRelieved() {
+    MembershipBench Bench;
+    Bench.Store.Membership = {.Generation = 4, .Shards = {1, 2}};
+    Bench.start();
+    std::vector<std::string> Asked;
+    bool Willing = false;
+    Bench.Shards.onRelief(
+        [&](std::string Member,
+            Clock::duration /*FailingFor*/) -> asio::awaitable<bool> {
+          Asked.push_back(std::move(Member));
+          co_return Willing;
+        });
+    Bench.Store.GroupReachable = false;
+    Bench.run(1100ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000/b"), Asked.at(0));
+    CPPUNIT_ASSERT(Bench.Revoked.empty());
+    Willing = true;
+    Bench.run(2s);
+    CPPUNIT_ASSERT((std::vector<int>{1, 2}) == Bench.Revoked);
+  }
+
+  // When the store comes back, no process must be relieved by the one that
+  // notices first.
+  void testNobodyIsRelievedWhileTheStoreIsAwayForAll() {
+    MembershipBench Bench;
+    Bench.start();
+    Bench.run(2s);
+    const auto Relieve = [&](std::chrono::milliseconds FailingFor) {
+      const auto Done = Bench.begin(Bench.Shards.relieve("other", FailingFor));
+      Bench.run(10ms);
+      return **Done;
+    };
+    CPPUNIT_ASSERT(Relieve(500ms));
+    Bench.Store.GroupReachable = false;
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!Relieve(500ms));
+    Bench.Store.GroupReachable = true;
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!Relieve(2000ms));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Store.Left.size());
+  }
+
+  // A killed process refuses connections at once, long before its time to live
+  // is over; a link that refuses them must not cost a live one its shards again
+  // and again.
+  void testProcessThatIsGoneIsTakenOutOnce() {
+    MembershipBench Bench;
+    Bench.Store.Holders = {{.Shard = 2, .Member = "10.0.0.2:7000/c"},
+                           {.Shard = 3, .Member = "10.0.0.3:7000/d"}};
+    Bench.start();
+    Bench.run(1s);
+    for (int Call = 0; Call < 2; ++Call) {
+      asio::co_spawn(Bench.Context,
+                     Bench.Shards.removeRefusing("10.0.0.2:7000"),
+                     asio::detached);
+      Bench.run(500ms);
+    }
+    CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.2:7000/c"} ==
+                   Bench.Store.Left);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ShardMembershipTest);
