Stop less urgent runs for waiting gangs; look at patient steps every 40 ms; one Backoff

Fronts that were cut off kept their callers.

Change: steps that can wait are looked at every 40 ms; a claim takes as many members a worker as the gang needs; claimed workers stop less urgent runs that resume from a checkpoint (chooseVictims, until now unused); a process that most others do not answer is not ready and sends callers elsewhere at once. LogBackoff and Backoff are one class in Base; PreemptionCandidate no longer shares its name with a struct of Cell.

--- a/Source/Backends/ExecutorPool.cpp
+++ b/Source/Backends/ExecutorPool.cpp
@@ -1,7 +1,7 @@
 #include "Backends/ExecutorPool.h"
 
-#include "Backends/Backoff.h"
 #include "Backends/SignalWait.h"
+#include "Base/Backoff.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
--- a/Source/Backends/ExecutorSession.cpp
+++ b/Source/Backends/ExecutorSession.cpp
@@ -1,6 +1,6 @@
 #include "Backends/ExecutorSession.h"
 
-#include "Backends/Backoff.h"
+#include "Base/Backoff.h"
 #include "Http/HttpServer.h"
 
 #include <asio/co_spawn.hpp>
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -1,7 +1,7 @@
 #include "Backends/WorkerSession.h"
 
-#include "Backends/Backoff.h"
 #include "Backends/SignalWait.h"
+#include "Base/Backoff.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
--- a/Source/Backends/Backoff.h
+++ b/Source/Base/Backoff.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace hickory {
 
@@ -20,11 +21,16 @@
   Backoff(BackoffOptions Options, Random &Source)
       : Options_(Options), Source_(Source), Bound_(Options.Initial) {}
 
-  std::chrono::milliseconds next() {
+  /// Delay before the next attempt. RetryAfter, if given, is observed up to the
+  /// maximum, and the jitter is added to it.
+  std::chrono::milliseconds
+  next(std::optional<std::chrono::milliseconds> RetryAfter = std::nullopt) {
     const auto Bound = Bound_;
     Bound_ = std::min(Bound_ * 2, Options_.Maximum);
-    return std::chrono::milliseconds(
+    const std::chrono::milliseconds Jitter(
         Source_.below(static_cast<std::uint64_t>(Bound.count()) + 1));
+    return Jitter + std::min(RetryAfter.value_or(std::chrono::milliseconds(0)),
+                             Options_.Maximum);
   }
 
   void reset() { Bound_ = Options_.Initial; }
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -106,7 +106,8 @@
 
 bool CellDaemon::ready() const {
   return !Draining_ && Configuration_.Version > 0 &&
-         (Workers_.ready() || !Shards_.inUse()) && Shards_.holdersKnown() > 0;
+         (Workers_.ready() || !Shards_.inUse()) && Shards_.holdersKnown() > 0 &&
+         !Node_.isIsolated();
 }
 
 asio::awaitable<void> CellDaemon::drain() {
--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -22,6 +22,10 @@
   return Holder;
 }
 
+std::chrono::seconds CellGateway::comeBack() const {
+  return Node_.isIsolated() ? std::chrono::seconds(0) : TakeoverTime;
+}
+
 GatewayAnswer CellGateway::answer(const std::string &Id, const char *Call,
                                   const Result<SubmitReply> &Reply) {
   GatewayAnswer Answer;
@@ -30,7 +34,7 @@
   else
     Answer.Status = Reply.error().hadNoEffect() ? Refused : OutcomeUnknown;
   if (Answer.Status == Refused)
-    Answer.RetryAfter = TakeoverTime;
+    Answer.RetryAfter = comeBack();
   if (Answer.Status >= Refused)
     Events_.emit("gateway", Call,
                  {{"job", Id},
@@ -54,7 +58,7 @@
     // A planned handover takes less time than the caller's way back.
     const bool MovedOn =
         Owner && (Reply ? Reply->NotOwner : Reply.error().hadNoEffect());
-    if (!MovedOn || Timers_.now() >= GiveUpAt)
+    if (!MovedOn || Timers_.now() >= GiveUpAt || Node_.isIsolated())
       co_return answer(Id, "submit_failed", Reply);
     co_await Timers_.sleepFor(HandoverPoll);
   }
@@ -73,7 +77,7 @@
 
 asio::awaitable<GatewayAnswer> CellGateway::state(std::string Id) {
   const auto Owner = ownerOf(Id);
-  GatewayAnswer Answer{.RetryAfter = TakeoverTime};
+  GatewayAnswer Answer{.RetryAfter = comeBack()};
   if (!Owner)
     co_return Answer;
   JobReference Job{.Id = Id};
@@ -86,7 +90,7 @@
 GatewayAnswer CellGateway::waiting(const std::string &Queue) const {
   const auto Count = Node_.waiting(Queue);
   if (!Count)
-    return {.RetryAfter = TakeoverTime};
+    return {.RetryAfter = comeBack()};
   return {.Status = 200, .Waiting = Count};
 }
 
--- a/Source/Cell/CellGateway.h
+++ b/Source/Cell/CellGateway.h
@@ -11,9 +11,10 @@
 
 struct GatewayAnswer {
   int Status = 503;
-  std::string State;                  ///< Of a job.
-  std::optional<int> Waiting;         ///< Of a queue.
-  std::chrono::seconds RetryAfter{0}; ///< Set if the request was refused.
+  std::string State;          ///< Of a job.
+  std::optional<int> Waiting; ///< Of a queue.
+  /// Set if the request was refused. Zero: at once, at another process.
+  std::optional<std::chrono::seconds> RetryAfter = std::nullopt;
 };
 
 /// Takes callers' requests at any process to the owner of the job.
@@ -39,6 +40,8 @@
 
 private:
   [[nodiscard]] std::optional<std::string> ownerOf(const std::string &Id) const;
+  /// When a refused caller is to try again.
+  [[nodiscard]] std::chrono::seconds comeBack() const;
   GatewayAnswer answer(const std::string &Id, const char *Call,
                        const Result<SubmitReply> &Reply);
 
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -122,6 +122,8 @@
     HelpersHeard_.erase(Request.Sender);
   std::set<int> JobShards;
   for (const ShardEpoch &Item : Request.Held) {
+    if (Request.Sender != Options_.Address)
+      Shards_.heard(Item.Shard, Item.Epoch, Request.Sender);
     Pool_.fenceJobs(Item);
     JobShards.insert(Item.Shard);
   }
@@ -177,6 +179,13 @@
     Pool_.stopRun(Run);
 }
 
+MakeRoomReply CellNode::makeRoom(const MakeRoomRequest &Request) {
+  MakeRoomReply Reply;
+  for (const RoomNeed &Need : Request.Needs)
+    Reply.Stopped += Pool_.makeRoom(Request.Job, Need);
+  return Reply;
+}
+
 asio::awaitable<EndsReply> CellNode::ends(EndsRequest Request) {
   View_.applyLoads(Request.Loads);
   co_return co_await Jobs_.ends(std::move(Request));
@@ -239,6 +248,15 @@
          Timers_.now() - It->second < Options_.SilenceLimit;
 }
 
+bool CellNode::isIsolated() const {
+  const auto Peers = Shards_.peers();
+  const auto Answering =
+      std::ranges::count_if(Peers, [this](const std::string &Address) {
+        return isReachable(Address);
+      });
+  return !Peers.empty() && 2 * Answering < std::ssize(Peers);
+}
+
 std::set<std::string> CellNode::owners() const {
   auto Found = Shards_.peers();
   std::erase_if(Found, [this](const std::string &Address) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -48,6 +48,7 @@
 
   asio::awaitable<PlaceReply> place(PlaceRequest Request) override;
   void stop(const StopRequest &Request) override;
+  MakeRoomReply makeRoom(const MakeRoomRequest &Request) override;
   asio::awaitable<EndsReply> ends(EndsRequest Request) override;
   ExchangeReply exchange(const ExchangeRequest &Request) override;
   asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
@@ -65,6 +66,8 @@
   [[nodiscard]] std::set<std::string> owners() const;
   /// False if the process has not answered for a while.
   [[nodiscard]] bool isReachable(const std::string &Address) const;
+  /// True if most other processes with shards do not answer this one.
+  [[nodiscard]] bool isIsolated() const;
   /// Jobs not begun of the queue over all processes; nothing until all have
   /// reported.
   [[nodiscard]] std::optional<int> waiting(const std::string &Queue) const;
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -15,6 +15,8 @@
   virtual ~CellHandler() = default;
   virtual asio::awaitable<PlaceReply> place(PlaceRequest Request) = 0;
   virtual void stop(const StopRequest &Request) = 0;
+  /// Stops less urgent runs that lose little, so that there will be room.
+  virtual MakeRoomReply makeRoom(const MakeRoomRequest &Request) = 0;
   virtual asio::awaitable<EndsReply> ends(EndsRequest Request) = 0;
   virtual ExchangeReply exchange(const ExchangeRequest &Request) = 0;
   /// Asks the adviser for another process whose own call takes long.
@@ -35,6 +37,8 @@
                                                     PlaceRequest Request) = 0;
   virtual asio::awaitable<Result<void>> stop(std::string Address,
                                              StopRequest Request) = 0;
+  virtual asio::awaitable<Result<MakeRoomReply>>
+  makeRoom(std::string Address, MakeRoomRequest Request) = 0;
   virtual asio::awaitable<Result<EndsReply>> ends(std::string Address,
                                                   EndsRequest Request) = 0;
   virtual asio::awaitable<Result<ExchangeReply>>
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -45,12 +45,16 @@
                        Metrics &Counters, DispatcherOptions Options)
     : Executor_(Executor), Timers_(Timers), Jobs_(Jobs), View_(View),
       Peers_(Peers), Adviser_(Adviser), Shards_(Shards),
-      Configuration_(Configuration), Events_(Events), Counters_(Counters),
-      Options_(Options), Wake_(Executor) {}
+      Map_(Jobs.shardCount()), Configuration_(Configuration), Events_(Events),
+      Counters_(Counters), Options_(Options), Wake_(Executor) {}
 
 asio::awaitable<void> Dispatcher::run() {
   while (!Stopped_) {
-    co_await Wake_.wait();
+    const auto UntilPatient = PatientDueAt_ - Timers_.now();
+    if (PatientSkipped_ && UntilPatient > Clock::duration::zero())
+      co_await Wake_.waitFor(Timers_, UntilPatient);
+    else if (!PatientSkipped_)
+      co_await Wake_.wait();
     if (Stopped_)
       co_return;
     pass();
@@ -73,10 +77,12 @@
   return GoodShare_.try_emplace(Queue, InitialGoodShare).first->second;
 }
 
-std::vector<Dispatcher::ReadyItem> Dispatcher::collect() const {
+std::vector<Dispatcher::ReadyItem> Dispatcher::collect(bool WithPatient) const {
   std::vector<ReadyItem> Items;
   const Clock::time_point Now = Timers_.now();
-  for (const auto &[Id, Job] : Jobs_.active())
+  for (const auto &[Id, Job] : Jobs_.active()) {
+    if (!WithPatient && Job->Progress.spec().Queue.Priority > 0)
+      continue;
     for (ReadyStep &Step : Job->Progress.readySteps()) {
       if (const auto It = Job->NotBefore.find({Step.Occurrence, Step.Step});
           It != Job->NotBefore.end() && It->second > Now)
@@ -85,6 +91,7 @@
           rankStep(Job->Progress.spec(), Step.Step, Job->AcceptedAt, Now);
       Items.push_back({.Job = Job, .Step = std::move(Step), .Rank = Rank});
     }
+  }
   std::ranges::sort(Items, std::less<>(),
                     [](const ReadyItem &Item) { return Item.Rank; });
   if (Items.size() > Options_.MaximumSteps)
@@ -93,9 +100,18 @@
 }
 
 void Dispatcher::pass() {
+  const Clock::time_point Now = Timers_.now();
+  PatientSkipped_ = Now < PatientDueAt_;
+  if (PatientSkipped_) {
+    for (const ReadyItem &Item : collect(false))
+      serve(Item);
+    return;
+  }
+  PatientDueAt_ = Now + Options_.PatientInterval;
   const auto Former = Claims_.own();
   NextClaim_.reset();
-  for (const ReadyItem &Item : collect())
+  KeptFromTasks_ = Claims_.keptFrom("", std::nullopt, Now);
+  for (const ReadyItem &Item : collect(true))
     serve(Item);
   Claims_.setOwn(std::move(NextClaim_));
   const auto &Claim = Claims_.own();
@@ -107,6 +123,53 @@
          {"start_in_ms", milliseconds(Claim->StartBy - Timers_.now())}});
 }
 
+void Dispatcher::makeRoom(const ReadyItem &Item,
+                          const std::vector<ClaimedWorker> &Claimed) {
+  auto &NotBefore =
+      Item.Job->MakeRoomAt[{Item.Step.Occurrence, Item.Step.Step}];
+  const auto Epoch = Jobs_.epochOf(Item.Job->Shard);
+  if (Timers_.now() < NotBefore || !Epoch)
+    return;
+  NotBefore = Timers_.now() + Options_.MakeRoomInterval;
+  const JobSpec &Job = Item.Job->Progress.spec();
+  const int Priority = Job.Queue.Priority;
+  const Resources &Member =
+      Job.Steps[static_cast<std::size_t>(Item.Step.Step)].Demand;
+  std::map<std::string, MakeRoomRequest> ByAddress;
+  for (const ClaimedWorker &Each : Claimed) {
+    const auto Holder = Shards_.holderOf(Map_.shardOf(Each.Id));
+    if (!Holder)
+      continue;
+    const Resources &Capacity = View_.workers().at(Each.Id).Capacity;
+    RoomNeed Room{.Worker = Each.Id,
+                  .Demand = headroomOf(Capacity, Priority, Options_.Placement),
+                  .Priority = Priority};
+    for (int Index = 0; Index < Each.Members; ++Index)
+      (void)Room.Demand.add(Member);
+    MakeRoomRequest &Request = ByAddress[*Holder];
+    Request.Job = {.Shard = Item.Job->Shard, .Epoch = *Epoch};
+    Request.Needs.push_back(std::move(Room));
+  }
+  for (auto &[Address, Request] : ByAddress)
+    asio::co_spawn(Executor_,
+                   askForRoom(stepNameOf(Item), Address, std::move(Request)),
+                   asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::askForRoom(std::string Step,
+                                             std::string Address,
+                                             MakeRoomRequest Request) {
+  const std::size_t Workers = Request.Needs.size();
+  const auto Reply =
+      co_await Peers_.makeRoom(std::move(Address), std::move(Request));
+  if (!Reply || Reply->Stopped == 0)
+    co_return;
+  Counters_.count("preempted_total", Reply->Stopped);
+  Events_.emit(
+      "dispatch", "room_made",
+      {{"step", Step}, {"workers", Workers}, {"stopped", Reply->Stopped}});
+}
+
 std::vector<ClaimReport> Dispatcher::claims() const {
   std::vector<ClaimReport> Reports;
   if (const auto &Claim = Claims_.own())
@@ -145,11 +208,13 @@
       Good.push_back(Each);
   const PlacementNeed Need{.Step = &Step,
                            .Count = static_cast<int>(Item.Step.Tasks.size())};
-  auto Workers = chooseClaim(Need, Good);
-  if (!Workers.empty())
-    NextClaim_ = GangClaim{.Step = stepNameOf(Item),
-                           .Workers = std::move(Workers),
-                           .StartBy = StartBy};
+  const auto Claimed = chooseClaim(Need, Good);
+  if (Claimed.empty())
+    return;
+  makeRoom(Item, Claimed);
+  NextClaim_ = GangClaim{.Step = stepNameOf(Item), .StartBy = StartBy};
+  for (const ClaimedWorker &Each : Claimed)
+    NextClaim_->Workers.push_back(Each.Id);
 }
 
 std::vector<Candidate> Dispatcher::candidatesFor(const ReadyItem &Item) const {
@@ -158,12 +223,14 @@
   const std::string Service = serviceOf(Job);
   const PlacementNeed Need{.Step = &Step,
                            .Count = static_cast<int>(Item.Step.Tasks.size())};
-  std::set<std::string> Kept;
-  if (Item.Rank.Patient)
-    Kept = Claims_.keptFrom(stepNameOf(Item),
-                            Step.Gang ? std::optional(claimTime(Item.Rank))
-                                      : std::nullopt,
-                            Timers_.now());
+  std::set<std::string> KeptFromGang;
+  if (Item.Rank.Patient && Step.Gang)
+    KeptFromGang =
+        Claims_.keptFrom(stepNameOf(Item), claimTime(Item.Rank), Timers_.now());
+  const std::set<std::string> None;
+  const auto &Kept = Step.Gang           ? KeptFromGang
+                     : Item.Rank.Patient ? KeptFromTasks_
+                                         : None;
   std::vector<Candidate> Found;
   for (const auto &[Id, Worker] : View_.workers()) {
     if (Worker.Service != Service || Worker.Draining || Kept.contains(Id))
@@ -340,12 +407,13 @@
                      .Checkpoint = Progress.checkpointOf(Id.Task),
                      .Ticket = Ticket == nullptr ? "" : *Ticket,
                      .ExpectedMs =
-                         Job.Queue.Priority == 0 ? Step.Estimated.count() : 0};
+                         Job.Queue.Priority == 0 ? Step.Estimated.count() : 0,
+                     .Priority = Job.Queue.Priority,
+                     .Preemptible = isPreemptible(Step)};
     Progress.markPlacing(Id, Timers_.now());
     Ordering_.insert(keyOf(Id));
     View_.reserve(Worker.Id, Step.Demand);
-    const auto Holder =
-        Shards_.holderOf(ShardMap(Jobs_.shardCount()).shardOf(Worker.Id));
+    const auto Holder = Shards_.holderOf(Map_.shardOf(Worker.Id));
     ByAddress[Holder.value_or("")].push_back(
         {.Run = Id, .Order = std::move(Order)});
   }
@@ -511,13 +579,13 @@
 }
 
 asio::awaitable<void> Dispatcher::stopUntilAnswered(RunId Run) {
-  const ShardMap Map(Jobs_.shardCount());
+
   // A successor of this process, or of the worker's holder, finds the run in
   // its exchange and stops it.
-  while (!Stopped_ && Jobs_.epochOf(Map.shardOf(Run.Task.Job))) {
+  while (!Stopped_ && Jobs_.epochOf(Map_.shardOf(Run.Task.Job))) {
     // Ordered after the placement, which may still be on its way.
     if (!isOrdering(Run)) {
-      const auto Holder = Shards_.holderOf(Map.shardOf(Run.Worker));
+      const auto Holder = Shards_.holderOf(Map_.shardOf(Run.Worker));
       if (Holder) {
         StopRequest Request;
         Request.Runs.push_back({.Task = Run.Task.toString(),
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -24,6 +24,9 @@
   PlacementOptions Placement;
   /// A ticket must hold for the way to the worker.
   std::chrono::milliseconds TicketMargin{150};
+  /// Steps that can wait are looked at no more often, as a pass over many steps
+  /// and workers takes milliseconds.
+  std::chrono::milliseconds PatientInterval{40};
   /// Steps looked at in one pass; the rest is less urgent.
   std::size_t MaximumSteps = 200;
   std::chrono::milliseconds StopRetry{250};
@@ -32,6 +35,8 @@
   std::chrono::milliseconds LongCallPause{120};
   /// A step waits so long after a worker refused one of its tasks.
   std::chrono::milliseconds RejectedPause{20};
+  /// Between two requests to make room for the same step.
+  std::chrono::milliseconds MakeRoomInterval{700};
 };
 
 /// Starts the ready steps of the jobs of this process: asks for advice, chooses
@@ -74,13 +79,19 @@
   using Reservations = std::vector<Result<PlaceReply>>;
 
   void pass();
-  [[nodiscard]] std::vector<ReadyItem> collect() const;
+  /// Without the steps that can wait if they are not due.
+  [[nodiscard]] std::vector<ReadyItem> collect(bool WithPatient) const;
   /// Starts what has a place and a valid ticket, and asks for advice on the
   /// rest.
   void serve(const ReadyItem &Item);
   /// Workers that may run the step; for a gang also those without room now.
   [[nodiscard]] std::vector<Candidate>
   candidatesFor(const ReadyItem &Item) const;
+  /// Asks the holders of claimed workers to stop less urgent runs there.
+  void makeRoom(const ReadyItem &Item,
+                const std::vector<ClaimedWorker> &Claimed);
+  asio::awaitable<void> askForRoom(std::string Step, std::string Address,
+                                   MakeRoomRequest Request);
   /// Collects room for the first gang that waits.
   void claimFor(const ReadyItem &Item,
                 const std::vector<Candidate> &Candidates);
@@ -121,6 +132,7 @@
   CellPeer &Peers_;
   AdviceRouter &Adviser_;
   ShardMembership &Shards_;
+  ShardMap Map_;
   const CellConfiguration &Configuration_;
   EventLog &Events_;
   Metrics &Counters_;
@@ -131,6 +143,10 @@
   std::map<std::string, double> GoodShare_; ///< By queue.
   GangClaims Claims_;
   std::optional<GangClaim> NextClaim_; ///< Made by the pass under way.
+  /// Workers that claims keep from all steps but gangs, in this pass.
+  std::set<std::string> KeptFromTasks_;
+  Clock::time_point PatientDueAt_{};
+  bool PatientSkipped_ = false; ///< By the latest pass.
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/GangClaim.cpp
+++ b/Source/Cell/GangClaim.cpp
@@ -42,28 +42,30 @@
   return Before < std::max<std::size_t>(1, Workers / Options_.WorkersPerClaim);
 }
 
-std::vector<std::string> chooseClaim(const PlacementNeed &Need,
-                                     const std::vector<Candidate> &Good) {
+std::vector<ClaimedWorker> chooseClaim(const PlacementNeed &Need,
+                                       const std::vector<Candidate> &Good) {
   std::vector<std::size_t> Order(Good.size());
   std::iota(Order.begin(), Order.end(), 0);
   std::ranges::stable_sort(Order, std::greater<>(), [&](std::size_t I) {
     return std::pair(slotsOn(Need, Good[I]), Good[I].Free.CpusMilli);
   });
-  std::vector<std::string> Claimed;
-  int Expected = 0;
-  for (const std::size_t I : Order) {
+  for (int More = 1; More <= Need.Count; ++More) {
+    std::vector<ClaimedWorker> Claimed;
+    int Expected = 0;
+    for (const std::size_t I : Order) {
+      if (Expected >= Need.Count)
+        break;
+      const int Members = std::min(slotsOn(Need, Good[I]) + More,
+                                   slotsWhenEmpty(Need, Good[I]));
+      if (Members == 0)
+        continue;
+      Expected += Members;
+      Claimed.push_back({.Id = Good[I].Worker->Id, .Members = Members});
+    }
     if (Expected >= Need.Count)
-      break;
-    const int Soon =
-        std::min(slotsOn(Need, Good[I]) + 1, slotsWhenEmpty(Need, Good[I]));
-    if (Soon == 0)
-      continue;
-    Expected += Soon;
-    Claimed.push_back(Good[I].Worker->Id);
+      return Claimed;
   }
-  if (Expected < Need.Count)
-    Claimed.clear();
-  return Claimed;
+  return {};
 }
 
 } // namespace hickory
--- a/Source/Cell/GangClaim.h
+++ b/Source/Cell/GangClaim.h
@@ -55,12 +55,18 @@
   std::map<std::string, Heard> Others_; ///< By address.
 };
 
+/// A worker to claim, and how many members of the gang are to fit there.
+struct ClaimedWorker {
+  std::string Id;
+  int Members = 0;
+};
+
 /// Chooses the workers to claim among those that are good for the gang. Answers
 /// loads where small tasks take each piece of room as soon as it is free, so
-/// that wide gangs never find it: each worker is expected to free room for one
-/// more member soon, and as few as possible are claimed. Empty if the gang fits
-/// on no choice of them.
-std::vector<std::string> chooseClaim(const PlacementNeed &Need,
-                                     const std::vector<Candidate> &Good);
+/// that wide gangs never find it: each worker is to free room for one more
+/// member, or for as many as the gang needs, and as few workers as possible are
+/// claimed. Empty if the gang would not even fit on all of them.
+std::vector<ClaimedWorker> chooseClaim(const PlacementNeed &Need,
+                                       const std::vector<Candidate> &Good);
 
 } // namespace hickory
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -73,6 +73,14 @@
   co_return Result<void>{};
 }
 
+asio::awaitable<Result<MakeRoomReply>>
+HttpCellPeer::makeRoom(std::string Address, MakeRoomRequest Request) {
+  if (Address == OwnAddress_)
+    co_return Local_->makeRoom(Request);
+  co_return decode<MakeRoomReply>(
+      co_await call(Address, "room", json(Request).dump(), ShortTimeout));
+}
+
 asio::awaitable<Result<EndsReply>> HttpCellPeer::ends(std::string Address,
                                                       EndsRequest Request) {
   if (Address == OwnAddress_)
@@ -137,6 +145,8 @@
                                json Body) {
   if (Name == "place")
     co_return co_await Handler.place(Body.get<PlaceRequest>());
+  if (Name == "room")
+    co_return Handler.makeRoom(Body.get<MakeRoomRequest>());
   if (Name == "ends")
     co_return co_await Handler.ends(Body.get<EndsRequest>());
   if (Name == "exchange")
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -19,6 +19,8 @@
                                             PlaceRequest Request) override;
   asio::awaitable<Result<void>> stop(std::string Address,
                                      StopRequest Request) override;
+  asio::awaitable<Result<MakeRoomReply>>
+  makeRoom(std::string Address, MakeRoomRequest Request) override;
   asio::awaitable<Result<EndsReply>> ends(std::string Address,
                                           EndsRequest Request) override;
   asio::awaitable<Result<ExchangeReply>>
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -536,7 +536,9 @@
     Demands.push_back({.Task = Report.Task,
                        .Run = Report.Run,
                        .Worker = Report.Worker,
-                       .Demand = Step.Demand});
+                       .Demand = Step.Demand,
+                       .Priority = Job->Progress.spec().Queue.Priority,
+                       .Preemptible = isPreemptible(Step)});
   }
   return Demands;
 }
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -44,6 +44,8 @@
   /// By occurrence and step.
   std::map<std::pair<int, int>, StepAdvice> Advice;
   std::map<std::pair<int, int>, Clock::time_point> NotBefore;
+  /// When others may be asked again to make room for a step.
+  std::map<std::pair<int, int>, Clock::time_point> MakeRoomAt;
 };
 
 /// Keeps the jobs of the shards that this process holds: acceptance, progress
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -26,6 +26,9 @@
   std::string Ticket;
   /// Estimated time of the task; 0 if it is too rough to judge a worker by.
   std::int64_t ExpectedMs = 0;
+  int Priority = 0; ///< 0 comes first.
+  /// The task resumes from a checkpoint, so that stopping it loses little.
+  bool Preemptible = false;
 };
 
 struct PlaceRequest {
@@ -100,6 +103,24 @@
   int Run = 0;
   std::string Worker;
   Resources Demand;
+  int Priority = 0;
+  bool Preemptible = false;
+};
+
+/// Room that a step needs on a worker.
+struct RoomNeed {
+  std::string Worker;
+  Resources Demand;
+  int Priority = 0;
+};
+
+struct MakeRoomRequest {
+  ShardEpoch Job; ///< Shard of the job, as the caller holds it.
+  std::vector<RoomNeed> Needs;
+};
+
+struct MakeRoomReply {
+  int Stopped = 0; ///< Runs that were told to stop.
 };
 
 struct HeldShard {
@@ -171,7 +192,8 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardEpoch, Shard, Epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceOrder, Task, Run, Worker, Demand,
-                                   Payload, Checkpoint, Ticket, ExpectedMs)
+                                   Payload, Checkpoint, Ticket, ExpectedMs,
+                                   Priority, Preemptible)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
@@ -185,7 +207,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, Task, Run, Worker, Checkpoint,
                                    DemandKnown, How)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand,
+                                   Priority, Preemptible)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RoomNeed, Worker, Demand, Priority)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MakeRoomRequest, Job, Needs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MakeRoomReply, Stopped)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands,
                                    Leaving)
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -14,7 +14,7 @@
 constexpr double AskMargin = 1.7;
 /// Room on the good workers of a gang, were they empty, as a multiple of the
 /// need: the gang waits for the part of it that is free first.
-constexpr double PotentialMargin = 2.0;
+constexpr double PotentialMargin = 3.0;
 constexpr std::size_t MinimumAsked = 4;
 constexpr std::size_t MaximumAsked = 100; // The adviser takes no more.
 
@@ -102,13 +102,18 @@
                   [](const Candidate &Each) { return Each.Suspect; });
 }
 
+Resources headroomOf(const Resources &Capacity, int Priority,
+                     const PlacementOptions &Options) {
+  if (Priority == 0)
+    return {};
+  return {
+      .CpusMilli = static_cast<std::uint64_t>(
+          Options.UrgentHeadroom * static_cast<double>(Capacity.CpusMilli))};
+}
+
 Resources usableFree(const Resources &Free, const Resources &Capacity,
                      int Priority, const PlacementOptions &Options) {
-  if (Priority == 0)
-    return Free;
-  return Free.minusClamped(
-      {.CpusMilli = static_cast<std::uint64_t>(
-           Options.UrgentHeadroom * static_cast<double>(Capacity.CpusMilli))});
+  return Free.minusClamped(headroomOf(Capacity, Priority, Options));
 }
 
 std::vector<std::size_t> placeStep(const PlacementNeed &Need,
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -40,6 +40,10 @@
 /// jobs must be wrong instead.
 void dropSuspects(std::vector<Candidate> &Candidates);
 
+/// Part of a worker that queues of this priority leave free.
+Resources headroomOf(const Resources &Capacity, int Priority,
+                     const PlacementOptions &Options);
+
 /// Amount that a queue of this priority may use of a worker.
 Resources usableFree(const Resources &Free, const Resources &Capacity,
                      int Priority, const PlacementOptions &Options);
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -1,5 +1,8 @@
 #include "Cell/WorkerAgent.h"
 
+#include "Scheduling/Preemption.h"
+
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
@@ -17,6 +20,15 @@
 constexpr std::size_t MaximumEndsListed = 500;
 constexpr int StartAttempts = 3;
 constexpr std::size_t MaximumStopsRemembered = 4096;
+/// A worker runs many small tasks beside each other.
+constexpr std::size_t MaximumVictims = 8;
+
+/// Victims are chosen by a number that is higher for more urgent work.
+std::uint32_t urgencyOf(int Priority) {
+  constexpr int MostUrgent = 1000;
+  return static_cast<std::uint32_t>(
+      std::clamp(MostUrgent - Priority, 0, MostUrgent));
+}
 
 } // namespace
 
@@ -368,7 +380,9 @@
   Runs_[Name] = Run{.State = Phase::Starting,
                     .Demand = Order.Demand,
                     .DemandKnown = true,
-                    .Checkpoint = Order.Checkpoint};
+                    .Checkpoint = Order.Checkpoint,
+                    .Priority = Order.Priority,
+                    .Preemptible = Order.Preemptible};
   bool MayBeThere = false;
   for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
     StartOrder Start{.Task = Order.Task,
@@ -477,13 +491,48 @@
   }
 }
 
-void WorkerAgent::learnDemand(const std::string &Task, int RunNumber,
-                              const Resources &Demand) {
-  const auto It = Runs_.find(Key(Task, RunNumber));
+void WorkerAgent::learnDemand(const RunDemand &Known) {
+  const auto It = Runs_.find(Key(Known.Task, Known.Run));
   if (It == Runs_.end() || It->second.DemandKnown)
     return;
-  It->second.Demand = Demand;
+  It->second.Demand = Known.Demand;
   It->second.DemandKnown = true;
+  It->second.Priority = Known.Priority;
+  It->second.Preemptible = Known.Preemptible;
+}
+
+int WorkerAgent::makeRoom(const Resources &Demand, int Priority) {
+  const WorkerLoad Now = load();
+  if (!Now.Usable)
+    return 0;
+  std::vector<PreemptionCandidate> Running;
+  std::vector<Key> Names;
+  Resources Soon = Now.Free;
+  for (const auto &[Name, Item] : Runs_) {
+    if (Item.State == Phase::Stopping)
+      (void)Soon.add(Item.Demand);
+    if (Item.State != Phase::Running || !Item.Preemptible)
+      continue;
+    Running.push_back({.Id = std::to_string(Names.size()),
+                       .Priority = urgencyOf(Item.Priority),
+                       .Held = Item.Demand,
+                       .Ran = Timers_.now() - Item.ConfirmedAt});
+    Names.push_back(Name);
+  }
+  const auto Victims = chooseVictims(Demand, urgencyOf(Priority), Soon, Running,
+                                     {.MaximumVictims = MaximumVictims});
+  if (!Victims)
+    return 0;
+  for (const std::string &Id : *Victims) {
+    const Key &Name = Names[std::stoul(Id)];
+    Events_.emit("workers", "preempted",
+                 {{"task", Name.first},
+                  {"run", Name.second},
+                  {"worker", Entry_.Id},
+                  {"for_priority", Priority}});
+    stopRun(Name.first, Name.second);
+  }
+  return static_cast<int>(Victims->size());
 }
 
 std::vector<RunReport> WorkerAgent::runs() const {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -71,7 +71,10 @@
   /// Makes sure that the run does not go on or start. Its end is reported.
   void stopRun(const std::string &Task, int Run);
   /// The demand of a run that this process did not start.
-  void learnDemand(const std::string &Task, int Run, const Resources &Demand);
+  void learnDemand(const RunDemand &Known);
+  /// Stops preemptible runs of lower priority, no more than needed, so that the
+  /// demand will fit. Returns how many; none if that is not enough.
+  int makeRoom(const Resources &Demand, int Priority);
 
   [[nodiscard]] WorkerLoad load() const;
   [[nodiscard]] const WorkerEntry &entry() const { return Entry_; }
@@ -92,6 +95,8 @@
     bool Confirmed = false;
     RunEnd How = RunEnd::Lost;
     std::int64_t EndNumber = 0; ///< 0: the worker does not list this end.
+    int Priority = 0;
+    bool Preemptible = false;
   };
   using Key = std::pair<std::string, int>;
 
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -163,7 +163,13 @@
 
 void WorkerPool::learnDemand(const RunDemand &Demand) {
   if (const auto Agent = agentOf(Demand.Worker))
-    Agent->learnDemand(Demand.Task, Demand.Run, Demand.Demand);
+    Agent->learnDemand(Demand);
+}
+
+int WorkerPool::makeRoom(const ShardEpoch &Job, const RoomNeed &Need) {
+  if (refusalOf(Job, Need.Worker))
+    return 0;
+  return agentOf(Need.Worker)->makeRoom(Need.Demand, Need.Priority);
 }
 
 std::vector<HeldShard> WorkerPool::held() const {
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -47,6 +47,8 @@
   PlaceResult reserve(const ShardEpoch &Job, const PlaceOrder &Order);
   void stopRun(const RunReference &Run);
   void learnDemand(const RunDemand &Demand);
+  /// Returns the number of runs that were told to stop.
+  int makeRoom(const ShardEpoch &Job, const RoomNeed &Need);
   /// From now on, placements from earlier epochs of the job's shard are
   /// refused.
   void fenceJobs(const ShardEpoch &Job);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -124,9 +124,9 @@
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
                            Reply.ContentType);
-    if (Reply.RetryAfter.count() > 0)
+    if (Reply.RetryAfter)
       Response.append_header(restinio::http_field::retry_after,
-                             std::to_string(Reply.RetryAfter.count()));
+                             std::to_string(Reply.RetryAfter->count()));
     if (CloseAfterResponse_)
       Response.connection_close();
     Response.set_body(std::move(Reply.Body));
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hickory {
@@ -24,8 +25,8 @@
   int Status = 200;
   std::string Body;
   std::string ContentType = "application/json";
-  std::chrono::seconds RetryAfter{
-      0}; ///< Adds a Retry-After header if positive.
+  /// Adds a Retry-After header if set.
+  std::optional<std::chrono::seconds> RetryAfter = std::nullopt;
 };
 
 struct HttpServerOptions {
--- a/Source/Log/LogReader.cpp
+++ b/Source/Log/LogReader.cpp
@@ -1,7 +1,7 @@
 #include "Log/LogReader.h"
 
+#include "Base/Backoff.h"
 #include "Base/Signal.h"
-#include "Log/LogBackoff.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -63,7 +63,9 @@
     LastSequence_ = Consumer_.lastSequences();
     Started_ = true;
   }
-  LogBackoff Delays(Numbers_, Options_.InitialBackoff, Options_.MaximumBackoff);
+  const BackoffOptions Pauses{.Initial = Options_.InitialBackoff,
+                              .Maximum = Options_.MaximumBackoff};
+  Backoff Delays(Pauses, Numbers_);
   bool Failing = false;
   while (!Stopping_) {
     // Without a wait until the end of the stream was seen, so that a short
--- a/Source/Log/LogWriter.cpp
+++ b/Source/Log/LogWriter.cpp
@@ -1,9 +1,9 @@
 #include "Log/LogWriter.h"
 
+#include "Base/Backoff.h"
 #include "Base/Hash.h"
 #include "Base/Random.h"
 #include "Base/Signal.h"
-#include "Log/LogBackoff.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -287,8 +287,9 @@
 LogWriter::appendUntilConfirmed(std::shared_ptr<State> Self,
                                 std::shared_ptr<Session> Mine,
                                 std::string Payload) {
-  LogBackoff Delays(Self->Numbers, Self->Options.InitialBackoff,
-                    Self->Options.MaximumBackoff);
+  const BackoffOptions Pauses{.Initial = Self->Options.InitialBackoff,
+                              .Maximum = Self->Options.MaximumBackoff};
+  Backoff Delays(Pauses, Self->Numbers);
   Mine->AttemptLost = false;
   Result<std::uint64_t> Offset =
       fail(ErrorCode::Internal, "no attempt was made");
--- a/Source/Scheduling/Preemption.cpp
+++ b/Source/Scheduling/Preemption.cpp
@@ -6,31 +6,33 @@
 
 std::optional<std::vector<std::string>>
 chooseVictims(const Resources &Need, std::uint32_t Priority,
-              const Resources &Free, const std::vector<RunningTask> &Running,
+              const Resources &Free,
+              const std::vector<PreemptionCandidate> &Running,
               const PreemptionOptions &Options) {
   const Resources Missing = Need.minusClamped(Free);
-  std::vector<const RunningTask *> Candidates;
-  for (const RunningTask &Task : Running)
+  std::vector<const PreemptionCandidate *> Candidates;
+  for (const PreemptionCandidate &Task : Running)
     if (!Task.NonRepeatable && Task.Priority < Priority)
       Candidates.push_back(&Task);
   // Within a priority the task that covers most of what is missing, then the
   // one that loses least work.
-  const auto Covers = [&Missing](const RunningTask &Task) {
+  const auto Covers = [&Missing](const PreemptionCandidate &Task) {
     return 1.0 - Missing.minusClamped(Task.Held).dominantShareOf(Missing);
   };
-  std::stable_sort(Candidates.begin(), Candidates.end(),
-                   [&](const RunningTask *A, const RunningTask *B) {
-                     if (A->Priority != B->Priority)
-                       return A->Priority < B->Priority;
-                     const double CoversA = Covers(*A);
-                     const double CoversB = Covers(*B);
-                     if (CoversA != CoversB)
-                       return CoversA > CoversB;
-                     return A->Ran < B->Ran;
-                   });
+  std::stable_sort(
+      Candidates.begin(), Candidates.end(),
+      [&](const PreemptionCandidate *A, const PreemptionCandidate *B) {
+        if (A->Priority != B->Priority)
+          return A->Priority < B->Priority;
+        const double CoversA = Covers(*A);
+        const double CoversB = Covers(*B);
+        if (CoversA != CoversB)
+          return CoversA > CoversB;
+        return A->Ran < B->Ran;
+      });
   Resources Room = Free;
-  std::vector<const RunningTask *> Victims;
-  for (const RunningTask *Task : Candidates) {
+  std::vector<const PreemptionCandidate *> Victims;
+  for (const PreemptionCandidate *Task : Candidates) {
     if (Need.fitsIn(Room))
       break;
     if (!Room.add(Task->Held))
@@ -52,7 +54,7 @@
     return std::nullopt;
   std::vector<std::string> Ids;
   Ids.reserve(Victims.size());
-  for (const RunningTask *Task : Victims)
+  for (const PreemptionCandidate *Task : Victims)
     Ids.push_back(Task->Id);
   return Ids;
 }
--- a/Source/Scheduling/Preemption.h
+++ b/Source/Scheduling/Preemption.h
@@ -11,7 +11,7 @@
 namespace hickory {
 
 /// A task on a worker, as far as preemption is concerned.
-struct RunningTask {
+struct PreemptionCandidate {
   std::string Id;
   std::uint32_t Priority = 0;
   Resources Held;
@@ -29,7 +29,8 @@
 /// higher priority, or non-repeatable ones. Empty if Need fits already.
 std::optional<std::vector<std::string>>
 chooseVictims(const Resources &Need, std::uint32_t Priority,
-              const Resources &Free, const std::vector<RunningTask> &Running,
+              const Resources &Free,
+              const std::vector<PreemptionCandidate> &Running,
               const PreemptionOptions &Options = {});
 
 } // namespace hickory
--- a/Source/Work/JobSpec.h
+++ b/Source/Work/JobSpec.h
@@ -58,6 +58,11 @@
   std::chrono::milliseconds Interval{0};
 };
 
+/// True if stopping a task of the step and starting it again loses little.
+inline bool isPreemptible(const StepSpec &Step) {
+  return Step.Checkpointing && !Step.Gang && !Step.LongRunning;
+}
+
 /// Names one task: JOB.OCCURRENCE.STEP.INDEX.
 struct TaskName {
   std::string Job;
--- a/Tests/Backends/RetryTest.cpp
+++ b/Tests/Backends/RetryTest.cpp
@@ -1,7 +1,7 @@
-#include "Backends/Backoff.h"
 #include "Backends/HealthTracker.h"
 #include "Backends/RetryBudget.h"
 #include "Backends/TaskId.h"
+#include "Base/Backoff.h"
 
 #include "Fakes/FakeTimerService.h"
 
--- a/Tests/Bench/WaitingBench.h
+++ b/Tests/Bench/WaitingBench.h
@@ -282,7 +282,7 @@
       for (int Try = 0; Try < 16; ++Try) {
         const auto Worker =
             static_cast<WorkerHandle>(Numbers_.below(Index_.handleEnd()));
-        std::vector<RunningTask> Here;
+        std::vector<PreemptionCandidate> Here;
         for (const std::size_t Other : Running_[Worker])
           if (!Stopping_.contains(Other) && Tasks_[Other].On.size() == 1)
             Here.push_back({.Id = Tasks_[Other].Is.Key,
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -61,6 +61,10 @@
   asio::awaitable<Result<void>> stop(std::string, StopRequest) override {
     co_return notHere();
   }
+  asio::awaitable<Result<MakeRoomReply>> makeRoom(std::string,
+                                                  MakeRoomRequest) override {
+    co_return notHere();
+  }
   asio::awaitable<Result<EndsReply>> ends(std::string, EndsRequest) override {
     co_return notHere();
   }
--- a/Tests/Cell/GangClaimTest.cpp
+++ b/Tests/Cell/GangClaimTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(GangClaimTest);
   CPPUNIT_TEST(testClaimsFewestWorkersThatFreeRoomSoon);
   CPPUNIT_TEST(testNoClaimWhereTheGangNeverFits);
+  CPPUNIT_TEST(testWideGangClaimsMoreThanOneMemberEach);
   CPPUNIT_TEST(testClaimKeepsOtherWorkAway);
   CPPUNIT_TEST(testEarlierGangComesFirst);
   CPPUNIT_TEST(testNumberOfClaimsIsBounded);
@@ -46,8 +47,11 @@
   void testClaimsFewestWorkersThatFreeRoomSoon() {
     const Farm Workers({1000, 9000, 500, 4500, 16000});
     const StepSpec Gang = gangOf(6);
-    CPPUNIT_ASSERT((std::vector<std::string>{"w04", "w01"}) ==
-                   chooseClaim({.Step = &Gang, .Count = 6}, Workers.All));
+    const auto Claimed = chooseClaim({.Step = &Gang, .Count = 6}, Workers.All);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Claimed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("w04"), Claimed[0].Id);
+    CPPUNIT_ASSERT_EQUAL(3, Claimed[0].Members);
+    CPPUNIT_ASSERT_EQUAL(std::string("w01"), Claimed[1].Id);
   }
 
   void testNoClaimWhereTheGangNeverFits() {
@@ -57,6 +61,16 @@
         chooseClaim({.Step = &Gang, .Count = 7}, Workers.All).empty());
   }
 
+  // A gang of 8 on 4 full workers made no claim, since one more member each is
+  // not enough, and waited without end.
+  void testWideGangClaimsMoreThanOneMemberEach() {
+    const Farm Workers({0, 0, 0, 0});
+    const StepSpec Gang = gangOf(8);
+    const auto Claimed = chooseClaim({.Step = &Gang, .Count = 8}, Workers.All);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Claimed.size());
+    CPPUNIT_ASSERT_EQUAL(2, Claimed[0].Members);
+  }
+
   void testClaimKeepsOtherWorkAway() {
     GangClaims Claims;
     Claims.setOwn(
@@ -117,9 +131,11 @@
             std::min<std::uint64_t>(16000, Worker.Free.CpusMilli + 1000);
       if (placeStep(Need, Workers.All).size() == 9)
         return true;
+      GangClaim Own{.Step = "gang"};
+      for (const ClaimedWorker &Each : chooseClaim(Need, Workers.All))
+        Own.Workers.push_back(Each.Id);
       if (Claim)
-        Claims.setOwn(GangClaim{.Step = "gang",
-                                .Workers = chooseClaim(Need, Workers.All)});
+        Claims.setOwn(Own);
       const auto Kept = Claims.keptFrom("small", std::nullopt, Now);
       for (Candidate &Worker : Workers.All)
         if (!Kept.contains(Worker.Worker->Id))
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -61,6 +61,8 @@
   CPPUNIT_TEST(testDrainingWorkerTakesNoWork);
   CPPUNIT_TEST(testReservedRoomIsKeptForItsStartOnly);
   CPPUNIT_TEST(testUnusedReservationEnds);
+  CPPUNIT_TEST(testMakesRoomByStoppingWhatLosesLittle);
+  CPPUNIT_TEST(testStopsNothingIfThatIsNotEnough);
   CPPUNIT_TEST(testRunListedBeforeTheAnswerCountsAsStarted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -100,7 +102,8 @@
     Bench.Worker.Running[{"j.0.0.0", 1}] = "";
     const auto Agent = Bench.hold();
     CPPUNIT_ASSERT(!Agent->load().Usable);
-    Agent->learnDemand("j.0.0.0", 1, {.CpusMilli = 3000});
+    Agent->learnDemand(
+        {.Task = "j.0.0.0", .Run = 1, .Demand = {.CpusMilli = 3000}});
     CPPUNIT_ASSERT(Agent->load().Usable);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
   }
@@ -233,6 +236,50 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
   }
 
+  /// One worker of 4 processors: an urgent run, one of the same priority as the
+  /// gang, one that can't resume, and two that can.
+  struct BusyWorker : AgentBench {
+    BusyWorker() : Agent(hold()) {
+      const auto Add = [this](const char *Task, int Priority,
+                              bool Preemptible) {
+        const auto Placed = begin(Agent->start({.Task = Task,
+                                                .Run = 1,
+                                                .Worker = "w",
+                                                .Demand = {.CpusMilli = 800},
+                                                .Priority = Priority,
+                                                .Preemptible = Preemptible}));
+        run(20ms);
+        CPPUNIT_ASSERT((**Placed).Status == PlaceStatus::Started);
+      };
+      Add("urgent.0.0.0", 0, true);
+      Add("equal.0.0.0", 1, true);
+      Add("fixed.0.0.0", 2, false);
+      Add("first.0.0.0", 2, true);
+      Add("second.0.0.0", 2, true);
+    }
+    std::shared_ptr<WorkerAgent> Agent;
+  };
+
+  // Gangs waited for seconds while tasks that resume from a checkpoint held
+  // their room.
+  void testMakesRoomByStoppingWhatLosesLittle() {
+    BusyWorker Bench;
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Agent->makeRoom({.CpusMilli = 700}, 1));
+    // What is being stopped counts as room to come.
+    CPPUNIT_ASSERT_EQUAL(0, Bench.Agent->makeRoom({.CpusMilli = 700}, 1));
+    Bench.run(50ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Worker.Stops.size());
+    CPPUNIT_ASSERT(Bench.Worker.Stops[0].first == "second.0.0.0");
+  }
+
+  void testStopsNothingIfThatIsNotEnough() {
+    BusyWorker Bench;
+    CPPUNIT_ASSERT_EQUAL(0, Bench.Agent->makeRoom({.CpusMilli = 2000}, 1));
+    CPPUNIT_ASSERT_EQUAL(0, Bench.Agent->makeRoom({.CpusMilli = 700}, 2));
+    Bench.run(50ms);
+    CPPUNIT_ASSERT(Bench.Worker.Stops.empty());
+  }
+
   void testUnusedReservationEnds() {
     AgentBench Bench;
     const auto Agent = Bench.hold();
--- a/Tests/Scheduling/PreemptionTest.cpp
+++ b/Tests/Scheduling/PreemptionTest.cpp
@@ -23,7 +23,7 @@
     CPPUNIT_ASSERT(rc::check("victims", [](std::uint64_t Seed) {
       Random Numbers(Seed);
       const std::uint64_t Tasks = Numbers.below(10);
-      std::vector<RunningTask> Running;
+      std::vector<PreemptionCandidate> Running;
       Running.reserve(Tasks);
       for (std::uint64_t Number = 0; Number < Tasks; ++Number)
         Running.push_back(
@@ -36,7 +36,7 @@
       const auto Victims =
           chooseVictims(Need, 1000, Free, Running, {.MaximumVictims = 4});
       Resources Everything = Free;
-      for (const RunningTask &Task : Running)
+      for (const PreemptionCandidate &Task : Running)
         if (!Task.NonRepeatable && Task.Priority < 1000)
           RC_ASSERT(Everything.add(Task.Held).has_value());
       if (!Victims)
@@ -45,7 +45,7 @@
       RC_ASSERT(Victims->size() <= 4U);
       const auto RoomWithout = [&](const std::string &Spared) {
         Resources Room = Free;
-        for (const RunningTask &Task : Running)
+        for (const PreemptionCandidate &Task : Running)
           if (Task.Id != Spared && std::find(Victims->begin(), Victims->end(),
                                              Task.Id) != Victims->end()) {
             RC_ASSERT(!Task.NonRepeatable);
@@ -62,7 +62,7 @@
 
   // Guards against stopping a service while batch work would do.
   void lowestPriorityGoesFirst() {
-    const std::vector<RunningTask> Running = {
+    const std::vector<PreemptionCandidate> Running = {
         {.Id = "service", .Priority = 500, .Held = {4000, 0, 0}},
         {.Id = "old",
          .Priority = 100,
@@ -82,7 +82,7 @@
 
   // Guards against one urgent task that stops a whole worker's work.
   void numberOfVictimsIsBounded() {
-    std::vector<RunningTask> Running;
+    std::vector<PreemptionCandidate> Running;
     Running.reserve(10);
     for (int Number = 0; Number < 10; ++Number)
       Running.push_back(
