Stop others for a gang only while that saves it

Change: runs are stopped for a gang only when it can still be in time and has less than 2.5 s left to wait.

--- a/Source/Cell/DispatchOrder.cpp
+++ b/Source/Cell/DispatchOrder.cpp
@@ -6,6 +6,13 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/// A stop, and the call about tickets that follows, take up to so long.
+constexpr milliseconds PreemptionTime{2500};
+
+} // namespace
+
 milliseconds longestChainFrom(const JobSpec &Job, int Step) {
   milliseconds Longest{0};
   for (int Next = Step + 1; Next < static_cast<int>(Job.Steps.size()); ++Next)
@@ -23,6 +30,10 @@
   return Longest;
 }
 
+bool mayPreempt(const DispatchRank &Rank, Clock::time_point Now) {
+  return !Rank.Late && Rank.StartBy - Now < PreemptionTime;
+}
+
 DispatchRank rankStep(const JobSpec &Job, int Step,
                       Clock::time_point AcceptedAt, Clock::time_point Now) {
   const auto Objective = std::chrono::duration_cast<Clock::duration>(
--- a/Source/Cell/DispatchOrder.h
+++ b/Source/Cell/DispatchOrder.h
@@ -25,6 +25,11 @@
 DispatchRank rankStep(const JobSpec &Job, int Step,
                       Clock::time_point AcceptedAt, Clock::time_point Now);
 
+/// True if others are to be stopped for the step: it can still be in time, but
+/// not if it waits for room much longer. Stopped work resumes from a
+/// checkpoint, which costs less than a late gang and more than a short wait.
+bool mayPreempt(const DispatchRank &Rank, Clock::time_point Now);
+
 /// Estimated time of the longest chain of steps.
 std::chrono::milliseconds longestChain(const JobSpec &Job);
 /// Estimated time of the longest chain of steps that begins with this one.
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -211,7 +211,8 @@
   const auto Claimed = chooseClaim(Need, Good);
   if (Claimed.empty())
     return;
-  makeRoom(Item, Claimed);
+  if (mayPreempt(Item.Rank, Timers_.now()))
+    makeRoom(Item, Claimed);
   NextClaim_ = GangClaim{.Step = stepNameOf(Item), .StartBy = StartBy};
   for (const ClaimedWorker &Each : Claimed)
     NextClaim_->Workers.push_back(Each.Id);
--- a/Tests/Cell/DispatchOrderTest.cpp
+++ b/Tests/Cell/DispatchOrderTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(testLateWorkMakesNoOtherWorkLate);
   CPPUNIT_TEST(testLeastSlackGoesFirst);
   CPPUNIT_TEST(testChainsCountTheirLongestPath);
+  CPPUNIT_TEST(testPreemptsOnlyWhatItSaves);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +54,18 @@
                    rankStep(Job, 0, Now - 1s, Now));
   }
 
+  // Stopping others for each gang at once cost more work than the wait would
+  // have; a gang that is late already saves nothing.
+  void testPreemptsOnlyWhatItSaves() {
+    const JobSpec Job = jobOf(1, 6200ms, 2.2, 1200ms);
+    const auto RankAfter = [&](std::chrono::milliseconds Age) {
+      return rankStep(Job, 0, Now - Age, Now);
+    };
+    CPPUNIT_ASSERT(!mayPreempt(RankAfter(1s), Now));
+    CPPUNIT_ASSERT(mayPreempt(RankAfter(7s), Now));
+    CPPUNIT_ASSERT(!mayPreempt(RankAfter(30s), Now));
+  }
+
   void testChainsCountTheirLongestPath() {
     JobSpec Job{.Id = "job",
                 .Steps = {{.Estimated = 100ms},
