--- a/Source/Cell/AdviceRouter.cpp
+++ b/Source/Cell/AdviceRouter.cpp
@@ -63,8 +63,9 @@
                           .Milliseconds = Call.Cost.Time.count(),
                           .Urgent = Call.Cost.Urgent,
                           .Long = Call.Cost.Long};
-    const auto Reply = co_await Peers_.advise(Lines[NextPeer_++ % Lines.size()],
-                                              std::move(Request));
+    const std::string &Peer = Lines[NextPeer_ % Lines.size()];
+    ++NextPeer_;
+    const auto Reply = co_await Peers_.advise(Peer, std::move(Request));
     if (!Reply || !Reply->Answered)
       continue;
     Advice Answer;
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -157,6 +157,7 @@
   auto Reply = std::make_shared<PlaceReply>();
   Reply->Results.resize(Request.Orders.size());
   std::vector<std::string> Workers;
+  Workers.reserve(Request.Orders.size());
   for (const PlaceOrder &Order : Request.Orders)
     Workers.push_back(Order.Worker);
   if (Request.ReserveOnly) {
@@ -166,6 +167,7 @@
     co_return std::move(*Reply);
   }
   std::vector<asio::awaitable<void>> Starts;
+  Starts.reserve(Request.Orders.size());
   for (std::size_t I = 0; I < Request.Orders.size(); ++I)
     Starts.push_back(
         placeOne(Request.Job, std::move(Request.Orders[I]), Reply, I));
@@ -217,8 +219,9 @@
       .FailingMs =
           std::chrono::duration_cast<std::chrono::milliseconds>(FailingFor)
               .count()};
-  const auto Reply = co_await Peers_.relieve(
-      Answering[NextRelief_++ % Answering.size()], std::move(Request));
+  const std::string &Peer = Answering[NextRelief_ % Answering.size()];
+  ++NextRelief_;
+  const auto Reply = co_await Peers_.relieve(Peer, std::move(Request));
   co_return Reply && Reply->Done;
 }
 
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -183,6 +183,7 @@
 void Dispatcher::hearClaims(const std::string &Address,
                             const std::vector<ClaimReport> &Reports) {
   std::vector<GangClaim> Heard;
+  Heard.reserve(Reports.size());
   const Clock::time_point Now = Timers_.now();
   for (const ClaimReport &Report : Reports)
     Heard.push_back(
@@ -293,14 +294,14 @@
 AdviceCost Dispatcher::costOf(const ReadyItem &Item,
                               std::size_t Workers) const {
   const AdvicePolicy &Policy = *Item.Job->Progress.spec().Queue.Advice;
-  const auto timeFor = [&Policy](std::size_t Count) {
+  const auto TimeFor = [&Policy](std::size_t Count) {
     return std::chrono::ceil<std::chrono::milliseconds>(
         Policy.Decide + Policy.PerWorker * static_cast<double>(Count));
   };
-  return {.Time = timeFor(Workers),
+  return {.Time = TimeFor(Workers),
           .Urgent = !Item.Rank.Patient,
           .Long =
-              timeFor(UsualWorkersAsked) > longestShortCall(Configuration_)};
+              TimeFor(UsualWorkersAsked) > longestShortCall(Configuration_)};
 }
 
 void Dispatcher::askFor(const ReadyItem &Item,
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -382,6 +382,7 @@
     Answers.emplace_back(Job, std::move(Accepted));
   }
   std::vector<asio::awaitable<void>> Writes;
+  Writes.reserve(Changed.size() + Others.size());
   for (auto &[Journal, Jobs] : Changed)
     Writes.push_back(flush(Journal, std::move(Jobs)));
   for (auto &[Journal, Other] : Others)
