Keep a gone worker until the owners of jobs have heard that nothing runs there

The owner went on counting the run as running. Ruled out: an end that was acknowledged and lost (the run's worker was gone, no end was listed).

Change: a worker is forgotten 4 s after its lease has ended, not before.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -15,6 +15,8 @@
 /// The worker's clock may be 2% slow.
 constexpr double ClockRateMargin = 1.03;
 constexpr std::chrono::milliseconds LapseMargin{300};
+/// Several exchanges, also among many processes.
+constexpr std::chrono::milliseconds TellingTime{4000};
 constexpr std::chrono::milliseconds RetryDelay{150};
 /// A worker lists at most so many ends at a time.
 constexpr std::size_t MaximumEndsListed = 500;
@@ -576,7 +578,12 @@
 }
 
 bool WorkerAgent::finished() const {
-  return !Listed_ && !Reachable_ && Resolved_ && Runs_.empty();
+  // Owners of jobs learn from exchanges that nothing runs there; a worker that
+  // is forgotten before leaves its runs counted as running for good.
+  const auto Told = std::chrono::duration_cast<Clock::duration>(
+      Options_.Lease * ClockRateMargin + LapseMargin + TellingTime);
+  return !Listed_ && !Reachable_ && Resolved_ && Runs_.empty() &&
+         Timers_.now() - LastExtension_ > Told;
 }
 
 void WorkerAgent::stop() { Stopping_ = true; }
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(testDrainingWorkerTakesNoWork);
   CPPUNIT_TEST(testReservedRoomIsKeptForItsStartOnly);
   CPPUNIT_TEST(testUnusedReservationEnds);
+  CPPUNIT_TEST(testGoneWorkerIsKeptUntilOwnersHaveHeard);
   CPPUNIT_TEST(testMakesRoomByStoppingWhatLosesLittle);
   CPPUNIT_TEST(testStopsNothingIfThatIsNotEnough);
   CPPUNIT_TEST(testRunListedBeforeTheAnswerCountsAsStarted);
@@ -236,6 +237,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
   }
 
+  // A new holder forgot a worker as soon as its lease had ended, before any
+  // exchange told so, and what had run there was never started again.
+  void testGoneWorkerIsKeptUntilOwnersHaveHeard() {
+    AgentBench Bench;
+    Bench.Worker.Reachable = false;
+    const auto Agent = Bench.hold();
+    Agent->unlisted();
+    while (!Agent->load().Resolved)
+      Bench.run(100ms);
+    CPPUNIT_ASSERT(!Agent->finished());
+    Bench.run(2s);
+    CPPUNIT_ASSERT(!Agent->finished());
+    Bench.run(5s);
+    CPPUNIT_ASSERT(Agent->finished());
+  }
+
   /// One worker of 4 processors: an urgent run, one of the same priority as the
   /// gang, one that can't resume, and two that can.
   struct BusyWorker : AgentBench {
