Say what stood twice once: time-outs, lease ends, job ids, members of an address, peer calls, steps

Cause: the last read of the change found pieces written beside their twin. ShardJournal::acquire doubled its time-out by hand beside AnswerTime; WorkerAgent::finished repeated the formula of leaseLapsed; the job of a task's name was cut out in three places (TaskName::jobOf); a start read the group's holders twice, once for the predecessors (readHolders, membersAt); each call of HttpCellPeer encoded and decoded by itself (send); the dispatcher looked up the step, the need and the advice of an item in seven places (methods of ReadyItem) and added demands in a loop where Resources::times exists; both daemons had the same signal loop (watchSignals). Read by nobody, and gone: the parsed deadline of HTTP requests, the name in CellDaemonOptions.

No behaviour changes but for one call less at the start of a process. Not done: WorkerHealth counts failures in a row as HealthTracker does; one for both would change what either decides.

--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -34,7 +34,6 @@
 };
 
 struct CellDaemonOptions {
-  std::string Name;
   std::string Address; ///< For the other processes, ip:port.
   int Shards = 24;
   std::string WorkersTopic;
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -299,7 +299,7 @@
     co_await Timers_.sleepFor(Options_.EndsLinger);
     std::map<std::string, std::vector<EndReport>> ByAddress;
     for (EndReport &End : Pool_.undelivered()) {
-      const std::string Job = End.Task.substr(0, End.Task.find('.'));
+      const std::string Job = TaskName::jobOf(End.Task);
       const auto Holder = Shards_.holderOf(Map_.shardOf(Job));
       if (Holder && !Delivering_.contains(keyOf(End)))
         ByAddress[*Holder].push_back(std::move(End));
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -125,16 +125,13 @@
 
 void Dispatcher::makeRoom(const ReadyItem &Item,
                           const std::vector<ClaimedWorker> &Claimed) {
-  auto &NotBefore =
-      Item.Job->MakeRoomAt[{Item.Step.Occurrence, Item.Step.Step}];
+  auto &NotBefore = Item.Job->MakeRoomAt[Item.key()];
   const auto Epoch = Jobs_.epochOf(Item.Job->Shard);
   if (Timers_.now() < NotBefore || !Epoch)
     return;
   NotBefore = Timers_.now() + Options_.MakeRoomInterval;
-  const JobSpec &Job = Item.Job->Progress.spec();
+  const JobSpec &Job = Item.job();
   const int Priority = Job.Queue.Priority;
-  const Resources &Member =
-      Job.Steps[static_cast<std::size_t>(Item.Step.Step)].Demand;
   std::map<std::string, MakeRoomRequest> ByAddress;
   for (const ClaimedWorker &Each : Claimed) {
     const auto Holder = Shards_.holderOf(Map_.shardOf(Each.Id));
@@ -144,8 +141,11 @@
     RoomNeed Room{.Worker = Each.Id,
                   .Demand = headroomOf(Capacity, Priority, Options_.Placement),
                   .Priority = Priority};
-    for (int Index = 0; Index < Each.Members; ++Index)
-      (void)Room.Demand.add(Member);
+    // Sums of what fits in a worker do not overflow.
+    (void)Room.Demand.add(
+        Item.step()
+            .Demand.times(static_cast<std::uint64_t>(Each.Members))
+            .value_or(Resources{}));
     MakeRoomRequest &Request = ByAddress[*Holder];
     Request.Job = {.Shard = Item.Job->Shard, .Epoch = *Epoch};
     Request.Needs.push_back(std::move(Room));
@@ -195,20 +195,18 @@
 
 void Dispatcher::claimFor(const ReadyItem &Item,
                           const std::vector<Candidate> &Candidates) {
-  const JobSpec &Job = Item.Job->Progress.spec();
-  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const JobSpec &Job = Item.job();
+  const StepSpec &Step = Item.step();
   const Clock::time_point StartBy = claimTime(Item.Rank);
   if (!Step.Gang || !Item.Rank.Patient || NextClaim_ ||
       !Claims_.mayClaim(StartBy, View_.workers().size(), Timers_.now()))
     return;
-  const StepAdvice &Advice =
-      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const StepAdvice &Advice = Item.advice();
   std::vector<Candidate> Good;
   for (const Candidate &Each : Candidates)
     if (!Job.Queue.Advice || Advice.isGood(Each.Worker->Id))
       Good.push_back(Each);
-  const PlacementNeed Need{.Step = &Step,
-                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  const PlacementNeed Need = Item.need();
   const auto Claimed = chooseClaim(Need, Good);
   if (Claimed.empty())
     return;
@@ -220,11 +218,10 @@
 }
 
 std::vector<Candidate> Dispatcher::candidatesFor(const ReadyItem &Item) const {
-  const JobSpec &Job = Item.Job->Progress.spec();
-  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
+  const JobSpec &Job = Item.job();
+  const StepSpec &Step = Item.step();
   const std::string Service = serviceOf(Job);
-  const PlacementNeed Need{.Step = &Step,
-                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  const PlacementNeed Need = Item.need();
   std::set<std::string> KeptFromGang;
   if (Item.Rank.Patient && Step.Gang)
     KeptFromGang =
@@ -260,10 +257,8 @@
 }
 
 void Dispatcher::serve(const ReadyItem &Item) {
-  const JobSpec &Job = Item.Job->Progress.spec();
-  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
-  const PlacementNeed Need{.Step = &Step,
-                           .Count = static_cast<int>(Item.Step.Tasks.size())};
+  const JobSpec &Job = Item.job();
+  const PlacementNeed Need = Item.need();
   const auto Candidates = candidatesFor(Item);
   if (!Job.Queue.Advice) {
     if (!Item.Job->Accepted)
@@ -274,8 +269,7 @@
       claimFor(Item, Candidates);
     return;
   }
-  const StepAdvice &Advice =
-      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const StepAdvice &Advice = Item.advice();
   std::vector<Candidate> Ticketed;
   for (const Candidate &Each : Candidates)
     if (Advice.ticketFor(Each.Worker->Id,
@@ -293,7 +287,7 @@
 
 AdviceCost Dispatcher::costOf(const ReadyItem &Item,
                               std::size_t Workers) const {
-  const AdvicePolicy &Policy = *Item.Job->Progress.spec().Queue.Advice;
+  const AdvicePolicy &Policy = *Item.job().Queue.Advice;
   const auto TimeFor = [&Policy](std::size_t Count) {
     return std::chrono::ceil<std::chrono::milliseconds>(
         Policy.Decide + Policy.PerWorker * static_cast<double>(Count));
@@ -306,15 +300,13 @@
 
 void Dispatcher::askFor(const ReadyItem &Item,
                         const std::vector<Candidate> &Candidates, int Count) {
-  const JobSpec &Job = Item.Job->Progress.spec();
-  StepAdvice &Advice = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const JobSpec &Job = Item.job();
+  StepAdvice &Advice = Item.advice();
   const AdviceCost Usual = costOf(Item, UsualWorkersAsked);
   const Clock::time_point Now = Timers_.now();
   if (Advice.Asking || Advice.AskAgainAt > Now || !Adviser_.mayAsk(Usual))
     return;
-  const PlacementNeed Need{
-      .Step = &Job.Steps[static_cast<std::size_t>(Item.Step.Step)],
-      .Count = Count};
+  const PlacementNeed Need{.Step = &Item.step(), .Count = Count};
   auto Workers =
       chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name),
                          Now + Usual.Time + Options_.TicketMargin);
@@ -340,8 +332,8 @@
 void Dispatcher::applyAdvice(const ReadyItem &Item, const AdviceCall &Call,
                              const Result<Advice> &Reply,
                              Clock::time_point AskedAt) {
-  const QueuePolicy &Queue = Item.Job->Progress.spec().Queue;
-  StepAdvice &Known = Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const QueuePolicy &Queue = Item.job().Queue;
+  StepAdvice &Known = Item.advice();
   Known.Asking = false;
   if (!Reply) {
     Counters_.count("advice_without_answer_total");
@@ -373,7 +365,7 @@
 }
 
 std::string Dispatcher::stepNameOf(const ReadyItem &Item) {
-  return TaskName{.Job = Item.Job->Progress.spec().Id,
+  return TaskName{.Job = Item.job().Id,
                   .Occurrence = Item.Step.Occurrence,
                   .Step = Item.Step.Step}
       .stepName();
@@ -386,9 +378,8 @@
     return;
   JobProgress &Progress = Item.Job->Progress;
   const JobSpec &Job = Progress.spec();
-  const StepSpec &Step = Job.Steps[static_cast<std::size_t>(Item.Step.Step)];
-  const StepAdvice &Advice =
-      Item.Job->Advice[{Item.Step.Occurrence, Item.Step.Step}];
+  const StepSpec &Step = Item.step();
+  const StepAdvice &Advice = Item.advice();
   const auto Epoch = Jobs_.epochOf(Item.Job->Shard);
   const int Run = Progress.nextRun(Item.Step.Occurrence, Item.Step.Step);
   OrdersByAddress ByAddress;
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -69,6 +69,18 @@
     JobOwner::JobPointer Job;
     ReadyStep Step;
     DispatchRank Rank;
+
+    [[nodiscard]] const JobSpec &job() const { return Job->Progress.spec(); }
+    [[nodiscard]] const StepSpec &step() const {
+      return job().Steps[static_cast<std::size_t>(Step.Step)];
+    }
+    [[nodiscard]] std::pair<int, int> key() const {
+      return {Step.Occurrence, Step.Step};
+    }
+    [[nodiscard]] StepAdvice &advice() const { return Job->Advice[key()]; }
+    [[nodiscard]] PlacementNeed need() const {
+      return {.Step = &step(), .Count = static_cast<int>(Step.Tasks.size())};
+    }
   };
   struct Placing {
     RunId Run;
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -52,12 +52,20 @@
   co_return std::move(Reply->Body);
 }
 
+template <typename Reply>
+asio::awaitable<Result<Reply>>
+HttpCellPeer::send(std::string Address, std::string Name, json Request,
+                   std::chrono::milliseconds Timeout) {
+  co_return decode<Reply>(co_await call(std::move(Address), std::move(Name),
+                                        Request.dump(), Timeout));
+}
+
 asio::awaitable<Result<PlaceReply>> HttpCellPeer::place(std::string Address,
                                                         PlaceRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->place(std::move(Request));
-  co_return decode<PlaceReply>(
-      co_await call(Address, "place", json(Request).dump(), PlaceTimeout));
+  co_return co_await send<PlaceReply>(std::move(Address), "place",
+                                      json(Request), PlaceTimeout);
 }
 
 asio::awaitable<Result<void>> HttpCellPeer::stop(std::string Address,
@@ -77,24 +85,24 @@
 HttpCellPeer::makeRoom(std::string Address, MakeRoomRequest Request) {
   if (Address == OwnAddress_)
     co_return Local_->makeRoom(Request);
-  co_return decode<MakeRoomReply>(
-      co_await call(Address, "room", json(Request).dump(), ShortTimeout));
+  co_return co_await send<MakeRoomReply>(std::move(Address), "room",
+                                         json(Request), ShortTimeout);
 }
 
 asio::awaitable<Result<EndsReply>> HttpCellPeer::ends(std::string Address,
                                                       EndsRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->ends(std::move(Request));
-  co_return decode<EndsReply>(
-      co_await call(Address, "ends", json(Request).dump(), WriteTimeout));
+  co_return co_await send<EndsReply>(std::move(Address), "ends", json(Request),
+                                     WriteTimeout);
 }
 
 asio::awaitable<Result<ExchangeReply>>
 HttpCellPeer::exchange(std::string Address, ExchangeRequest Request) {
   if (Address == OwnAddress_)
     co_return Local_->exchange(Request);
-  co_return decode<ExchangeReply>(
-      co_await call(Address, "exchange", json(Request).dump(), ShortTimeout));
+  co_return co_await send<ExchangeReply>(std::move(Address), "exchange",
+                                         json(Request), ShortTimeout);
 }
 
 asio::awaitable<Result<AdviseReply>>
@@ -103,40 +111,40 @@
     co_return co_await Local_->advise(std::move(Request));
   const auto Timeout =
       std::chrono::milliseconds(2 * Request.Milliseconds) + AdviceMargin;
-  co_return decode<AdviseReply>(
-      co_await call(Address, "advise", json(Request).dump(), Timeout));
+  co_return co_await send<AdviseReply>(std::move(Address), "advise",
+                                       json(Request), Timeout);
 }
 
 asio::awaitable<Result<RelieveReply>>
 HttpCellPeer::relieve(std::string Address, RelieveRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->relieve(std::move(Request));
-  co_return decode<RelieveReply>(
-      co_await call(Address, "relieve", json(Request).dump(), ReliefTimeout));
+  co_return co_await send<RelieveReply>(std::move(Address), "relieve",
+                                        json(Request), ReliefTimeout);
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
                                                           JobSpec Job) {
   if (Address == OwnAddress_)
     co_return co_await Local_->submit(std::move(Job));
-  co_return decode<SubmitReply>(
-      co_await call(Address, "submit", json(Job).dump(), WriteTimeout));
+  co_return co_await send<SubmitReply>(std::move(Address), "submit", json(Job),
+                                       WriteTimeout);
 }
 
 asio::awaitable<Result<JobStateReply>> HttpCellPeer::state(std::string Address,
                                                            JobReference Job) {
   if (Address == OwnAddress_)
     co_return Local_->state(Job);
-  co_return decode<JobStateReply>(
-      co_await call(Address, "state", json(Job).dump(), ShortTimeout));
+  co_return co_await send<JobStateReply>(std::move(Address), "state", json(Job),
+                                         ShortTimeout);
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::cancel(std::string Address,
                                                           JobReference Job) {
   if (Address == OwnAddress_)
     co_return co_await Local_->cancel(std::move(Job));
-  co_return decode<SubmitReply>(
-      co_await call(Address, "cancel", json(Job).dump(), WriteTimeout));
+  co_return co_await send<SubmitReply>(std::move(Address), "cancel", json(Job),
+                                       WriteTimeout);
 }
 
 namespace {
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -41,6 +41,12 @@
                                             std::string Name, std::string Body,
                                             std::chrono::milliseconds Timeout);
 
+  /// Calls and reads the answer.
+  template <typename Reply>
+  asio::awaitable<Result<Reply>> send(std::string Address, std::string Name,
+                                      nlohmann::json Request,
+                                      std::chrono::milliseconds Timeout);
+
   HttpClient &Client_;
   std::string OwnAddress_;
   CellHandler *Local_ = nullptr;
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -21,17 +21,20 @@
     : Executor_(Executor), Timers_(Timers), Store_(Store),
       Options_(std::move(Options)), Work_(Executor) {}
 
+std::chrono::milliseconds ShardJournal::timeoutAfter(int Failures) const {
+  return Answers_.timeout(Options_.FirstTimeout, Options_.LongestTimeout,
+                          Failures);
+}
+
 asio::awaitable<std::optional<std::vector<KeyedRecord>>>
 ShardJournal::acquire() {
   const auto Self = shared_from_this();
-  auto Timeout = Options_.FirstTimeout;
-  while (!Stopped_) {
+  for (int Failures = 0; !Stopped_; ++Failures) {
     AppendStamp Stamp{
         .Producer = Options_.Producer, .Epoch = Options_.Epoch, .Sequence = 0};
-    const auto Reply = co_await Store_.append(Options_.Topic, Options_.Shard,
-                                              std::vector<KeyedRecord>(),
-                                              std::move(Stamp), Timeout);
-    Timeout = std::min(2 * Timeout, Options_.LongestTimeout);
+    const auto Reply = co_await Store_.append(
+        Options_.Topic, Options_.Shard, std::vector<KeyedRecord>(),
+        std::move(Stamp), timeoutAfter(Failures));
     if (Reply && Reply->Status == AppendStatus::Fenced) {
       fence();
       co_return std::nullopt;
@@ -106,10 +109,9 @@
                       .Epoch = Options_.Epoch,
                       .Sequence = NextSequence_};
     LastTry_ = Timers_.now();
-    const auto Reply = co_await Store_.append(
-        Options_.Topic, Options_.Shard, Records, std::move(Stamp),
-        Answers_.timeout(Options_.FirstTimeout, Options_.LongestTimeout,
-                         Failures));
+    const auto Reply =
+        co_await Store_.append(Options_.Topic, Options_.Shard, Records,
+                               std::move(Stamp), timeoutAfter(Failures));
     if (Reply)
       Answers_.answered(Timers_.now() - LastTry_);
     if (Reply && Reply->Status == AppendStatus::Appended) {
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -86,6 +86,7 @@
   };
   using Batch = std::vector<std::shared_ptr<Entry>>;
 
+  [[nodiscard]] std::chrono::milliseconds timeoutAfter(int Failures) const;
   Batch takeBatch();
   asio::awaitable<void> appendBatch(Batch Entries);
   void finish(const Batch &Entries, JournalOutcome Outcome);
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -25,22 +25,24 @@
     : Timers_(Timers), Store_(Store), Events_(Events),
       Options_(std::move(Options)), JoinDue_(Executor), HoldersDue_(Executor) {}
 
+std::vector<std::string>
+ShardMembership::membersAt(const std::string &Address) const {
+  std::vector<std::string> Found;
+  for (const std::string &Member : Members_)
+    if (Member != Options_.Member && addressOf(Member) == Address)
+      Found.push_back(Member);
+  return Found;
+}
+
 asio::awaitable<void> ShardMembership::removePredecessors() {
-  const auto Rows = co_await Store_.holders(Options_.Group);
-  if (!Rows)
-    co_return;
-  std::set<std::string> Members;
-  for (const ShardHolder &Row : *Rows)
-    if (Row.Member != Options_.Member &&
-        addressOf(Row.Member) == addressOf(Options_.Member))
-      Members.insert(Row.Member);
-  for (const std::string &Member : Members) {
+  for (const std::string &Member : membersAt(addressOf(Options_.Member))) {
     Events_.emit("shards", "predecessor_removed", {{"member", Member}});
     co_await Store_.leave(Options_.Group, Member);
   }
 }
 
 asio::awaitable<Result<void>> ShardMembership::run() {
+  co_await readHolders();
   asio::co_spawn(co_await asio::this_coro::executor, followHolders(),
                  asio::detached);
   co_await removePredecessors();
@@ -116,12 +118,9 @@
 }
 
 asio::awaitable<void> ShardMembership::removeRefusing(std::string Address) {
-  std::vector<std::string> Gone;
-  for (const std::string &Member : Members_)
-    if (addressOf(Member) == Address && Removed_.insert(Member).second)
-      Gone.push_back(Member);
-  for (const std::string &Member : Gone)
-    co_await relieve(Member, Clock::duration::zero());
+  for (const std::string &Member : membersAt(Address))
+    if (Removed_.insert(Member).second)
+      co_await relieve(Member, Clock::duration::zero());
 }
 
 asio::awaitable<void> ShardMembership::waitInReserve() {
@@ -205,30 +204,35 @@
   return true;
 }
 
+asio::awaitable<void> ShardMembership::readHolders() {
+  const Clock::time_point AskedAt = Timers_.now();
+  const auto Rows = co_await Store_.holders(Options_.Group);
+  HoldersRead_ = Rows.has_value();
+  if (!Rows)
+    co_return;
+  StoreAnswers_.answered(Timers_.now() - AskedAt);
+  std::map<int, std::string> Holders;
+  Members_.clear();
+  for (const ShardHolder &Row : *Rows)
+    if (!Row.Member.empty()) {
+      Holders[Row.Shard] = addressOf(Row.Member);
+      Members_.insert(Row.Member);
+    }
+  const std::string Own = addressOf(Options_.Member);
+  for (const auto &[Shard, Epoch] : Held_)
+    Holders[Shard] = Own;
+  // A row may still name this process for a shard that it gave up.
+  std::erase_if(Holders, [&](const auto &Item) {
+    return Item.second == Own && !Held_.contains(Item.first);
+  });
+  Holders_ = std::move(Holders);
+}
+
 asio::awaitable<void> ShardMembership::followHolders() {
   while (!Stopping_) {
-    const Clock::time_point AskedAt = Timers_.now();
-    const auto Rows = co_await Store_.holders(Options_.Group);
-    HoldersRead_ = Rows.has_value();
-    if (Rows) {
-      StoreAnswers_.answered(Timers_.now() - AskedAt);
-      std::map<int, std::string> Holders;
-      Members_.clear();
-      for (const ShardHolder &Row : *Rows)
-        if (!Row.Member.empty()) {
-          Holders[Row.Shard] = addressOf(Row.Member);
-          Members_.insert(Row.Member);
-        }
-      const std::string Own = addressOf(Options_.Member);
-      for (const auto &[Shard, Epoch] : Held_)
-        Holders[Shard] = Own;
-      // A row may still name this process for a shard that it gave up.
-      std::erase_if(Holders, [&](const auto &Item) {
-        return Item.second == Own && !Held_.contains(Item.first);
-      });
-      Holders_ = std::move(Holders);
-    }
     co_await HoldersDue_.waitFor(Timers_, Options_.HoldersPeriod);
+    if (!Stopping_)
+      co_await readHolders();
   }
 }
 
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hickory {
 
@@ -104,7 +105,11 @@
   bool heard(int Shard, std::uint64_t Epoch, const std::string &Address);
 
 private:
+  asio::awaitable<void> readHolders();
   asio::awaitable<void> followHolders();
+  /// Members of that address, without this process.
+  [[nodiscard]] std::vector<std::string>
+  membersAt(const std::string &Address) const;
   /// Members of former processes at this address are gone: their shards need
   /// not wait for the time to live.
   asio::awaitable<void> removePredecessors();
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -82,9 +82,9 @@
   return clockNow() + Options_.Lease;
 }
 
-bool WorkerAgent::leaseLapsed() const {
+bool WorkerAgent::leaseLapsed(std::chrono::milliseconds Since) const {
   const auto Longest = std::chrono::duration_cast<Clock::duration>(
-      Options_.Lease * ClockRateMargin + LapseMargin);
+      Options_.Lease * ClockRateMargin + LapseMargin + Since);
   return Timers_.now() - LastExtension_ > Longest;
 }
 
@@ -580,10 +580,8 @@
 bool WorkerAgent::finished() const {
   // Owners of jobs learn from exchanges that nothing runs there; a worker that
   // is forgotten before leaves its runs counted as running for good.
-  const auto Told = std::chrono::duration_cast<Clock::duration>(
-      Options_.Lease * ClockRateMargin + LapseMargin + TellingTime);
   return !Listed_ && !Reachable_ && Resolved_ && Runs_.empty() &&
-         Timers_.now() - LastExtension_ > Told;
+         leaseLapsed(TellingTime);
 }
 
 void WorkerAgent::stop() { Stopping_ = true; }
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -103,7 +103,8 @@
   [[nodiscard]] std::int64_t token() const;
   [[nodiscard]] std::chrono::milliseconds clockNow() const;
   [[nodiscard]] std::chrono::milliseconds extendLease();
-  [[nodiscard]] bool leaseLapsed() const;
+  /// True if the lease ended at least so long ago.
+  [[nodiscard]] bool leaseLapsed(std::chrono::milliseconds Since = {}) const;
   [[nodiscard]] Resources committed() const;
 
   void applyHold(const HoldReply &Reply, Clock::time_point SentAt);
--- a/Source/Cell/WorkerHealth.cpp
+++ b/Source/Cell/WorkerHealth.cpp
@@ -1,5 +1,7 @@
 #include "Cell/WorkerHealth.h"
 
+#include "Work/JobSpec.h"
+
 namespace hickory {
 
 void WorkerHealth::started(const std::string &Task, int Run,
@@ -27,7 +29,7 @@
     return;
   }
   // One job may fail anywhere by its own fault.
-  const std::string Job = Task.substr(0, Task.find('.'));
+  const std::string Job = TaskName::jobOf(Task);
   if (++Failures_ == 1)
     FirstFailed_ = Job;
   OtherFailed_ = OtherFailed_ || Job != FirstFailed_;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -205,7 +205,7 @@
   for (const auto &[Number, Owner] : Shards_)
     for (const auto &[Id, Agent] : Owner.Agents)
       for (RunReport &Report : Agent->runs()) {
-        const std::string Job = Report.Task.substr(0, Report.Task.find('.'));
+        const std::string Job = TaskName::jobOf(Report.Task);
         if (JobShards.contains(Map_.shardOf(Job)))
           All.push_back(std::move(Report));
       }
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -48,13 +48,6 @@
   }
 }
 
-std::chrono::milliseconds
-deadlineOf(const restinio::http_request_header_t &Header) {
-  const std::string Text = Header.get_field_or("X-Deadline-Ms", "");
-  return std::chrono::milliseconds(
-      std::max(0L, std::strtol(Text.c_str(), nullptr, 10)));
-}
-
 } // namespace
 
 class HttpServer::Implementation {
@@ -118,7 +111,7 @@
         .Path = std::string(Request->header().path()),
         .Query = std::string(Request->header().query()),
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
-        .Deadline = deadlineOf(Request->header()),
+
         .Body = Request->body()};
     HttpServerResponse Reply = co_await OnRequest_(std::move(Incoming));
     auto Response = Request->create_response(statusLine(Reply.Status));
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -16,8 +16,6 @@
   std::string Path;  ///< Without the query; not percent-decoded.
   std::string Query; ///< Text after '?', not decoded.
   std::string Host;  ///< Host header, with its port if it names one.
-  /// From X-Deadline-Ms: how long the caller waits; 0 if it does not say.
-  std::chrono::milliseconds Deadline{0};
   std::string Body;
 };
 
--- a/Source/Programs/hickoryd.cpp
+++ b/Source/Programs/hickoryd.cpp
@@ -1,4 +1,5 @@
 // The scheduler's daemon: one process per entry instance.
+#include "Base/SignalWatch.h"
 #include "Config/Settings.h"
 #include "Daemon/Daemon.h"
 
@@ -98,15 +99,8 @@
     Status = Clean ? 0 : 1;
     Context.stop();
   });
-  std::function<void()> AwaitSignal = [&] {
-    Signals.async_wait([&](const std::error_code &Code, int) {
-      if (Code)
-        return;
-      Instance.requestDrain();
-      AwaitSignal();
-    });
-  };
-  AwaitSignal();
+  hickory::watchSignals(
+      Signals, [&Instance](int /*Number*/) { Instance.requestDrain(); });
   if (const auto Started = Instance.start(); !Started) {
     std::cerr << "hickoryd: " << Started.error().Message << "\n";
     return 1;
--- a/Source/Work/JobSpec.h
+++ b/Source/Work/JobSpec.h
@@ -76,6 +76,10 @@
   [[nodiscard]] std::string stepName() const;
   /// Nothing if the text is not a task's name.
   static std::optional<TaskName> parse(const std::string &Text);
+  /// The id of the job in a task's name, which is not checked.
+  static std::string jobOf(const std::string &Text) {
+    return Text.substr(0, Text.find('.'));
+  }
 };
 
 // The names below are those that nlohmann-json looks up.
