Send orders once: the HTTP client no longer repeats them by itself

A placement was carried out, its kept-alive connection was reset, libcurl sent the request again by itself, and the answer to the second copy ("room", or "task_present") counted as proof that nothing had been started. The same holds for starts at workers (ticket, room, unhealthy) and for appends: an append that was stored and then answered 503 counted as certainly not done; its records went out again with newer ones under the same sequence number, which the store confirms unread.

Ruled out: a second placement by the dispatcher (one "placing" line for run 1), a stale view of room (the reason names the task itself).

Change: HttpClientRequest::MayResend replaces SendOnce and is off by default. curl asks before each copy (PREREQFUNCTION), so that a request that may not be sent again still uses kept-alive connections. Reads, holds, stops, joins, ends, exchanges, cancels and states may be sent again; placements, reservations, submissions, starts, appends and advice may not. Their failure is Unavailable, whose effect is unknown, and the existing paths prove or stop it.

Tests: with the former behaviour testAppendThatWasStoredIsNotReportedAsNotDone and testStartThatWasCarriedOutIsNotReportedAsRefused fail. SendOnceTest becomes ResendTest: what it asserted of SendOnce it asserts of the default, now also on a kept-alive connection; RackManagerTest asserts the same of MayResend.

--- a/Source/Backends/ExecutorSession.cpp
+++ b/Source/Backends/ExecutorSession.cpp
@@ -69,7 +69,7 @@
   Request.Url = "http://" + Executor_.Address + "/v1/execute";
   Request.Body = json{{"id", Item->Id}, {"payload", Item->Payload}}.dump();
   Request.Timeout = std::max(Left, milliseconds(1));
-  Request.SendOnce = Item->NonRepeatable;
+  Request.MayResend = !Item->NonRepeatable;
   const auto Reply = co_await Context_->Client.send(std::move(Request));
   --Calls_;
   handleAnswer(Item, Index, Reply);
@@ -166,6 +166,7 @@
   HttpClientRequest Request;
   Request.Url =
       "http://" + Executor_.Address + "/v1/results/" + percentEncode(Item->Id);
+  Request.MayResend = true;
   Request.Timeout = Context_->Options.Lease.CallTimeout;
   auto Reply = co_await Context_->Client.send(std::move(Request));
   --Calls_;
--- a/Source/Backends/InstanceList.cpp
+++ b/Source/Backends/InstanceList.cpp
@@ -74,6 +74,7 @@
 asio::awaitable<void> InstanceList::poll() {
   HttpClientRequest Request;
   Request.Url = requestUrl();
+  Request.MayResend = true;
   Request.Timeout = Options_.Timeout;
   auto Reply = co_await Client_.send(std::move(Request));
   if (Stopped_)
--- a/Source/Backends/WorkerSession.cpp
+++ b/Source/Backends/WorkerSession.cpp
@@ -199,6 +199,7 @@
   HttpClientRequest Request;
   Request.Url = "http://" + Worker_.Address + "/v1/state";
   Request.Timeout = Context_->Options.Lease.CallTimeout;
+  Request.MayResend = true;
   if (!Next.ReadOnly) {
     if (!buildCommands(Next))
       co_return false;
@@ -206,9 +207,9 @@
     Request.Url = "http://" + Worker_.Address + "/v1/commands";
     Request.Body = Next.Body.dump();
     // A second copy of a start could run after a restart of the worker.
-    Request.SendOnce =
-        std::any_of(Next.Starts.begin(), Next.Starts.end(),
-                    [](const auto &Task) { return Task->NonRepeatable; });
+    Request.MayResend =
+        std::none_of(Next.Starts.begin(), Next.Starts.end(),
+                     [](const auto &Task) { return Task->NonRepeatable; });
   }
   Context_->Counters.count("hickory_worker_bytes_total",
                            static_cast<double>(Request.Body.size()));
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -35,14 +35,32 @@
 
 } // namespace
 
+// A refused placement or submission counts as proof that nothing was done, so
+// these are sent once; so are those whose repetition costs more than it brings.
+const HttpCellPeer::CallKind HttpCellPeer::Place{"place", PlaceTimeout, false};
+const HttpCellPeer::CallKind HttpCellPeer::Stop{"stop", ShortTimeout, true};
+const HttpCellPeer::CallKind HttpCellPeer::MakeRoom{"room", ShortTimeout,
+                                                    false};
+const HttpCellPeer::CallKind HttpCellPeer::Ends{"ends", WriteTimeout, true};
+const HttpCellPeer::CallKind HttpCellPeer::Exchange{"exchange", ShortTimeout,
+                                                    true};
+const HttpCellPeer::CallKind HttpCellPeer::Advise{"advise", AdviceMargin,
+                                                  false};
+const HttpCellPeer::CallKind HttpCellPeer::Relieve{"relieve", ReliefTimeout,
+                                                   true};
+const HttpCellPeer::CallKind HttpCellPeer::Submit{"submit", WriteTimeout,
+                                                  false};
+const HttpCellPeer::CallKind HttpCellPeer::State{"state", ShortTimeout, true};
+const HttpCellPeer::CallKind HttpCellPeer::Cancel{"cancel", WriteTimeout, true};
+
 asio::awaitable<Result<std::string>>
-HttpCellPeer::call(std::string Address, std::string Name, std::string Body,
-                   std::chrono::milliseconds Timeout) {
+HttpCellPeer::call(std::string Address, CallKind Kind, std::string Body) {
   HttpClientRequest Request{.Method = "POST",
                             .Url = "http://" + Address +
-                                   std::string(PathPrefix) + Name,
+                                   std::string(PathPrefix) + Kind.Name,
                             .Body = std::move(Body),
-                            .Timeout = Timeout};
+                            .Timeout = Kind.Timeout,
+                            .MayResend = Kind.MayResend};
   auto Reply = co_await Client_.send(std::move(Request));
   if (!Reply)
     co_return tl::unexpected<Error>(Reply.error());
@@ -53,19 +71,17 @@
 }
 
 template <typename Reply>
-asio::awaitable<Result<Reply>>
-HttpCellPeer::send(std::string Address, std::string Name, json Request,
-                   std::chrono::milliseconds Timeout) {
-  co_return decode<Reply>(co_await call(std::move(Address), std::move(Name),
-                                        Request.dump(), Timeout));
+asio::awaitable<Result<Reply>> HttpCellPeer::send(std::string Address,
+                                                  CallKind Kind, json Request) {
+  co_return decode<Reply>(
+      co_await call(std::move(Address), Kind, Request.dump()));
 }
 
 asio::awaitable<Result<PlaceReply>> HttpCellPeer::place(std::string Address,
                                                         PlaceRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->place(std::move(Request));
-  co_return co_await send<PlaceReply>(std::move(Address), "place",
-                                      json(Request), PlaceTimeout);
+  co_return co_await send<PlaceReply>(std::move(Address), Place, json(Request));
 }
 
 asio::awaitable<Result<void>> HttpCellPeer::stop(std::string Address,
@@ -74,8 +90,7 @@
     Local_->stop(Request);
     co_return Result<void>{};
   }
-  const auto Body =
-      co_await call(Address, "stop", json(Request).dump(), ShortTimeout);
+  const auto Body = co_await call(Address, Stop, json(Request).dump());
   if (!Body)
     co_return tl::unexpected<Error>(Body.error());
   co_return Result<void>{};
@@ -85,66 +100,61 @@
 HttpCellPeer::makeRoom(std::string Address, MakeRoomRequest Request) {
   if (Address == OwnAddress_)
     co_return Local_->makeRoom(Request);
-  co_return co_await send<MakeRoomReply>(std::move(Address), "room",
-                                         json(Request), ShortTimeout);
+  co_return co_await send<MakeRoomReply>(std::move(Address), MakeRoom,
+                                         json(Request));
 }
 
 asio::awaitable<Result<EndsReply>> HttpCellPeer::ends(std::string Address,
                                                       EndsRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->ends(std::move(Request));
-  co_return co_await send<EndsReply>(std::move(Address), "ends", json(Request),
-                                     WriteTimeout);
+  co_return co_await send<EndsReply>(std::move(Address), Ends, json(Request));
 }
 
 asio::awaitable<Result<ExchangeReply>>
 HttpCellPeer::exchange(std::string Address, ExchangeRequest Request) {
   if (Address == OwnAddress_)
     co_return Local_->exchange(Request);
-  co_return co_await send<ExchangeReply>(std::move(Address), "exchange",
-                                         json(Request), ShortTimeout);
+  co_return co_await send<ExchangeReply>(std::move(Address), Exchange,
+                                         json(Request));
 }
 
 asio::awaitable<Result<AdviseReply>>
 HttpCellPeer::advise(std::string Address, AdviseRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->advise(std::move(Request));
-  const auto Timeout =
-      std::chrono::milliseconds(2 * Request.Milliseconds) + AdviceMargin;
-  co_return co_await send<AdviseReply>(std::move(Address), "advise",
-                                       json(Request), Timeout);
+  CallKind Kind = Advise;
+  Kind.Timeout += std::chrono::milliseconds(2 * Request.Milliseconds);
+  co_return co_await send<AdviseReply>(std::move(Address), Kind, json(Request));
 }
 
 asio::awaitable<Result<RelieveReply>>
 HttpCellPeer::relieve(std::string Address, RelieveRequest Request) {
   if (Address == OwnAddress_)
     co_return co_await Local_->relieve(std::move(Request));
-  co_return co_await send<RelieveReply>(std::move(Address), "relieve",
-                                        json(Request), ReliefTimeout);
+  co_return co_await send<RelieveReply>(std::move(Address), Relieve,
+                                        json(Request));
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
                                                           JobSpec Job) {
   if (Address == OwnAddress_)
     co_return co_await Local_->submit(std::move(Job));
-  co_return co_await send<SubmitReply>(std::move(Address), "submit", json(Job),
-                                       WriteTimeout);
+  co_return co_await send<SubmitReply>(std::move(Address), Submit, json(Job));
 }
 
 asio::awaitable<Result<JobStateReply>> HttpCellPeer::state(std::string Address,
                                                            JobReference Job) {
   if (Address == OwnAddress_)
     co_return Local_->state(Job);
-  co_return co_await send<JobStateReply>(std::move(Address), "state", json(Job),
-                                         ShortTimeout);
+  co_return co_await send<JobStateReply>(std::move(Address), State, json(Job));
 }
 
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::cancel(std::string Address,
                                                           JobReference Job) {
   if (Address == OwnAddress_)
     co_return co_await Local_->cancel(std::move(Job));
-  co_return co_await send<SubmitReply>(std::move(Address), "cancel", json(Job),
-                                       WriteTimeout);
+  co_return co_await send<SubmitReply>(std::move(Address), Cancel, json(Job));
 }
 
 namespace {
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -37,15 +37,29 @@
                                               JobReference Job) override;
 
 private:
-  asio::awaitable<Result<std::string>> call(std::string Address,
-                                            std::string Name, std::string Body,
-                                            std::chrono::milliseconds Timeout);
+  struct CallKind {
+    const char *Name;
+    std::chrono::milliseconds Timeout;
+    bool MayResend; ///< See HttpClientRequest.
+  };
+  static const CallKind Place;
+  static const CallKind Stop;
+  static const CallKind MakeRoom;
+  static const CallKind Ends;
+  static const CallKind Exchange;
+  static const CallKind Advise;
+  static const CallKind Relieve;
+  static const CallKind Submit;
+  static const CallKind State;
+  static const CallKind Cancel;
+
+  asio::awaitable<Result<std::string>> call(std::string Address, CallKind Kind,
+                                            std::string Body);
 
   /// Calls and reads the answer.
   template <typename Reply>
-  asio::awaitable<Result<Reply>> send(std::string Address, std::string Name,
-                                      nlohmann::json Request,
-                                      std::chrono::milliseconds Timeout);
+  asio::awaitable<Result<Reply>> send(std::string Address, CallKind Kind,
+                                      nlohmann::json Request);
 
   HttpClient &Client_;
   std::string OwnAddress_;
--- a/Source/Http/CurlHttpClient.cpp
+++ b/Source/Http/CurlHttpClient.cpp
@@ -24,7 +24,7 @@
   HttpClientRequest Request;
   HttpClientResponse Response;
   Completion Done;
-  bool ConnectionMade = false;
+  bool Begun = false; ///< A copy may have been sent.
 
   ~Transfer() {
     curl_slist_free_all(Headers);
@@ -51,6 +51,17 @@
   return Size * Count;
 }
 
+/// Called before each copy of the request. curl sends another one when a
+/// connection that it has used before closes without an answer.
+int allowCopy(void *User, char * /*RemoteAddress*/, char * /*LocalAddress*/,
+              int /*RemotePort*/, int /*LocalPort*/) {
+  auto *Item = static_cast<Transfer *>(User);
+  const bool First = !Item->Begun;
+  Item->Begun = true;
+  return First || Item->Request.MayResend ? CURL_PREREQFUNC_OK
+                                          : CURL_PREREQFUNC_ABORT;
+}
+
 /// Waits for readiness of one of curl's sockets.
 struct Watch {
   asio::posix::stream_descriptor Descriptor;
@@ -123,11 +134,8 @@
     // curl's default buffer of 16 KB per transfer and connection is more than
     // the small messages here need.
     curl_easy_setopt(Easy, CURLOPT_BUFFERSIZE, 4096L);
-    // curl repeats a request only on connections that it has used before.
-    if (Current.Request.SendOnce) {
-      curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &allowCopy);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Current);
     curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(Current.Request.Timeout.count()));
     Transfers_.emplace(Easy, std::move(Item));
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -16,10 +16,12 @@
   std::string Body;
   std::string ContentType = "application/json";
   std::chrono::milliseconds Timeout{2000};
-  /// Uses a connection of its own. An HTTP client sends a request again by
-  /// itself if a kept-alive connection was closed without an answer; a request
-  /// that must not be received twice sets this.
-  bool SendOnce = false;
+  /// The client may send the request again by itself if a kept-alive connection
+  /// closes without an answer. The answer is then that to the last copy and
+  /// says nothing of an earlier one: a refusal is no proof that nothing was
+  /// done. Only for calls that change nothing, or whose answer is read in the
+  /// same way whether or not an earlier copy was carried out.
+  bool MayResend = false;
   /// Sent besides Content-Type.
   std::vector<std::pair<std::string, std::string>> Headers = {};
 };
@@ -37,7 +39,7 @@
 
   /// Any complete response is a value, whatever its status. Errors: Refused
   /// and NotSent are certain to have had no effect, Timeout and Unavailable
-  /// are not.
+  /// are not. Unless MayResend is set, the request is received at most once.
   virtual asio::awaitable<Result<HttpClientResponse>>
   send(HttpClientRequest Request) = 0;
 };
--- a/Source/Log/HttpLogClient.cpp
+++ b/Source/Log/HttpLogClient.cpp
@@ -68,7 +68,8 @@
                          Options.From, Options.Maximum, Options.Wait.count()),
       .Body = {},
       .ContentType = "application/x-protobuf",
-      .Timeout = Timeout_ + Options.Wait};
+      .Timeout = Timeout_ + Options.Wait,
+      .MayResend = true};
   Result<HttpClientResponse> Reply = co_await Client_.send(std::move(Request));
   if (!Reply)
     co_return tl::unexpected<Error>(Reply.error());
--- a/Tests/Backends/RackManagerTest.cpp
+++ b/Tests/Backends/RackManagerTest.cpp
@@ -501,8 +501,8 @@
     int Once = 0;
     for (const auto &Sent : World.Client.Sent) {
       const bool Start = Sent.Body.find("start") != std::string::npos;
-      CPPUNIT_ASSERT_EQUAL(Start, Sent.SendOnce);
-      Once += Sent.SendOnce ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(Start, !Sent.MayResend);
+      Once += Sent.MayResend ? 0 : 1;
     }
     CPPUNIT_ASSERT_EQUAL(1, Once);
   }
--- /dev/null
+++ b/Tests/Cell/HttpCellPeerTest.cpp
@@ -0,0 +1,62 @@
+#include "Cell/HttpCellPeer.h"
+
+#include "Cell/CellTestBench.h"
+#include "Fakes/FakeHttpClient.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+namespace {
+
+constexpr const char *Own = "10.0.0.1:80";
+constexpr const char *Other = "10.0.0.2:80";
+
+struct PeerBench : CellTestBench {
+  PeerBench() {
+    Client.serve(Other, [](const HttpClientRequest &) {
+      return HttpClientResponse{.Status = 503};
+    });
+  }
+  /// Makes the call and tells whether its request may be sent again.
+  template <typename T> bool mayResend(asio::awaitable<Result<T>> Call) {
+    begin(std::move(Call));
+    run(std::chrono::seconds(1));
+    return Client.Sent.back().MayResend;
+  }
+  FakeHttpClient Client{Timers};
+  HttpCellPeer Peers{Client, Own};
+};
+
+} // namespace
+
+class HttpCellPeerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpCellPeerTest);
+  CPPUNIT_TEST(testCallsWhoseRefusalIsProofAreSentOnce);
+  CPPUNIT_TEST(testCallsThatMayArriveTwiceAreSentAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // A placement was carried out, its connection reset, and the copy that the
+  // HTTP client sent refused for want of room: the task ran twice.
+  void testCallsWhoseRefusalIsProofAreSentOnce() {
+    PeerBench Bench;
+    CPPUNIT_ASSERT(!Bench.mayResend(Bench.Peers.place(Other, PlaceRequest())));
+    CPPUNIT_ASSERT(!Bench.mayResend(Bench.Peers.submit(Other, JobSpec())));
+  }
+
+  void testCallsThatMayArriveTwiceAreSentAgain() {
+    PeerBench Bench;
+    CPPUNIT_ASSERT(Bench.mayResend(Bench.Peers.stop(Other, StopRequest())));
+    CPPUNIT_ASSERT(Bench.mayResend(Bench.Peers.ends(Other, EndsRequest())));
+    CPPUNIT_ASSERT(Bench.mayResend(Bench.Peers.state(Other, JobReference())));
+    CPPUNIT_ASSERT(Bench.mayResend(Bench.Peers.cancel(Other, JobReference())));
+    CPPUNIT_ASSERT(
+        Bench.mayResend(Bench.Peers.exchange(Other, ExchangeRequest())));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpCellPeerTest);
+
+} // namespace hickory
--- a/Tests/Fakes/FakeHttpClient.h
+++ b/Tests/Fakes/FakeHttpClient.h
@@ -31,6 +31,9 @@
     std::chrono::milliseconds ReplyDelay{0};
     bool LoseRequest = false; ///< The sender learns nothing until its timeout.
     bool LoseReply = false;   ///< Handled, then as above.
+    /// Handled, then the connection is reset. A request that may be resent is
+    /// sent again at once, as by a library on a kept-alive connection.
+    bool Reset = false;
   };
 
   explicit FakeHttpClient(TimerService &Timers) : Timers_(Timers) {}
@@ -91,6 +94,11 @@
                                          [Done] { Done->Ready.notify(); });
       co_await Done->Ready.wait();
     }
+    if (Done->Reply && Chosen.Reset) {
+      if (!Request.MayResend)
+        co_return fail(ErrorCode::Unavailable, "connection reset");
+      co_return co_await send(std::move(Request));
+    }
     if (!Done->Reply || Chosen.LoseReply ||
         Timers_.now() + Chosen.ReplyDelay >= Deadline) {
       if (Timers_.now() < Deadline)
--- a/Tests/Http/ResendTest.cpp
+++ b/Tests/Http/ResendTest.cpp
@@ -29,12 +29,14 @@
   }
 
   int Received = 0;
+  int Connections = 0;
 
 private:
   asio::awaitable<void> acceptAll() {
     try {
       for (;;) {
         auto Socket = co_await Acceptor_.async_accept(asio::use_awaitable);
+        ++Connections;
         asio::co_spawn(Acceptor_.get_executor(), serve(std::move(Socket)),
                        asio::detached);
       }
@@ -70,7 +72,7 @@
 
 /// Sends two requests one after the other and returns the second outcome.
 Result<HttpClientResponse> sendTwo(asio::io_context &Context,
-                                   const std::string &Url, bool SendOnce) {
+                                   const std::string &Url, bool MayResend) {
   CurlHttpClient Client(Context);
   Result<HttpClientResponse> Second;
   asio::co_spawn(
@@ -79,7 +81,7 @@
         HttpClientRequest Warm{.Method = "POST", .Url = Url};
         co_await Client.send(std::move(Warm));
         HttpClientRequest Request{
-            .Method = "POST", .Url = Url, .SendOnce = SendOnce};
+            .Method = "POST", .Url = Url, .MayResend = MayResend};
         Second = co_await Client.send(std::move(Request));
         Context.stop();
       },
@@ -90,34 +92,35 @@
 
 } // namespace
 
-class SendOnceTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(SendOnceTest);
-  CPPUNIT_TEST(sendOnceReachesTheServerOnce);
-  CPPUNIT_TEST(withoutSendOnceTheClientRepeats);
+class ResendTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ResendTest);
+  CPPUNIT_TEST(requestReachesTheServerOnce);
+  CPPUNIT_TEST(withMayResendTheClientRepeats);
   CPPUNIT_TEST(refusedRepetitionIsNotReportedAsWithoutEffect);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // Guards against a non-repeatable request that the HTTP client sends again
-  // by itself.
-  void sendOnceReachesTheServerOnce() {
+  // Guards against an order that the HTTP client sends again by itself: the
+  // answer to the second copy was taken for the answer to the only one.
+  void requestReachesTheServerOnce() {
     asio::io_context Context;
     ClosingServer Server(Context, false);
-    auto Outcome = sendTwo(Context, Server.url(), true);
+    auto Outcome = sendTwo(Context, Server.url(), false);
     CPPUNIT_ASSERT(!Outcome);
     CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
     CPPUNIT_ASSERT_EQUAL(2, Server.Received);
   }
 
-  // Shows that the case above is real: without the setting the server receives
-  // the second request twice.
-  void withoutSendOnceTheClientRepeats() {
+  // Shows that the case above is real: where the client may, it sends the
+  // second request twice.
+  void withMayResendTheClientRepeats() {
     asio::io_context Context;
     ClosingServer Server(Context, false);
-    auto Outcome = sendTwo(Context, Server.url(), false);
+    auto Outcome = sendTwo(Context, Server.url(), true);
     CPPUNIT_ASSERT(!Outcome);
     CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
     CPPUNIT_ASSERT_EQUAL(3, Server.Received);
+    CPPUNIT_ASSERT_EQUAL(2, Server.Connections);
   }
 
   // Guards against "not run" for a request that was received by a process that
@@ -125,13 +128,13 @@
   void refusedRepetitionIsNotReportedAsWithoutEffect() {
     asio::io_context Context;
     ClosingServer Server(Context, true);
-    auto Outcome = sendTwo(Context, Server.url(), false);
+    auto Outcome = sendTwo(Context, Server.url(), true);
     CPPUNIT_ASSERT(!Outcome);
     CPPUNIT_ASSERT(!Outcome.error().hadNoEffect());
     CPPUNIT_ASSERT_EQUAL(2, Server.Received);
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(SendOnceTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ResendTest);
 
 } // namespace hickory
--- /dev/null
+++ b/Tests/Platform/PlatformCallsTest.cpp
@@ -0,0 +1,88 @@
+#include "PlatformStore.h"
+#include "PlatformWorkers.h"
+
+#include "Cell/CellTestBench.h"
+#include "Fakes/FakeHttpClient.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory::platform {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *Address = "10.0.0.9:80";
+
+/// The first request is carried out and its connection reset; all later ones
+/// are refused.
+struct ResetBench : CellTestBench {
+  ResetBench() {
+    Client.serve(Address, [this](const HttpClientRequest &) {
+      ++Received;
+      return HttpClientResponse{.Status = Received == 1 ? 200 : 503,
+                                .Body = "{}"};
+    });
+    Client.ChooseFate = [this](const HttpClientRequest &) {
+      return FakeHttpClient::Fate{.Reset = Received == 0};
+    };
+  }
+  template <typename T> Result<T> call(asio::awaitable<Result<T>> Work) {
+    const auto Outcome = begin(std::move(Work));
+    run(100ms);
+    return **Outcome;
+  }
+  static WorkerEntry worker() { return {.Id = "w", .Address = Address}; }
+
+  int Received = 0;
+  FakeHttpClient Client{Timers};
+  PlatformStore Stored{Client, Address};
+  PlatformWorkers Workers{Client};
+};
+
+} // namespace
+
+class PlatformCallsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformCallsTest);
+  CPPUNIT_TEST(testAppendThatWasStoredIsNotReportedAsNotDone);
+  CPPUNIT_TEST(testStartThatWasCarriedOutIsNotReportedAsRefused);
+  CPPUNIT_TEST(testStopIsSentAgainAfterAReset);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Records that counted as not stored went out again with newer ones under
+  // the number of the first append, and the store confirmed them unread.
+  void testAppendThatWasStoredIsNotReportedAsNotDone() {
+    ResetBench Bench;
+    std::vector<KeyedRecord> Records;
+    Records.push_back({.Key = "j/1", .Value = "{}"});
+    const auto Reply =
+        Bench.call(Bench.Stored.append("topic", 0, Records, {}, 400ms));
+    CPPUNIT_ASSERT(!Reply);
+    CPPUNIT_ASSERT(!Reply.error().hadNoEffect());
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Received);
+  }
+
+  // A task that counted as refused was started on another worker.
+  void testStartThatWasCarriedOutIsNotReportedAsRefused() {
+    ResetBench Bench;
+    const auto Reply = Bench.call(Bench.Workers.start(
+        ResetBench::worker(), 1, 5000ms, {.Task = "j.0.0.0", .Run = 1}, 700ms));
+    CPPUNIT_ASSERT(!Reply);
+    CPPUNIT_ASSERT(!Reply.error().hadNoEffect());
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Received);
+  }
+
+  // A worker does the same for a stop that it receives twice.
+  void testStopIsSentAgainAfterAReset() {
+    ResetBench Bench;
+    Bench.call(
+        Bench.Workers.stop(ResetBench::worker(), 1, "j.0.0.0", 1, 700ms));
+    CPPUNIT_ASSERT_EQUAL(2, Bench.Received);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCallsTest);
+
+} // namespace hickory::platform
