Answer a repeated placement like the first; refuse for good what was refused

It also took an order that it had refused before, or whose run had ended there and was forgotten, so that a late copy started the task again; the list of stopped runs was dropped when a worker was born again, and beyond 4,096 tasks dropped the first by name, which could be the newest.

Change: reserve() and start() are idempotent by task and run. RunFloor keeps, for 30 s, the highest run of a task that was refused, stopped or has ended on the worker.

Ruled out: changing the caller alone. A library or a later change may repeat a call, and the holder is the one who can tell.

Tests: seven of WorkerAgentTest (waiting, running, ended, stopped, refused, born again, reserved) fail without the change.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -21,7 +21,6 @@
 /// A worker lists at most so many ends at a time.
 constexpr std::size_t MaximumEndsListed = 500;
 constexpr int StartAttempts = 3;
-constexpr std::size_t MaximumStopsRemembered = 4096;
 /// A worker runs many small tasks beside each other.
 constexpr std::size_t MaximumVictims = 8;
 
@@ -65,7 +64,8 @@
                          WorkerAgentOptions Options)
     : Executor_(Executor), Timers_(Timers), Client_(Client), Events_(Events),
       Entry_(std::move(Entry)), Epoch_(Epoch), Listener_(std::move(Listener)),
-      Options_(Options), LastExtension_(Timers.now()), Delivered_(Executor) {}
+      Options_(Options), Floor_(Options.FloorLifetime),
+      LastExtension_(Timers.now()), Delivered_(Executor) {}
 
 std::int64_t WorkerAgent::token() const {
   return static_cast<std::int64_t>(Epoch_) * TokensPerEpoch +
@@ -203,7 +203,6 @@
   ++Incarnations_;
   HighestEnd_ = 0;
   ClosedEnds_.clear();
-  Stopped_.clear();
 }
 
 void WorkerAgent::applyRunning(const RunningTask &Row) {
@@ -213,11 +212,11 @@
     It = Runs_.emplace(Name, Run{.State = Phase::Running}).first;
     It->second.ConfirmedAt = Timers_.now();
     It->second.Confirmed = true;
-    if (const auto Stop = Stopped_.find(Row.Task);
-        Stop != Stopped_.end() && Stop->second >= Row.Run)
+    if (Floor_.covers(Row.Task, Row.Run))
       stopRun(Row.Task, Row.Run);
   }
   Run &Item = It->second;
+  Item.NeverOrdered = false;
   Item.Checkpoint = std::max(Item.Checkpoint, Row.Checkpoint);
   if (Item.State == Phase::Ended && Item.EndNumber == 0) {
     // Its end was only concluded and may be reported: it must not go on.
@@ -238,6 +237,7 @@
     return;
   HighestEnd_ = std::max(HighestEnd_, Row.Number);
   Run &Item = Runs_[Key(Row.Task, Row.Run)];
+  Item.NeverOrdered = false;
   Item.Checkpoint = std::max(Item.Checkpoint, Row.Checkpoint);
   const RunEnd How = runEndFromName(Row.How);
   if (How == RunEnd::Done || How == RunEnd::Failed)
@@ -294,12 +294,13 @@
   return OpenEnds_.empty() ? HighestEnd_ : *OpenEnds_.begin() - 1;
 }
 
-void WorkerAgent::accepted(const std::string &Task, int RunNumber) {
-  const auto It = Runs_.find(Key(Task, RunNumber));
+void WorkerAgent::accepted(const EndReport &End) {
+  const auto It = Runs_.find(Key(End.Task, End.Run));
   if (It == Runs_.end() || It->second.State != Phase::Ended)
     return;
   const std::int64_t Number = It->second.EndNumber;
   Runs_.erase(It);
+  Floor_.raise(End.Task, End.Run, Timers_.now());
   if (Number == 0)
     return;
   OpenEnds_.erase(Number);
@@ -339,14 +340,34 @@
   });
 }
 
+std::optional<PlaceResult> WorkerAgent::repeatedAnswer(const Key &Name) const {
+  const auto It = Runs_.find(Name);
+  if (It == Runs_.end() || It->second.NeverOrdered)
+    return std::nullopt;
+  switch (It->second.State) {
+  case Phase::Reserved:
+    return PlaceResult{.Status = PlaceStatus::Reserved};
+  case Phase::Running:
+    return PlaceResult{.Status = PlaceStatus::Started};
+  case Phase::Starting:
+  case Phase::Stopping:
+  case Phase::Ended:
+    break;
+  }
+  return PlaceResult{.Status = PlaceStatus::Pending};
+}
+
 PlaceResult WorkerAgent::reserve(const PlaceOrder &Order) {
+  const Key Name(Order.Task, Order.Run);
   dropOldReservations();
+  if (const auto Known = repeatedAnswer(Name))
+    return *Known;
   if (const auto Refusal = refusalOf(Order))
-    return {.Status = PlaceStatus::Rejected, .Reason = *Refusal};
-  Runs_[Key(Order.Task, Order.Run)] = Run{.State = Phase::Reserved,
-                                          .Demand = Order.Demand,
-                                          .DemandKnown = true,
-                                          .ConfirmedAt = Timers_.now()};
+    return rejected(Name, *Refusal);
+  Runs_[Name] = Run{.State = Phase::Reserved,
+                    .Demand = Order.Demand,
+                    .DemandKnown = true,
+                    .ConfirmedAt = Timers_.now()};
   return {.Status = PlaceStatus::Reserved};
 }
 
@@ -356,8 +377,7 @@
     return "worker_unusable";
   if (!Order.Demand.fitsIn(Now.Free))
     return "room";
-  if (const auto Stop = Stopped_.find(Order.Task);
-      Stop != Stopped_.end() && Stop->second >= Order.Run)
+  if (Floor_.covers(Order.Task, Order.Run))
     return "stopped";
   for (const auto &[Name, Item] : Runs_)
     if (Name.first == Order.Task && Item.State != Phase::Ended)
@@ -367,6 +387,7 @@
 
 PlaceResult WorkerAgent::rejected(const Key &Name, const std::string &Reason) {
   Runs_.erase(Name);
+  Floor_.raise(Name.first, Name.second, Timers_.now());
   return {.Status = PlaceStatus::Rejected, .Reason = Reason};
 }
 
@@ -374,11 +395,13 @@
   const auto Self = shared_from_this();
   const Key Name(Order.Task, Order.Run);
   dropOldReservations();
-  if (const auto Kept = Runs_.find(Name);
-      Kept != Runs_.end() && Kept->second.State == Phase::Reserved)
-    Runs_.erase(Kept);
+  if (const auto Known = repeatedAnswer(Name);
+      Known && Known->Status != PlaceStatus::Reserved)
+    co_return *Known;
+  // The reserved room is the order's own.
+  Runs_.erase(Name);
   if (const auto Refusal = refusalOf(Order))
-    co_return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = *Refusal};
+    co_return rejected(Name, *Refusal);
   Runs_[Name] = Run{.State = Phase::Starting,
                     .Demand = Order.Demand,
                     .DemandKnown = true,
@@ -441,15 +464,12 @@
 }
 
 void WorkerAgent::stopRun(const std::string &Task, int RunNumber) {
-  int &Highest = Stopped_[Task];
-  Highest = std::max(Highest, RunNumber);
-  if (Stopped_.size() > MaximumStopsRemembered)
-    Stopped_.erase(Stopped_.begin());
+  Floor_.raise(Task, RunNumber, Timers_.now());
   const Key Name(Task, RunNumber);
   auto It = Runs_.find(Name);
   if (It == Runs_.end()) {
     // It never came here; the owner of the job waits for its end.
-    It = Runs_.emplace(Name, Run{}).first;
+    It = Runs_.emplace(Name, Run{.NeverOrdered = true}).first;
     end(It->second, RunEnd::Stopped, 0);
     Listener_.EndsChanged();
     return;
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -4,6 +4,7 @@
 #include "Base/Signal.h"
 #include "Base/TimerService.h"
 #include "Cell/PeerMessages.h"
+#include "Cell/RunFloor.h"
 #include "Cell/WorkerClient.h"
 #include "Cell/WorkerHealth.h"
 #include "Work/JobProgress.h"
@@ -29,6 +30,8 @@
   std::chrono::milliseconds DeliveryWait{100};
   /// A reservation that is not used ends after so long.
   std::chrono::milliseconds ReservationTime{1000};
+  /// Much longer than an order between instances may be on its way.
+  std::chrono::seconds FloorLifetime{30};
   /// Least time between two holds, so that ends share one.
   std::chrono::milliseconds HoldPause{15};
 };
@@ -65,7 +68,9 @@
   /// True if nothing can run there any more and nobody lists it.
   [[nodiscard]] bool finished() const;
 
-  /// Keeps the room for a start that follows soon.
+  /// Keeps the room for a start that follows soon. This and start() are
+  /// idempotent by task and run: a repeated order changes nothing, and an order
+  /// that was refused once is always refused.
   PlaceResult reserve(const PlaceOrder &Order);
   asio::awaitable<PlaceResult> start(PlaceOrder Order);
   /// Makes sure that the run does not go on or start. Its end is reported.
@@ -81,7 +86,7 @@
   [[nodiscard]] std::vector<RunReport> runs() const;
   [[nodiscard]] std::vector<EndReport> undelivered() const;
   /// The end is safe with the job's owner and may be forgotten here.
-  void accepted(const std::string &Task, int Run);
+  void accepted(const EndReport &End);
 
 private:
   enum class Phase { Reserved, Starting, Running, Stopping, Ended };
@@ -97,6 +102,7 @@
     std::int64_t EndNumber = 0; ///< 0: the worker does not list this end.
     int Priority = 0;
     bool Preemptible = false;
+    bool NeverOrdered = false; ///< Stopped before its order came.
   };
   using Key = std::pair<std::string, int>;
 
@@ -119,6 +125,9 @@
   asio::awaitable<void> stopUntilAnswered(Key Name);
   void judge();
   void dropOldReservations();
+  /// The answer to an order that was taken before, if it was.
+  [[nodiscard]] std::optional<PlaceResult>
+  repeatedAnswer(const Key &Name) const;
   PlaceResult rejected(const Key &Name, const std::string &Reason);
   [[nodiscard]] std::optional<std::string> refusalOf(const PlaceOrder &Order);
   [[nodiscard]] std::int64_t acknowledged() const;
@@ -132,9 +141,9 @@
   Callbacks Listener_;
   WorkerAgentOptions Options_;
   std::map<Key, Run> Runs_;
-  std::map<std::string, int> Stopped_; ///< Highest run stopped, by task.
-  std::set<std::int64_t> OpenEnds_;    ///< Numbers listed and not delivered.
-  std::set<std::int64_t> ClosedEnds_;  ///< Delivered, not yet acknowledged.
+  RunFloor Floor_;
+  std::set<std::int64_t> OpenEnds_;   ///< Numbers listed and not delivered.
+  std::set<std::int64_t> ClosedEnds_; ///< Delivered, not yet acknowledged.
   std::int64_t HighestEnd_ = 0;
   std::int64_t Incarnations_ = 0;
   std::int64_t Born_ = 0;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -223,7 +223,7 @@
 
 void WorkerPool::accepted(const EndReport &End) {
   if (const auto Agent = agentOf(End.Worker))
-    Agent->accepted(End.Task, End.Run);
+    Agent->accepted(End);
 }
 
 void WorkerPool::stop() {
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::uint64_t Epoch = 5;
 
+EndReport doneOf(const std::string &Task) {
+  return {.Task = Task, .Run = 1, .Worker = "w", .How = "done"};
+}
+
 struct AgentBench : CellTestBench {
   std::shared_ptr<WorkerAgent> hold(std::uint64_t InEpoch = Epoch) {
     auto Agent = std::make_shared<WorkerAgent>(
@@ -40,6 +44,14 @@
                                .Worker = "w",
                                .Demand = {.CpusMilli = Cpus}}));
   }
+  /// Places the task again, in the same way as start().
+  PlaceStatus startAgain(const std::shared_ptr<WorkerAgent> &Agent,
+                         const std::string &Task) {
+    const auto Repeated = start(Agent, Task, 3000);
+    run(50ms);
+    CPPUNIT_ASSERT(Repeated->has_value());
+    return (**Repeated).Status;
+  }
   bool Fenced = false;
 };
 
@@ -65,6 +77,13 @@
   CPPUNIT_TEST(testMakesRoomByStoppingWhatLosesLittle);
   CPPUNIT_TEST(testStopsNothingIfThatIsNotEnough);
   CPPUNIT_TEST(testRunListedBeforeTheAnswerCountsAsStarted);
+  CPPUNIT_TEST(testRepeatedPlacementThatWaitsForTheWorkerIsNotRejected);
+  CPPUNIT_TEST(testRepeatedPlacementOfARunningTaskIsNotRejected);
+  CPPUNIT_TEST(testRepeatedPlacementOfAnEndedRunDoesNotStartIt);
+  CPPUNIT_TEST(testRepeatedPlacementOfAStoppedRunDoesNotStartIt);
+  CPPUNIT_TEST(testRefusedPlacementDoesNotStartLater);
+  CPPUNIT_TEST(testLatePlacementDoesNotReachTheNextIncarnation);
+  CPPUNIT_TEST(testRepeatedReservationIsKept);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,7 +137,7 @@
     Bench.run(3s);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Agent->undelivered().size());
     CPPUNIT_ASSERT_EQUAL(std::int64_t(0), Bench.Worker.Acknowledged);
-    Agent->accepted("j.0.0.0", 1);
+    Agent->accepted(doneOf("j.0.0.0"));
     Bench.run(200ms);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), Bench.Worker.Acknowledged);
     CPPUNIT_ASSERT(Agent->undelivered().empty());
@@ -133,11 +152,11 @@
       Bench.Worker.end(Task, 1, "done");
     }
     Bench.run(200ms);
-    Agent->accepted("j.0.0.1", 1);
+    Agent->accepted(doneOf("j.0.0.1"));
     Bench.run(300ms);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(0), Bench.Worker.Acknowledged);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Agent->undelivered().size());
-    Agent->accepted("j.0.0.0", 1);
+    Agent->accepted(doneOf("j.0.0.0"));
     Bench.run(300ms);
     CPPUNIT_ASSERT_EQUAL(std::int64_t(2), Bench.Worker.Acknowledged);
   }
@@ -334,6 +353,101 @@
     Agent->update(Entry);
     CPPUNIT_ASSERT(!Agent->load().Usable);
   }
+
+  // The owner of the job took the refusal of a repeated placement for proof
+  // that the task did not run, and started it on another worker.
+  void testRepeatedPlacementThatWaitsForTheWorkerIsNotRejected() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.Worker.LoseStartAnswers = true;
+    const auto First = Bench.start(Agent, "j.0.0.0", 3000);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.0") == PlaceStatus::Pending);
+    Bench.Worker.LoseStartAnswers = false;
+    Bench.run(3s);
+    CPPUNIT_ASSERT((**First).Status == PlaceStatus::Started);
+    CPPUNIT_ASSERT(Bench.Worker.Running.contains({"j.0.0.0", 1}));
+  }
+
+  void testRepeatedPlacementOfARunningTaskIsNotRejected() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0", 3000);
+    Bench.run(50ms);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.0") == PlaceStatus::Started);
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
+  }
+
+  void testRepeatedPlacementOfAnEndedRunDoesNotStartIt() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0", 3000);
+    Bench.run(50ms);
+    Bench.Worker.end("j.0.0.0", 1, "done");
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.0") == PlaceStatus::Pending);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Agent->undelivered().size());
+    Agent->accepted(Agent->undelivered().at(0));
+    Bench.run(200ms);
+    Bench.startAgain(Agent, "j.0.0.0");
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
+    CPPUNIT_ASSERT(Agent->runs().empty());
+  }
+
+  void testRepeatedPlacementOfAStoppedRunDoesNotStartIt() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0", 3000);
+    Bench.run(50ms);
+    Agent->stopRun("j.0.0.0", 1);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.0") == PlaceStatus::Pending);
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.0") == PlaceStatus::Pending);
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
+    CPPUNIT_ASSERT_EQUAL(std::string("stopped"),
+                         Agent->undelivered().at(0).How);
+  }
+
+  // Once its owner has heard that it was refused, the task may be started
+  // elsewhere; a copy of the order that arrives later must not start it here.
+  void testRefusedPlacementDoesNotStartLater() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0", 3000);
+    Bench.run(50ms);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.1") == PlaceStatus::Rejected);
+    Bench.Worker.end("j.0.0.0", 1, "done");
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(Bench.startAgain(Agent, "j.0.0.1") == PlaceStatus::Rejected);
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
+  }
+
+  // The runs of a worker that was born again have been reported as lost.
+  void testLatePlacementDoesNotReachTheNextIncarnation() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0", 3000);
+    Bench.run(50ms);
+    Bench.Worker.restart();
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("lost"), Agent->undelivered().at(0).How);
+    Agent->accepted(Agent->undelivered().at(0));
+    Bench.startAgain(Agent, "j.0.0.0");
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
+  }
+
+  // A gang was given up although all its members had room.
+  void testRepeatedReservationIsKept() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    const PlaceOrder Order{.Task = "j.0.0.0",
+                           .Run = 1,
+                           .Worker = "w",
+                           .Demand = {.CpusMilli = 3000}};
+    CPPUNIT_ASSERT(Agent->reserve(Order).Status == PlaceStatus::Reserved);
+    CPPUNIT_ASSERT(Agent->reserve(Order).Status == PlaceStatus::Reserved);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerAgentTest);
