Acknowledge an end only if that end was accepted

Cause: ends are reported and accepted by task and run alone.

Change: an acceptance counts for the kind of end that was reported; an end that is known better by then is reported again.

Test: testOnlyTheEndThatWasAcceptedIsAcknowledged fails without the change.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -298,6 +298,9 @@
   const auto It = Runs_.find(Key(End.Task, End.Run));
   if (It == Runs_.end() || It->second.State != Phase::Ended)
     return;
+  // What is known of the end may have changed since it was reported.
+  if (nameOf(It->second.How) != End.How)
+    return;
   const std::int64_t Number = It->second.EndNumber;
   Runs_.erase(It);
   Floor_.raise(End.Task, End.Run, Timers_.now());
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(testRefusedPlacementDoesNotStartLater);
   CPPUNIT_TEST(testLatePlacementDoesNotReachTheNextIncarnation);
   CPPUNIT_TEST(testRepeatedReservationIsKept);
+  CPPUNIT_TEST(testOnlyTheEndThatWasAcceptedIsAcknowledged);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -448,6 +449,29 @@
     CPPUNIT_ASSERT(Agent->reserve(Order).Status == PlaceStatus::Reserved);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Agent->load().Free.CpusMilli);
   }
+
+  // The run was reported as lost and then listed as done. The acceptance of
+  // the first report made the worker forget an end that nobody had stored.
+  void testOnlyTheEndThatWasAcceptedIsAcknowledged() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(50ms);
+    Bench.Worker.Reachable = false;
+    Bench.run(12s);
+    const EndReport Lost = Agent->undelivered().at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("lost"), Lost.How);
+    Bench.Worker.end("j.0.0.0", 1, "done");
+    Bench.Worker.Reachable = true;
+    Bench.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), Agent->undelivered().at(0).How);
+    Agent->accepted(Lost);
+    Bench.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), Bench.Worker.Acknowledged);
+    Agent->accepted(Agent->undelivered().at(0));
+    Bench.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), Bench.Worker.Acknowledged);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerAgentTest);
