--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -126,9 +126,14 @@
     WorkersRead_(Number, std::move(Workers));
   Owner.Ready = true;
   Owner.ReadyAt = Timers_.now();
-  Events_.emit(
-      "jobs", "shard_open",
-      {{"shard", Number}, {"epoch", Owner.Epoch}, {"jobs", Owner.Jobs.size()}});
+  int TasksDone = 0;
+  for (const auto &[Id, Job] : Owner.Jobs)
+    TasksDone += Job->Progress.tasksDone();
+  Events_.emit("jobs", "shard_open",
+               {{"shard", Number},
+                {"epoch", Owner.Epoch},
+                {"jobs", Owner.Jobs.size()},
+                {"tasks_done", TasksDone}});
 }
 
 void JobOwner::revoke(int Number) {
@@ -320,10 +325,15 @@
   }
   if (Records.empty())
     co_return;
-  const JournalOutcome Outcome =
-      co_await write(std::move(Journal), std::move(Records));
-  if (Outcome != JournalOutcome::Written)
+  const JournalOutcome Outcome = co_await write(Journal, std::move(Records));
+  if (Outcome != JournalOutcome::Written) {
+    Events_.emit("jobs", "progress_not_stored",
+                 {{"shard", Journal->shard()},
+                  {"epoch", Journal->epoch()},
+                  {"jobs", Versions.size()},
+                  {"outcome", nameOf(Outcome)}});
     co_return;
+  }
   for (const auto &[Job, Version] : Versions) {
     Job->WrittenVersion = std::max(Job->WrittenVersion, Version);
     Job->FinishWritten =
@@ -335,8 +345,14 @@
 JobOwner::confirmUnknown(JournalPointer Journal,
                          std::vector<KeyedRecord> Records,
                          std::shared_ptr<bool> Confirmed) {
-  *Confirmed = co_await write(std::move(Journal), std::move(Records)) ==
-               JournalOutcome::Written;
+  const std::size_t Count = Records.size();
+  const JournalOutcome Outcome = co_await write(Journal, std::move(Records));
+  *Confirmed = Outcome == JournalOutcome::Written;
+  Events_.emit("jobs", "unknown_ends",
+               {{"shard", Journal->shard()},
+                {"epoch", Journal->epoch()},
+                {"ends", Count},
+                {"outcome", nameOf(Outcome)}});
 }
 
 JobOwner::JobPointer JobOwner::applyEnd(const EndReport &End) {
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -15,6 +15,18 @@
 
 } // namespace
 
+const char *nameOf(JournalOutcome Outcome) {
+  switch (Outcome) {
+  case JournalOutcome::Written:
+    return "written";
+  case JournalOutcome::NotWritten:
+    return "not_written";
+  case JournalOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 ShardJournal::ShardJournal(const asio::any_io_executor &Executor,
                            TimerService &Timers, StoreClient &Store,
                            ShardJournalOptions Options)
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -19,6 +19,8 @@
   Unknown,    ///< It may be written, also later.
 };
 
+const char *nameOf(JournalOutcome Outcome);
+
 struct ShardJournalOptions {
   std::string Topic = "keyed.journal";
   int Shard = 0;
@@ -63,6 +65,8 @@
                                         Clock::time_point Deadline,
                                         bool Hurried = false);
   void stop();
+  [[nodiscard]] int shard() const { return Options_.Shard; }
+  [[nodiscard]] std::uint64_t epoch() const { return Options_.Epoch; }
   /// Time since the first failed try to append; zero if the latest succeeded.
   [[nodiscard]] Clock::duration failingFor() const {
     return FailingSince_ ? Timers_.now() - *FailingSince_
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -299,8 +299,15 @@
   if (It == Runs_.end() || It->second.State != Phase::Ended)
     return;
   // What is known of the end may have changed since it was reported.
-  if (nameOf(It->second.How) != End.How)
+  if (nameOf(It->second.How) != End.How) {
+    Events_.emit("workers", "end_changed",
+                 {{"task", End.Task},
+                  {"run", End.Run},
+                  {"worker", Entry_.Id},
+                  {"reported", End.How},
+                  {"how", nameOf(It->second.How)}});
     return;
+  }
   const std::int64_t Number = It->second.EndNumber;
   Runs_.erase(It);
   Floor_.raise(End.Task, End.Run, Timers_.now());
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -94,6 +94,14 @@
                          : &Step->Tasks[static_cast<std::size_t>(Task.Index)];
 }
 
+int JobProgress::tasksDone() const {
+  int Done = 0;
+  for (const Occurrence &In : Occurrences_)
+    for (const StepProgress &Step : In.Steps)
+      Done += Step.Done;
+  return Done;
+}
+
 bool JobProgress::dependenciesDone(const Occurrence &In, int Step) const {
   return std::ranges::all_of(
       Spec_.Steps[static_cast<std::size_t>(Step)].DependsOn, [&](int Earlier) {
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -97,6 +97,7 @@
   [[nodiscard]] const std::vector<Occurrence> &occurrences() const {
     return Occurrences_;
   }
+  [[nodiscard]] int tasksDone() const;
   [[nodiscard]] const TaskProgress *find(const TaskName &Task) const;
 
   /// Makes the occurrences that are due at this time of day. Returns true if
