--- /dev/null
+++ b/Source/Base/Milliseconds.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Base/TimerService.h"
+
+#include <cstdint>
+
+namespace hickory {
+
+/// Whole milliseconds, for logs and messages.
+inline std::int64_t milliseconds(Clock::duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace hickory
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -70,7 +70,7 @@
       });
   Shards_.onHoldersRead([this] { Jobs_.holdersRead(); });
   Jobs_.onStop([this](std::vector<RunId> Runs) {
-    Dispatcher_.stopRuns(std::move(Runs));
+    Dispatcher_.orders().stopRuns(std::move(Runs));
   });
   Adviser_.useProcesses([this] { return Node_.owners(); },
                         [this] { return Node_.helpers(); });
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -93,9 +93,9 @@
   if (Reply->WaitingKnown)
     Waiting_[Address] = Reply->Waiting;
   if (Address != Options_.Address)
-    Starts_.hearClaims(Address, Reply->Claims);
+    Starts_.gangs().hearClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Address, *Reply, SentAt, [this](const RunId &Run) {
-    return Starts_.isOrdering(Run);
+    return Starts_.orders().isOrdering(Run);
   });
   Starts_.wake();
 }
@@ -135,7 +135,7 @@
           .Runs = Pool_.runsOf(JobShards),
           .Waiting = Jobs_.waiting(),
           .WaitingKnown = Jobs_.waitingKnown(),
-          .Claims = Starts_.claims()};
+          .Claims = Starts_.gangs().claims()};
 }
 
 asio::awaitable<void> CellNode::placeOne(ShardEpoch Job, PlaceOrder Order,
--- /dev/null
+++ b/Source/Cell/GangRoom.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Metrics.h"
+#include "Cell/CapacityView.h"
+#include "Cell/CellPeer.h"
+#include "Cell/GangClaim.h"
+#include "Cell/ReadyItem.h"
+#include "Cell/ShardMembership.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+struct GangRoomOptions {
+  PlacementOptions Placement;
+  /// Between two requests to make room for the same step.
+  std::chrono::milliseconds MakeRoomInterval{700};
+};
+
+/// Collects room for the first gang of this process that waits: claims workers,
+/// and has less urgent runs there stopped while that saves the gang. Keeps the
+/// room that earlier gangs of all processes have claimed from other steps.
+class GangRoom {
+public:
+  GangRoom(const asio::any_io_executor &Executor, TimerService &Timers,
+           JobOwner &Jobs, const CapacityView &View, CellPeer &Peers,
+           const ShardMembership &Shards, EventLog &Events, Metrics &Counters,
+           GangRoomOptions Options);
+
+  /// The claim of this process is made anew between these two.
+  void beginPass();
+  void endPass();
+  /// Collects room for the gang, unless others come first.
+  void claimFor(const ReadyItem &Item,
+                const std::vector<Candidate> &Candidates);
+  /// Workers whose room is kept from the step; valid until the next call.
+  [[nodiscard]] const std::set<std::string> &keptFrom(const ReadyItem &Item);
+
+  /// The claim of this process, for others.
+  [[nodiscard]] std::vector<ClaimReport> claims() const;
+  /// Another process said what it claims.
+  void hearClaims(const std::string &Address,
+                  const std::vector<ClaimReport> &Reports);
+
+private:
+  /// Asks the holders of claimed workers to stop less urgent runs there.
+  void makeRoom(const ReadyItem &Item,
+                const std::vector<ClaimedWorker> &Claimed);
+  asio::awaitable<void> askForRoom(std::string Step, std::string Address,
+                                   MakeRoomRequest Request);
+
+  asio::any_io_executor Executor_;
+  TimerService &Timers_;
+  JobOwner &Jobs_;
+  const CapacityView &View_;
+  CellPeer &Peers_;
+  const ShardMembership &Shards_;
+  ShardMap Map_;
+  EventLog &Events_;
+  Metrics &Counters_;
+  GangRoomOptions Options_;
+  GangClaims Claims_;
+  std::optional<GangClaim> Next_; ///< Made by the pass under way.
+  /// Workers that claims keep from all steps but gangs, in this pass.
+  std::set<std::string> KeptFromTasks_;
+  std::set<std::string> KeptFromStep_;
+};
+
+} // namespace hickory
