Conclude the end of a run only from a proved term and a complete answer

Tests: with the three rules taken out, testFormerHolderDoesNotCountRunsAsLost, testStopBeforeTheFirstContactConcludesNoEnd and testNothingIsConcludedFromAFullPageOfEnds fail. The rule for exchanges has no test of its own yet.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -56,6 +56,9 @@
     Pool_.recorded(Shard, Worker);
   });
   Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+  Pool_.useProof([this](int Shard, std::uint64_t Epoch) {
+    return Jobs_.proveTerm(Shard, Epoch);
+  });
   Pool_.onEnds([this] { Node_.endsChanged(); });
   Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
   Jobs_.onWork([this] { Dispatcher_.wake(); });
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -111,6 +111,9 @@
   std::erase_if(Reply.Workers, [&](const WorkerLoad &Worker) {
     return !Current.contains(Map_.shardOf(Worker.Id));
   });
+  std::erase_if(Reply.Runs, [&](const RunReport &Run) {
+    return !Current.contains(Map_.shardOf(Run.Worker));
+  });
 }
 
 ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -614,16 +614,23 @@
   if (It == Shards_.end() || !It->second.Ready || It->second.Proving)
     return;
   It->second.Proving = true;
-  asio::co_spawn(Executor_,
-                 appendProof(Number, It->second.Epoch, It->second.Journal),
+  asio::co_spawn(Executor_, appendProof(Number, It->second.Epoch),
                  asio::detached);
 }
 
-asio::awaitable<void> JobOwner::appendProof(int Number, std::uint64_t Epoch,
-                                            JournalPointer Journal) {
+asio::awaitable<bool> JobOwner::proveTerm(int Number, std::uint64_t Epoch) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end() || It->second.Epoch != Epoch)
+    co_return false;
+  const auto Journal = It->second.Journal;
   std::vector<KeyedRecord> Records;
   Records.push_back({.Key = ProofKey});
-  co_await write(std::move(Journal), std::move(Records));
+  co_return co_await write(Journal, std::move(Records)) ==
+      JournalOutcome::Written;
+}
+
+asio::awaitable<void> JobOwner::appendProof(int Number, std::uint64_t Epoch) {
+  co_await proveTerm(Number, Epoch);
   const auto It = Shards_.find(Number);
   if (It == Shards_.end() || It->second.Epoch != Epoch)
     co_return;
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -135,6 +135,8 @@
   [[nodiscard]] bool provedSince(int Shard, Clock::time_point Since) const;
   /// Appends to the shard's journal, so that provedSince() will hold.
   void prove(int Shard);
+  /// True if the shard had no later owner when this was called.
+  asio::awaitable<bool> proveTerm(int Shard, std::uint64_t Epoch);
   /// Unfinished jobs of all shards whose journal was read.
   [[nodiscard]] const std::map<std::string, JobPointer> &active() const {
     return Active_;
@@ -189,8 +191,7 @@
   /// Ends the takeover once the holders of all shards have reported.
   void resolveIfReported(Shard &Owner);
   void resolve(Shard &Owner);
-  asio::awaitable<void> appendProof(int Number, std::uint64_t Epoch,
-                                    JournalPointer Journal);
+  asio::awaitable<void> appendProof(int Number, std::uint64_t Epoch);
 
   asio::any_io_executor Executor_;
   TimerService &Timers_;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -110,7 +110,8 @@
     if (Stopping_)
       co_return;
     if (!Reply) {
-      holdFailed(Reply.error().Code == ErrorCode::Refused);
+      holdFailed();
+      co_await concludeLapse(Reply.error().Code == ErrorCode::Refused);
       co_await Timers_.sleepFor(RetryDelay);
       continue;
     }
@@ -131,7 +132,8 @@
       continue;
     }
     if (Reply->Status != OrderStatus::Ok) {
-      holdFailed(false);
+      holdFailed();
+      co_await concludeLapse(false);
       co_await Timers_.sleepFor(RetryDelay);
       continue;
     }
@@ -144,16 +146,27 @@
   }
 }
 
-void WorkerAgent::holdFailed(bool Refused) {
+void WorkerAgent::holdFailed() {
   if (Reachable_)
     Events_.emit("workers", "lost_contact", {{"worker", Entry_.Id}});
   Reachable_ = false;
+}
+
+asio::awaitable<void> WorkerAgent::concludeLapse(bool Refused) {
   const bool Left = Refused && Entry_.Draining && !Listed_;
   if (!leaseLapsed() && !Left)
-    return;
-  if (!Resolved_ || !Runs_.empty())
-    Events_.emit("workers", "lapsed",
-                 {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
+    co_return;
+  if (Resolved_ && Runs_.empty()) {
+    ClockKnown_ = false;
+    co_return;
+  }
+  // A later holder may have extended the lease; its runs are not lost.
+  if (!Left && !co_await Listener_.ProveTerm())
+    co_return;
+  if (Stopping_)
+    co_return;
+  Events_.emit("workers", "lapsed",
+               {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
   endAll(RunEnd::Lost);
   Resolved_ = true;
   ClockKnown_ = false;
@@ -181,9 +194,11 @@
     Listed.emplace(Row.Task, Row.Run);
     applyEnded(Row);
   }
-  Resolved_ = true;
-  if (Reply.Ended.size() < MaximumEndsListed)
+  // Ends beyond a full page are listed once these are acknowledged.
+  if (Reply.Ended.size() < MaximumEndsListed) {
+    Resolved_ = true;
     endMissing(Listed, SentAt);
+  }
   if (!OpenEnds_.empty())
     Listener_.EndsChanged();
 }
@@ -477,6 +492,12 @@
   Floor_.raise(Task, RunNumber, Timers_.now());
   const Key Name(Task, RunNumber);
   auto It = Runs_.find(Name);
+  if (It == Runs_.end() && !Resolved_) {
+    // It may run there, ordered by a former holder.
+    Runs_.emplace(Name, Run{.State = Phase::Stopping});
+    asio::co_spawn(Executor_, stopUntilAnswered(Name), asio::detached);
+    return;
+  }
   if (It == Runs_.end()) {
     // It never came here; the owner of the job waits for its end.
     It = Runs_.emplace(Name, Run{.NeverOrdered = true}).first;
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -46,6 +46,9 @@
   struct Callbacks {
     std::function<void()> Fenced;      ///< A later epoch ordered this worker.
     std::function<void()> EndsChanged; ///< There are new undelivered ends.
+    /// True if no later holder existed when this was called, which the shard's
+    /// journal proves.
+    std::function<asio::awaitable<bool>()> ProveTerm;
   };
 
   WorkerAgent(const asio::any_io_executor &Executor, TimerService &Timers,
@@ -121,7 +124,9 @@
   void reborn(std::int64_t Born);
   void endAll(RunEnd How);
   void end(Run &Item, RunEnd How, std::int64_t Number);
-  void holdFailed(bool Refused);
+  void holdFailed();
+  /// Concludes that nothing runs there any more once the lease has ended.
+  asio::awaitable<void> concludeLapse(bool Refused);
   asio::awaitable<void> stopUntilAnswered(Key Name);
   void judge();
   void dropOldReservations();
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -60,6 +60,12 @@
   Shards_.erase(It);
 }
 
+asio::awaitable<bool> WorkerPool::proveTerm(int Number, std::uint64_t Epoch) {
+  if (!Proof_)
+    co_return false;
+  co_return co_await Proof_(Number, Epoch);
+}
+
 std::shared_ptr<WorkerAgent> WorkerPool::addAgent(int Number,
                                                   const WorkerEntry &Entry) {
   Shard &Owner = Shards_.at(Number);
@@ -74,7 +80,9 @@
           [this] {
             if (Ends_)
               Ends_();
-          }};
+          },
+      .ProveTerm = [this, Number,
+                    Epoch = Owner.Epoch] { return proveTerm(Number, Epoch); }};
   auto Agent =
       std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
                                     Owner.Epoch, std::move(Listener), Options_);
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -24,6 +24,13 @@
     Fenced_ = std::move(Callback);
   }
   void onEnds(std::function<void()> Callback) { Ends_ = std::move(Callback); }
+  /// Proves that the shard had no later holder when this is called. Without it,
+  /// silent workers keep their runs.
+  void
+  useProof(std::function<asio::awaitable<bool>(int Shard, std::uint64_t Epoch)>
+               Proof) {
+    Proof_ = std::move(Proof);
+  }
 
   void assign(int Shard, std::uint64_t Epoch);
   void revoke(int Shard);
@@ -72,6 +79,7 @@
     std::map<std::string, std::shared_ptr<WorkerAgent>> Agents;
   };
 
+  asio::awaitable<bool> proveTerm(int Number, std::uint64_t Epoch);
   std::shared_ptr<WorkerAgent> addAgent(int Number, const WorkerEntry &Entry);
   std::optional<PlaceResult> refusalOf(const ShardEpoch &Job,
                                        const std::string &Worker);
@@ -86,6 +94,7 @@
   WorkerAgentOptions Options_;
   std::function<void(int)> Fenced_;
   std::function<void()> Ends_;
+  std::function<asio::awaitable<bool>(int, std::uint64_t)> Proof_;
   std::map<int, Shard> Shards_;
   std::map<int, std::uint64_t> JobEpochs_;
   std::map<std::string, WorkerEntry> Listed_;
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -23,7 +23,8 @@
     auto Agent = std::make_shared<WorkerAgent>(
         Context.get_executor(), Timers, Worker, Events, entry(), InEpoch,
         WorkerAgent::Callbacks{.Fenced = [this] { Fenced = true; },
-                               .EndsChanged = [] {}},
+                               .EndsChanged = [] {},
+                               .ProveTerm = [this] { return proveTerm(); }},
         WorkerAgentOptions{});
     asio::co_spawn(Context, Agent->run(), asio::detached);
     Agent->recorded();
@@ -52,7 +53,9 @@
     CPPUNIT_ASSERT(Repeated->has_value());
     return (**Repeated).Status;
   }
+  asio::awaitable<bool> proveTerm() const { co_return TermProved; }
   bool Fenced = false;
+  bool TermProved = true;
 };
 
 } // namespace
@@ -65,6 +68,9 @@
   CPPUNIT_TEST(testEndIsAcknowledgedOnlyWhenAccepted);
   CPPUNIT_TEST(testEndsAcceptedOutOfOrderKeepTheFirstListed);
   CPPUNIT_TEST(testSilentWorkersRunsAreLostOnlyAfterTheirLease);
+  CPPUNIT_TEST(testFormerHolderDoesNotCountRunsAsLost);
+  CPPUNIT_TEST(testStopBeforeTheFirstContactConcludesNoEnd);
+  CPPUNIT_TEST(testNothingIsConcludedFromAFullPageOfEnds);
   CPPUNIT_TEST(testStartWithoutAnswerIsStopped);
   CPPUNIT_TEST(testStartThatArrivedIsFoundByRepeating);
   CPPUNIT_TEST(testRebornWorkerLosesItsRunsAndGetsHigherTokens);
@@ -178,6 +184,54 @@
     CPPUNIT_ASSERT_EQUAL(std::string("lost"), Agent->undelivered().at(0).How);
   }
 
+  // A holder was cut off for longer than the lease, which its successor had
+  // extended: it reported runs as lost that went on, and they were started
+  // again elsewhere.
+  void testFormerHolderDoesNotCountRunsAsLost() {
+    AgentBench Bench;
+    const auto Agent = Bench.hold();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(50ms);
+    Bench.Worker.Reachable = false;
+    Bench.TermProved = false;
+    Bench.run(20s);
+    CPPUNIT_ASSERT(Agent->undelivered().empty());
+    Bench.TermProved = true;
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("lost"), Agent->undelivered().at(0).How);
+  }
+
+  // A new holder reported a run as stopped that it had not heard of yet, and
+  // that went on.
+  void testStopBeforeTheFirstContactConcludesNoEnd() {
+    AgentBench Bench;
+    Bench.Worker.Running[{"j.0.0.0", 1}] = "";
+    Bench.Worker.Reachable = false;
+    const auto Agent = Bench.hold();
+    Agent->stopRun("j.0.0.0", 1);
+    Bench.run(500ms);
+    CPPUNIT_ASSERT(Agent->undelivered().empty());
+    Bench.Worker.Reachable = true;
+    Bench.run(3s);
+    CPPUNIT_ASSERT(Bench.Worker.Running.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("stopped"),
+                         Agent->undelivered().at(0).How);
+  }
+
+  // A worker lists 500 ends at a time; a run whose end was not listed yet
+  // counted as lost.
+  void testNothingIsConcludedFromAFullPageOfEnds() {
+    AgentBench Bench;
+    for (int I = 0; I < 500; ++I)
+      Bench.Worker.end("j.0.0." + std::to_string(I), 1, "done");
+    const auto Agent = Bench.hold();
+    CPPUNIT_ASSERT(!Agent->load().Resolved);
+    for (const EndReport &End : Agent->undelivered())
+      Agent->accepted(End);
+    Bench.run(500ms);
+    CPPUNIT_ASSERT(Agent->load().Resolved);
+  }
+
   void testStartWithoutAnswerIsStopped() {
     AgentBench Bench;
     const auto Agent = Bench.hold();
