Check again before a gang starts where its room is reserved

The starts then went out with the epoch and to the addresses of before, even if this process had lost the job's shard or a worker's holder had changed; a holder that had just started knew nothing that would refuse them. Orders under way were known by task and run only, so that an answer to an order of a former term could end the entry of a later one with the same number.

Change: after the reservation the job's term, the holders and the proof are checked as before any other order, else the gang is withdrawn; orders under way are known by task, run and worker. No test of its own: it needs two nodes.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -101,19 +101,6 @@
   Gangs_.endPass();
 }
 
-bool Dispatcher::mayOrder(const ReadyItem &Item, const std::string &Worker) {
-  // A later owner of the job hears of the run from the holder that the store
-  // lists. That holder's term must have begun before this owner proved that it
-  // had no successor; else both could start the task.
-  const auto Since = Shards_.termKnownSince(Map_.shardOf(Worker));
-  if (!Since)
-    return false;
-  if (Jobs_.provedSince(Item.Job->Shard, *Since))
-    return true;
-  Jobs_.prove(Item.Job->Shard);
-  return false;
-}
-
 std::vector<Candidate> Dispatcher::candidatesFor(const ReadyItem &Item) {
   const JobSpec &Job = Item.job();
   const StepSpec &Step = Item.step();
@@ -140,7 +127,8 @@
     if (Step.AntiAffinity > 0)
       New.AlreadyPlaced =
           Item.Job->Progress.placedOn(Item.Step.Occurrence, Item.Step.Step, Id);
-    if ((Step.Gang || slotsOn(Need, New) > 0) && mayOrder(Item, Id))
+    if ((Step.Gang || slotsOn(Need, New) > 0) &&
+        Orders_.mayOrder(Item.Job->Shard, Id))
       Found.push_back(New);
   }
   dropSuspects(Found);
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -56,8 +56,6 @@
   /// Starts what has a place and a valid ticket, and asks for advice on the
   /// rest.
   void serve(const ReadyItem &Item);
-  /// True if an order of the step's job may go to the holder of the worker.
-  [[nodiscard]] bool mayOrder(const ReadyItem &Item, const std::string &Worker);
   /// Workers that may run the step; for a gang also those without room now.
   [[nodiscard]] std::vector<Candidate> candidatesFor(const ReadyItem &Item);
   void askFor(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
--- a/Source/Cell/RunOrders.cpp
+++ b/Source/Cell/RunOrders.cpp
@@ -16,7 +16,7 @@
 constexpr const char *IncompleteGang = "gang_incomplete";
 
 std::string keyOf(const RunId &Run) {
-  return fmt::format("{}#{}", Run.Task.toString(), Run.Run);
+  return fmt::format("{}#{}@{}", Run.Task.toString(), Run.Run, Run.Worker);
 }
 
 } // namespace
@@ -125,6 +125,7 @@
                                            OrdersByAddress Orders) {
   const auto Replies = co_await reserveAll(Job, Orders);
   const bool Complete =
+      maySend(Job, Orders) &&
       std::ranges::all_of(Replies, [](const Result<PlaceReply> &Reply) {
         return Reply &&
                std::ranges::all_of(Reply->Results, [](const auto &Result) {
@@ -140,6 +141,30 @@
       withdraw(Address, Items, Replies[Index++]);
 }
 
+bool RunOrders::mayOrder(int JobShard, const std::string &Worker) {
+  // A later owner of the job hears of the run from the holder that the store
+  // lists. That holder's term must have begun before this owner proved that it
+  // had no successor; else both could start the task.
+  const auto Since = Shards_.termKnownSince(Map_.shardOf(Worker));
+  if (!Since)
+    return false;
+  if (Jobs_.provedSince(JobShard, *Since))
+    return true;
+  Jobs_.prove(JobShard);
+  return false;
+}
+
+bool RunOrders::maySend(const ShardEpoch &Job, const OrdersByAddress &Orders) {
+  if (Jobs_.epochOf(Job.Shard) != Job.Epoch)
+    return false;
+  for (const auto &[Address, Items] : Orders)
+    for (const Placing &Item : Items)
+      if (Shards_.holderOf(Map_.shardOf(Item.Run.Worker)) != Address ||
+          !mayOrder(Job.Shard, Item.Run.Worker))
+        return false;
+  return true;
+}
+
 void RunOrders::withdraw(const std::string &Address,
                          const std::vector<Placing> &Orders,
                          const Result<PlaceReply> &Reply) {
@@ -231,7 +256,7 @@
 
 void RunOrders::stopRuns(std::vector<RunId> Runs) {
   for (RunId &Run : Runs)
-    if (Stopping_.insert(keyOf(Run) + "@" + Run.Worker).second)
+    if (Stopping_.insert(keyOf(Run)).second)
       asio::co_spawn(Executor_, stopUntilAnswered(std::move(Run)),
                      asio::detached);
 }
@@ -255,7 +280,7 @@
     }
     co_await Timers_.sleepFor(Options_.StopRetry);
   }
-  Stopping_.erase(keyOf(Run) + "@" + Run.Worker);
+  Stopping_.erase(keyOf(Run));
 }
 
 } // namespace hickory
--- a/Source/Cell/RunOrders.h
+++ b/Source/Cell/RunOrders.h
@@ -34,6 +34,9 @@
   void place(const ReadyItem &Item, const std::vector<Candidate> &Candidates,
              const std::vector<std::size_t> &Chosen);
   void stopRuns(std::vector<RunId> Runs);
+  /// True if an order for a job of the shard may go to the holder of the
+  /// worker; else what is missing is asked for.
+  [[nodiscard]] bool mayOrder(int JobShard, const std::string &Worker);
   /// True while an order for the run has no definite answer.
   [[nodiscard]] bool isOrdering(const RunId &Run) const;
   void stop() { Stopped_ = true; }
@@ -53,6 +56,9 @@
   asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
                                 std::vector<Placing> Orders);
   asio::awaitable<void> placeGang(ShardEpoch Job, OrdersByAddress Orders);
+  /// True if the gang may still start where its room is reserved.
+  [[nodiscard]] bool maySend(const ShardEpoch &Job,
+                             const OrdersByAddress &Orders);
   /// What all addresses answer to the orders, in their order.
   asio::awaitable<Reservations> reserveAll(ShardEpoch Job,
                                            const OrdersByAddress &Orders);
@@ -75,7 +81,7 @@
   EventLog &Events_;
   Metrics &Counters_;
   RunOrdersOptions Options_;
-  std::set<std::string> Ordering_; ///< TASK#RUN
+  std::set<std::string> Ordering_; ///< TASK#RUN@WORKER
   std::set<std::string> Stopping_; ///< TASK#RUN@WORKER
   bool Stopped_ = false;
 };
