Answer "gone" and "never runs" only where that is certain

An uncertain submission stays 504 until it is settled.

Tests: testFormerOwnerDoesNotCallAJobGone and testRefusedRepetitionOfAnUncertainSubmissionIsNotDefinite.

--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -216,7 +216,7 @@
   if (Job && Job->Accepted)
     co_return Accepted;
   if (Owner->Journal->isUnavailable())
-    co_return TryLater;
+    co_return Job && Job->MayBeStored ? OutcomeUnknown : TryLater;
   if (!Job) {
     if (Owner->Jobs.size() >= Options_.MaximumJobsPerShard)
       co_return TryLater;
@@ -239,6 +239,7 @@
   const JournalOutcome Outcome = co_await Job->Journal->write(
       std::move(Records), Timers_.now() + Options_.WriteLimit, true);
   --Job->Submitting;
+  Job->MayBeStored = Job->MayBeStored || Outcome == JournalOutcome::Unknown;
   if (Outcome == JournalOutcome::Written && !Job->Accepted) {
     Job->Accepted = true;
     if (Work_)
@@ -247,18 +248,27 @@
   // The shard may have been given up meanwhile.
   if (!Job->Accepted && Job->Submitting == 0 && findJob(Id) == Job) {
     Active_.erase(Id);
-    if (Outcome == JournalOutcome::NotWritten)
+    if (!Job->MayBeStored)
       Shards_.at(Number).Jobs.erase(Id);
   }
-  co_return Job->Accepted ? Accepted : statusOf(Outcome);
+  if (Job->Accepted)
+    co_return Accepted;
+  co_return Job->MayBeStored ? OutcomeUnknown : statusOf(Outcome);
 }
 
 asio::awaitable<int> JobOwner::cancel(std::string Id) {
   if (readyShard(Id) == nullptr)
     co_return TryLater;
   const JobPointer Job = findJob(Id);
-  if (!Job || !Job->Accepted)
-    co_return Gone;
+  // Its submission is under way or has an unknown outcome.
+  if (Job && !Job->Accepted)
+    co_return TryLater;
+  if (!Job) {
+    const int Number = Map_.shardOf(Id);
+    // A later owner may have accepted it.
+    co_return co_await proveTerm(Number, Shards_.at(Number).Epoch) ? Gone
+                                                                   : TryLater;
+  }
   if (!Job->Progress.finished()) {
     Events_.emit("jobs", "cancelled", {{"job", Id}});
     applyEffect(Job, Job->Progress.cancel(Timers_.now()));
@@ -268,11 +278,15 @@
   co_return Job->FinishWritten ? Accepted : OutcomeUnknown;
 }
 
-JobStateReply JobOwner::state(const std::string &Id) const {
+JobStateReply JobOwner::state(const std::string &Id) {
   const auto It = Shards_.find(Map_.shardOf(Id));
   if (It == Shards_.end() || !It->second.Ready)
     return {.Status = TryLater};
   const JobPointer Job = findJob(Id);
+  if (!Job && !provedSince(It->first, Timers_.now() - Options_.ProofLifetime)) {
+    prove(It->first);
+    return {.Status = TryLater};
+  }
   if (!Job)
     return {.Status = Gone};
   if (!Job->Accepted)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -23,6 +23,10 @@
   /// How long a call waits for the journal.
   std::chrono::milliseconds WriteLimit{1200};
   std::size_t MaximumJobsPerShard = 20000;
+  /// A job that is not known here may have been accepted by a later owner,
+  /// unless this owner has proved its term within this time. Less than the time
+  /// in which an accepted job must become visible.
+  std::chrono::milliseconds ProofLifetime{1500};
 };
 
 /// A job of a shard that this process holds.
@@ -38,6 +42,7 @@
   int Shard = 0;
   bool Accepted = false;      ///< The journal has it.
   int Submitting = 0;         ///< Calls that wait for the journal.
+  bool MayBeStored = false;   ///< A submission had no definite outcome.
   bool FinishWritten = false; ///< The journal has its final state.
   std::uint64_t Version = 0;  ///< Counts changes that must be stored.
   std::uint64_t WrittenVersion = 0;
@@ -105,7 +110,7 @@
   /// Returns the HTTP status for the caller.
   asio::awaitable<int> submit(JobSpec Spec);
   asio::awaitable<int> cancel(std::string Id);
-  [[nodiscard]] JobStateReply state(const std::string &Id) const;
+  [[nodiscard]] JobStateReply state(const std::string &Id);
   asio::awaitable<EndsReply> ends(EndsRequest Request);
 
   /// What a member says of the workers that it holds, in answer to a call that
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -118,6 +118,8 @@
   CPPUNIT_TEST(testRunOfUnknownJobIsStopped);
   CPPUNIT_TEST(testCancelIsStoredAndStopsRuns);
   CPPUNIT_TEST(testUnknownJobIsGone);
+  CPPUNIT_TEST(testFormerOwnerDoesNotCallAJobGone);
+  CPPUNIT_TEST(testRefusedRepetitionOfAnUncertainSubmissionIsNotDefinite);
   CPPUNIT_TEST(testJournalNamesWorkers);
   CPPUNIT_TEST(testEndsOfAFormerTermDoNotOverwriteTheNext);
   CPPUNIT_TEST(testFormerOwnerAcceptsNoEndOfAnUnknownJob);
@@ -365,6 +367,33 @@
                          Bench.owner(2)->state("0123456789abcdef").State);
   }
 
+  // The job was accepted by the next owner, of which this one had not heard.
+  void testFormerOwnerDoesNotCallAJobGone() {
+    OwnerBench Bench;
+    const auto Former = Bench.owner(1);
+    const auto Next = Bench.owner(2);
+    CPPUNIT_ASSERT_EQUAL(200, Bench.submit(*Next));
+    const std::string Id = jobOf(1).Id;
+    CPPUNIT_ASSERT_EQUAL(503, Former->state(Id).Status);
+    const auto Cancelled = Bench.begin(Former->cancel(Id));
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(503, **Cancelled);
+    CPPUNIT_ASSERT_EQUAL(503, Former->state(Id).Status);
+  }
+
+  // 503 says that the job never runs, but the first call's append may be
+  // carried out later.
+  void testRefusedRepetitionOfAnUncertainSubmissionIsNotDefinite() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    Bench.Store.SilentPartitions = {0};
+    CPPUNIT_ASSERT_EQUAL(504, Bench.submit(*Owner));
+    const auto Again = Bench.begin(Owner->submit(jobOf(1)));
+    Owner->revoke(0);
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(504, **Again);
+  }
+
   void testUnknownJobIsGone() {
     OwnerBench Bench;
     const auto Owner = Bench.owner(1);
