--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -384,6 +384,7 @@
                 {"run", End.Run},
                 {"worker", End.Worker},
                 {"how", End.How},
+                {"epoch", Job->Journal->epoch()},
                 {"applied", Effect.Applied}});
   applyEffect(Job, Effect);
   return Job;
--- a/Source/Http/CurlHttpClient.cpp
+++ b/Source/Http/CurlHttpClient.cpp
@@ -260,9 +260,7 @@
     // If curl sent the request on a kept-alive connection that was closed
     // without an answer, the connection for the repetition may be refused
     // although the first copy was received.
-    long SentBytes = 0;
-    curl_easy_getinfo(Item.Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
-    if (SentBytes > 0)
+    if (Item.Begun)
       return fail(Code == CURLE_OPERATION_TIMEDOUT ? ErrorCode::Timeout
                                                    : ErrorCode::Unavailable,
                   Message);
