--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -243,8 +243,8 @@
   co_return SubmitReply{.Status = Status};
 }
 
-JobStateReply CellNode::state(const JobReference &Job) {
-  return Jobs_.state(Job.Id);
+asio::awaitable<JobStateReply> CellNode::state(JobReference Job) {
+  co_return co_await Jobs_.provedState(std::move(Job.Id));
 }
 
 asio::awaitable<SubmitReply> CellNode::cancel(JobReference Job) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -54,7 +54,7 @@
   asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
   asio::awaitable<RelieveReply> relieve(RelieveRequest Request) override;
   asio::awaitable<SubmitReply> submit(JobSpec Job) override;
-  JobStateReply state(const JobReference &Job) override;
+  asio::awaitable<JobStateReply> state(JobReference Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
 
   /// A call found that nothing listens at the address.
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -24,7 +24,7 @@
   /// Takes a process that does not reach the store out of the group.
   virtual asio::awaitable<RelieveReply> relieve(RelieveRequest Request) = 0;
   virtual asio::awaitable<SubmitReply> submit(JobSpec Job) = 0;
-  virtual JobStateReply state(const JobReference &Job) = 0;
+  virtual asio::awaitable<JobStateReply> state(JobReference Job) = 0;
   virtual asio::awaitable<SubmitReply> cancel(JobReference Job) = 0;
 };
 
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -50,7 +50,7 @@
                                                    true};
 const HttpCellPeer::CallKind HttpCellPeer::Submit{"submit", WriteTimeout,
                                                   false};
-const HttpCellPeer::CallKind HttpCellPeer::State{"state", ShortTimeout, true};
+const HttpCellPeer::CallKind HttpCellPeer::State{"state", WriteTimeout, true};
 const HttpCellPeer::CallKind HttpCellPeer::Cancel{"cancel", WriteTimeout, true};
 
 asio::awaitable<Result<std::string>>
@@ -146,7 +146,7 @@
 asio::awaitable<Result<JobStateReply>> HttpCellPeer::state(std::string Address,
                                                            JobReference Job) {
   if (Address == OwnAddress_)
-    co_return Local_->state(Job);
+    co_return co_await Local_->state(std::move(Job));
   co_return co_await send<JobStateReply>(std::move(Address), State, json(Job));
 }
 
@@ -176,7 +176,7 @@
   if (Name == "submit")
     co_return co_await Handler.submit(Body.get<JobSpec>());
   if (Name == "state")
-    co_return Handler.state(Body.get<JobReference>());
+    co_return co_await Handler.state(Body.get<JobReference>());
   if (Name == "cancel")
     co_return co_await Handler.cancel(Body.get<JobReference>());
   if (Name == "stop") {
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -278,15 +278,20 @@
   co_return Job->FinishWritten ? Accepted : OutcomeUnknown;
 }
 
-JobStateReply JobOwner::state(const std::string &Id) {
+asio::awaitable<JobStateReply> JobOwner::provedState(std::string Id) {
+  JobStateReply Reply = state(Id);
+  const int Number = Map_.shardOf(Id);
+  if (Reply.Status == Gone &&
+      !co_await proveTerm(Number, Shards_.at(Number).Epoch))
+    Reply.Status = TryLater;
+  co_return Reply;
+}
+
+JobStateReply JobOwner::state(const std::string &Id) const {
   const auto It = Shards_.find(Map_.shardOf(Id));
   if (It == Shards_.end() || !It->second.Ready)
     return {.Status = TryLater};
   const JobPointer Job = findJob(Id);
-  if (!Job && !provedSince(It->first, Timers_.now() - Options_.ProofLifetime)) {
-    prove(It->first);
-    return {.Status = TryLater};
-  }
   if (!Job)
     return {.Status = Gone};
   if (!Job->Accepted)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -23,10 +23,6 @@
   /// How long a call waits for the journal.
   std::chrono::milliseconds WriteLimit{1200};
   std::size_t MaximumJobsPerShard = 20000;
-  /// A job that is not known here may have been accepted by a later owner,
-  /// unless this owner has proved its term within this time. Less than the time
-  /// in which an accepted job must become visible.
-  std::chrono::milliseconds ProofLifetime{1500};
 };
 
 /// A job of a shard that this process holds.
@@ -110,7 +106,11 @@
   /// Returns the HTTP status for the caller.
   asio::awaitable<int> submit(JobSpec Spec);
   asio::awaitable<int> cancel(std::string Id);
-  [[nodiscard]] JobStateReply state(const std::string &Id);
+  /// The state as far as this process knows.
+  [[nodiscard]] JobStateReply state(const std::string &Id) const;
+  /// The same for callers: a job is called unknown only by an owner that had no
+  /// successor when it was asked, as that one may have accepted the job.
+  asio::awaitable<JobStateReply> provedState(std::string Id);
   asio::awaitable<EndsReply> ends(EndsRequest Request);
 
   /// What a member says of the workers that it holds, in answer to a call that
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -374,11 +374,11 @@
     const auto Next = Bench.owner(2);
     CPPUNIT_ASSERT_EQUAL(200, Bench.submit(*Next));
     const std::string Id = jobOf(1).Id;
-    CPPUNIT_ASSERT_EQUAL(503, Former->state(Id).Status);
+    const auto State = Bench.begin(Former->provedState(Id));
     const auto Cancelled = Bench.begin(Former->cancel(Id));
     Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(503, (**State).Status);
     CPPUNIT_ASSERT_EQUAL(503, **Cancelled);
-    CPPUNIT_ASSERT_EQUAL(503, Former->state(Id).Status);
   }
 
   // 503 says that the job never runs, but the first call's append may be
@@ -398,6 +398,9 @@
     OwnerBench Bench;
     const auto Owner = Bench.owner(1);
     CPPUNIT_ASSERT_EQUAL(410, Owner->state("none").Status);
+    const auto Proved = Bench.begin(Owner->provedState("none"));
+    Bench.run(200ms);
+    CPPUNIT_ASSERT_EQUAL(410, (**Proved).Status);
     Owner->revoke(0);
     CPPUNIT_ASSERT_EQUAL(503, Owner->state("none").Status);
   }
