--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -37,7 +37,7 @@
 public:
   Dispatcher(const asio::any_io_executor &Executor, TimerService &Timers,
              JobOwner &Jobs, CapacityView &View, CellPeer &Peers,
-             AdviceRouter &Adviser, ShardMembership &Shards,
+             AdviceRouter &Adviser, const ShardMembership &Shards,
              const CellConfiguration &Configuration, EventLog &Events,
              Metrics &Counters, DispatcherOptions Options);
 
@@ -74,8 +74,6 @@
   JobOwner &Jobs_;
   CapacityView &View_;
   AdviceRouter &Adviser_;
-  ShardMembership &Shards_;
-  ShardMap Map_;
   const CellConfiguration &Configuration_;
   EventLog &Events_;
   Metrics &Counters_;
