--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -156,7 +156,10 @@
   const bool Left = Refused && Entry_.Draining && !Listed_;
   if (!leaseLapsed() && !Left)
     co_return;
-  if (Resolved_ && Runs_.empty()) {
+  const bool AllEnded = std::ranges::all_of(Runs_, [](const auto &Item) {
+    return Item.second.State == Phase::Ended && Item.second.EndNumber == 0;
+  });
+  if (Resolved_ && AllEnded) {
     ClockKnown_ = false;
     co_return;
   }
