--- a/Tests/StandIns/StandInServer.h
+++ b/Tests/StandIns/StandInServer.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
+#include <cctype>
 #include <fmt/format.h>
 #include <functional>
 #include <http_parser.h>
@@ -13,6 +14,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace hickory {
 
@@ -23,8 +26,11 @@
 public:
   struct Request {
     std::string Method;
-    std::string Path; ///< Without the query; not decoded.
+    std::string Path;  ///< Without the query; not decoded.
+    std::string Query; ///< Text after '?', not decoded.
     std::string Body;
+    /// By name in lower case.
+    std::map<std::string, std::string> Headers;
   };
   struct Reply {
     int Status = 200;
@@ -81,6 +87,9 @@
     http_parser_settings Settings{};
     std::string Url;
     std::string Body;
+    std::map<std::string, std::string> Headers;
+    std::string HeaderName;
+    bool InHeaderValue = false;
     bool Complete = false;
 
     Parser() {
@@ -90,6 +99,23 @@
         static_cast<Parser *>(Machine->data)->Url.append(Data, Size);
         return 0;
       };
+      Settings.on_header_field = [](http_parser *Machine, const char *Data,
+                                    std::size_t Size) {
+        auto &Self = *static_cast<Parser *>(Machine->data);
+        if (std::exchange(Self.InHeaderValue, false))
+          Self.HeaderName.clear();
+        for (const char Letter : std::string_view(Data, Size))
+          Self.HeaderName.push_back(static_cast<char>(
+              std::tolower(static_cast<unsigned char>(Letter))));
+        return 0;
+      };
+      Settings.on_header_value = [](http_parser *Machine, const char *Data,
+                                    std::size_t Size) {
+        auto &Self = *static_cast<Parser *>(Machine->data);
+        Self.InHeaderValue = true;
+        Self.Headers[Self.HeaderName].append(Data, Size);
+        return 0;
+      };
       Settings.on_body = [](http_parser *Machine, const char *Data,
                             std::size_t Size) {
         static_cast<Parser *>(Machine->data)->Body.append(Data, Size);
@@ -107,6 +133,9 @@
       Machine.data = this;
       Url.clear();
       Body.clear();
+      Headers.clear();
+      HeaderName.clear();
+      InHeaderValue = false;
       Complete = false;
     }
   };
@@ -179,7 +208,11 @@
       Request Incoming;
       Incoming.Method =
           http_method_str(static_cast<http_method>(State->Machine.method));
-      Incoming.Path = State->Url.substr(0, State->Url.find('?'));
+      const std::size_t Mark = State->Url.find('?');
+      Incoming.Path = State->Url.substr(0, Mark);
+      if (Mark != std::string::npos)
+        Incoming.Query = State->Url.substr(Mark + 1);
+      Incoming.Headers = std::move(State->Headers);
       Incoming.Body = std::move(State->Body);
       const bool KeepAlive = http_should_keep_alive(&State->Machine) != 0;
       const std::optional<Reply> Answer =
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <csignal>
 #include <glog/logging.h>
 #include <spawn.h>
 #include <string>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -67,8 +69,22 @@
       ::close(std::exchange(Input_, -1));
   }
 
+  [[nodiscard]] pid_t id() const { return Id_; }
+
   void terminate() { ::kill(Id_, SIGTERM); }
 
+  /// Whether the process ends within the time; it is then reaped.
+  bool endsWithin(std::chrono::milliseconds Limit) {
+    const auto Deadline = std::chrono::steady_clock::now() + Limit;
+    while (!Ended_) {
+      Ended_ = ::waitpid(Id_, nullptr, WNOHANG) == Id_;
+      if (Ended_ || std::chrono::steady_clock::now() >= Deadline)
+        break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return Ended_;
+  }
+
   /// Exit status, or the negated number of the signal that ended it.
   int wait() {
     int Status = 0;
