Emulate killed, stopped and paused instances, and orders that are refused or cut off after they took effect

Missing: the troubles of an incident like a TWICE on a rolling stop. emulate now sends signals to instances and starts them again; the emulator refuses orders and ends the connection of an order that it carried out.

--- a/Tests/Emulator/LoadSettings.h
+++ b/Tests/Emulator/LoadSettings.h
@@ -14,10 +14,16 @@
   std::string Spec;           ///< The plan of the runs, see RunPlan.
 };
 
-/// A command for the emulator's control address.
+/// A command for the emulator's control address, or a signal to an instance.
 struct PlannedTrouble {
   double AtSeconds = 0;
   json Command;
+  int Instance = -1; ///< Negative: of a command for the emulator.
+
+  [[nodiscard]] bool isForInstance() const { return Instance >= 0; }
+  [[nodiscard]] std::string kind() const {
+    return Command.at("kind").get<std::string>();
+  }
 };
 
 /// The table [load] of an experiment.
@@ -84,14 +90,18 @@
   return Kind;
 }
 
-inline PlannedTrouble readTrouble(CheckedTable Table) {
+inline PlannedTrouble readTrouble(CheckedTable Table, int Instances) {
   PlannedTrouble Read;
   Read.AtSeconds = Table.number("at-seconds", 0, 0, 86400);
   const std::string Kind = Table.text("kind", "");
-  static const std::set<std::string> Known = {"lose-answers", "late-orders",
-                                              "store-down",   "deal-anew",
-                                              "drop-history", "restart-worker"};
-  if (!Known.contains(Kind))
+  static const std::set<std::string> Known = {
+      "lose-answers", "reset-orders", "refuse-orders", "late-orders",
+      "store-down",   "deal-anew",    "drop-history",  "restart-worker"};
+  static const std::set<std::string> ForInstances = {
+      "kill-instance", "stop-instance", "pause-instance"};
+  if (ForInstances.contains(Kind))
+    Read.Instance = Table.integer("instance", 0, 0, Instances - 1);
+  else if (!Known.contains(Kind))
     throw SettingsError("load.troubles: \"" + Kind +
                         "\" is not a known kind of trouble");
   Read.Command = {{"kind", Kind},
@@ -114,7 +124,7 @@
   if (Read.Kinds.empty())
     throw SettingsError("load.kinds must name at least one kind of job");
   for (const CheckedTable &Item : Table.tables("troubles"))
-    Read.Troubles.push_back(readTrouble(Item));
+    Read.Troubles.push_back(readTrouble(Item, Read.Instances));
   Table.close();
   return Read;
 }
--- a/Tests/Emulator/SettingsTest.cpp
+++ b/Tests/Emulator/SettingsTest.cpp
@@ -92,6 +92,10 @@
                 "per-second");
     assertFault(std::string(Sound) + "[[load.troubles]]\nkind = \"quake\"\n",
                 "quake");
+    assertFault(std::string(Sound) + "[[load.troubles]]\n"
+                                     "kind = \"kill-instance\"\n"
+                                     "instance = 3\n",
+                "load.troubles[0].instance");
     assertFault("[platform", "not valid TOML");
   }
 
--- a/Tests/Emulator/emulate.cpp
+++ b/Tests/Emulator/emulate.cpp
@@ -40,6 +40,7 @@
   std::string Ip;
   std::vector<std::uint16_t> Ports;
   std::unique_ptr<ChildProcess> Process;
+  bool InTrouble = false;
   [[nodiscard]] std::string at(std::size_t Index) const {
     return fmt::format("{}:{}", Ip, Ports[Index]);
   }
@@ -146,7 +147,7 @@
   std::unique_ptr<ChildProcess> start(const std::string &Name,
                                       std::vector<std::string> Command) {
     std::vector<std::string> Whole = {
-        "/bin/sh", "-c", R"(log=$1; shift; exec "$@" >"$log" 2>&1)", "sh",
+        "/bin/sh", "-c", R"(log=$1; shift; exec "$@" >>"$log" 2>&1)", "sh",
         path(Name + ".log")};
     Whole.insert(Whole.end(), Command.begin(), Command.end());
     return std::make_unique<ChildProcess>(std::move(Whole));
@@ -175,13 +176,17 @@
                 cellSettings(Made, Addresses_, static_cast<std::size_t>(Number),
                              Platform_)
                     .dump(2));
-      Made.Process =
-          start(Made.Name, {Given_.Programs + "/hickory-cell",
-                            "--settings=" + path(Made.Name + ".json")});
+      startInstance(Made);
       Instances_.push_back(std::move(Made));
     }
   }
 
+  void startInstance(Instance &Made) {
+    Made.Process =
+        start(Made.Name, {Given_.Programs + "/hickory-cell",
+                          "--settings=" + path(Made.Name + ".json")});
+  }
+
   asio::awaitable<json> get(std::string Url) {
     HttpClientRequest Request{.Url = std::move(Url), .MayResend = true};
     const auto Reply = co_await Client_.send(std::move(Request));
@@ -203,26 +208,82 @@
     co_return 0;
   }
 
+  static Clock::duration seconds(double Value) {
+    return std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(Value));
+  }
+
   asio::awaitable<void> causeTrouble(PlannedTrouble Planned) {
-    co_await Timers_.sleepFor(std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(Planned.AtSeconds)));
+    co_await Timers_.sleepFor(seconds(Planned.AtSeconds));
+    std::cout << fmt::format("{:.1f} s: {}", Planned.AtSeconds,
+                             Planned.Command.dump())
+              << (Planned.isForInstance()
+                      ? fmt::format(" on instance {}\n", Planned.Instance)
+                      : std::string("\n"))
+              << std::flush;
+    if (Planned.isForInstance())
+      co_await troubleInstance(Planned);
+    else
+      co_await command(Planned);
+    --TroublesOpen_;
+  }
+
+  asio::awaitable<void> command(PlannedTrouble Planned) {
     HttpClientRequest Request{.Method = "POST",
                               .Url = "http://" +
                                      Addresses_["control"].get<std::string>() +
                                      "/trouble",
                               .Body = Planned.Command.dump()};
     const auto Reply = co_await Client_.send(std::move(Request));
-    const int Status = Reply ? Reply->Status : 0;
-    std::cout << fmt::format("{:.1f} s: {} answered {}\n", Planned.AtSeconds,
-                             Planned.Command.dump(), Status)
-              << std::flush;
-    TroublesRefused_ += Status == 200 ? 0 : 1;
+    if (!Reply || Reply->Status != 200)
+      complain("the emulator refused " + Planned.Command.dump());
+  }
+
+  /// Pauses an instance, or ends it and starts it again after a while.
+  asio::awaitable<void> troubleInstance(PlannedTrouble Planned) {
+    Instance &Made = Instances_[static_cast<std::size_t>(Planned.Instance)];
+    // One trouble of an instance follows the end of the former.
+    while (std::exchange(Made.InTrouble, true))
+      co_await Timers_.sleepFor(20ms);
+    const auto Length = seconds(Planned.Command.at("seconds").get<double>());
+    if (Made.Process->endsWithin(0ms))
+      complain(Made.Name + " had ended by itself");
+    else if (Planned.kind() == "pause-instance") {
+      ::kill(Made.Process->id(), SIGSTOP);
+      co_await Timers_.sleepFor(Length);
+      ::kill(Made.Process->id(), SIGCONT);
+      Made.InTrouble = false;
+      co_return;
+    } else
+      co_await endInstance(Made, Planned.kind() == "stop-instance");
+    co_await Timers_.sleepFor(Length);
+    startInstance(Made);
+    Made.InTrouble = false;
+  }
+
+  asio::awaitable<void> endInstance(Instance &Made, bool Planned) {
+    ::kill(Made.Process->id(), Planned ? SIGTERM : SIGKILL);
+    const auto Deadline = Timers_.now() + GraceTime;
+    while (!Made.Process->endsWithin(0ms) && Timers_.now() < Deadline)
+      co_await Timers_.sleepFor(10ms);
+    if (Made.Process->endsWithin(0ms))
+      co_return;
+    complain(Made.Name + " did not stop on SIGTERM");
+    Made.Process.reset();
+  }
+
+  void complain(const std::string &Text) {
+    std::cout << Text << "\n";
+    Sound_ = false;
   }
 
   asio::awaitable<json> sendLoad(LoadClients &Clients) {
+    TroublesOpen_ = Load_.Troubles.size();
     for (const PlannedTrouble &Planned : Load_.Troubles)
       asio::co_spawn(Context_, causeTrouble(Planned), asio::detached);
     co_await Clients.run();
+    while (TroublesOpen_ > 0)
+      co_await Timers_.sleepFor(20ms);
     co_return co_await get("http://" +
                            Addresses_["control"].get<std::string>() + "/stats");
   }
@@ -277,28 +338,21 @@
 
   /// False if a process had ended by itself or did not stop in time.
   bool stopAll() {
-    bool Sound = true;
-    const auto Complain = [&Sound](const std::string &Text) {
-      std::cout << Text << "\n";
-      Sound = false;
-    };
     for (const Instance &Made : Instances_) {
       if (Made.Process->endsWithin(0ms))
-        Complain(Made.Name + " had ended by itself");
+        complain(Made.Name + " had ended by itself");
       else
         Made.Process->terminate();
     }
     for (const Instance &Made : Instances_)
       if (!Made.Process->endsWithin(GraceTime))
-        Complain(Made.Name + " did not stop on SIGTERM");
+        complain(Made.Name + " did not stop on SIGTERM");
     Emulator_->terminate();
     if (!Emulator_->endsWithin(GraceTime))
-      Complain("the emulator did not stop on SIGTERM");
-    if (TroublesRefused_ > 0)
-      Complain("the emulator refused a trouble");
+      complain("the emulator did not stop on SIGTERM");
     if (Completed_ == 0)
-      Complain("no job was completed");
-    return Sound;
+      complain("no job was completed");
+    return Sound_;
   }
 
   bool printVerdict(const LoadClients &Clients) {
@@ -340,7 +394,8 @@
   std::unique_ptr<ChildProcess> Emulator_;
   std::vector<Instance> Instances_;
   std::uint64_t Completed_ = 0;
-  int TroublesRefused_ = 0;
+  std::size_t TroublesOpen_ = 0;
+  bool Sound_ = true; ///< All processes and commands did as they should.
 };
 
 Options parse(int Count, const char **Arguments) {
--- a/Tests/Emulator/platform-emulator.cpp
+++ b/Tests/Emulator/platform-emulator.cpp
@@ -20,6 +20,7 @@
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int TooMany = 429;
+constexpr int Unhealthy = 503;
 constexpr int MostAdviceCalls = 32;
 constexpr std::size_t MostAdvisedWorkers = 100;
 /// Longer than any caller waits for an answer that was lost.
@@ -62,6 +63,7 @@
   bool drawn(const Window &Drawn) {
     return Timers_.now() < Drawn.Until && Source_.unit() < Drawn.Share;
   }
+  void count(const char *Name) { Counts_[Name] = Counts_.value(Name, 0) + 1; }
   StandInServer &listen(std::uint16_t Port, StandInServer::Handler Handler);
   json advise(const json &Body);
   [[nodiscard]] json configuration() const;
@@ -77,6 +79,8 @@
   json Addresses_;
   Window LostAnswers_;
   Window LateOrders_;
+  Window ResetOrders_;
+  Window RefusedOrders_;
   std::map<int, int> AdviceCalls_; ///< Waiting and in work, by caller.
   std::map<int, Clock::time_point> AdviceFreeAt_;
   json Counts_ = json::object();
@@ -176,7 +180,7 @@
   auto Reply = co_await Store_.handle(std::move(Incoming));
   if (!Lost)
     co_return Reply;
-  Counts_["lost-answers"] = Counts_.value("lost-answers", 0) + 1;
+  count("lost-answers");
   co_await Timers_.sleepFor(LostAnswerSilence);
   co_return Answer();
 }
@@ -213,9 +217,19 @@
     co_return answerFrom(
         co_await Worker.hold(std::move(Body), expectedInstance(Incoming)));
   }
-  if (!drawn(LateOrders_))
-    co_return answerFrom(order(Worker, Incoming));
-  Counts_["late-orders"] = Counts_.value("late-orders", 0) + 1;
+  if (drawn(RefusedOrders_)) {
+    count("refused-orders");
+    co_return answerFrom({.Status = Unhealthy});
+  }
+  if (!drawn(LateOrders_)) {
+    const CallReply Reply = order(Worker, Incoming);
+    if (!drawn(ResetOrders_))
+      co_return answerFrom(Reply);
+    // Carried out, and the connection ends without an answer.
+    count("reset-orders");
+    co_return Answer();
+  }
+  count("late-orders");
   asio::co_spawn(Context_, carryOutLate(Worker, std::move(Incoming)),
                  asio::detached);
   co_await Timers_.sleepFor(LostAnswerSilence);
@@ -253,7 +267,7 @@
   Clock::time_point &FreeAt = AdviceFreeAt_[Caller];
   FreeAt = std::max(FreeAt, Timers_.now()) + Cost;
   ++AdviceCalls_[Caller];
-  Counts_["advice-calls"] = Counts_.value("advice-calls", 0) + 1;
+  count("advice-calls");
   co_await Timers_.sleepFor(FreeAt - Timers_.now());
   --AdviceCalls_[Caller];
   try {
@@ -273,6 +287,10 @@
     LostAnswers_ = Drawn;
   else if (Kind == "late-orders")
     LateOrders_ = Drawn;
+  else if (Kind == "reset-orders")
+    ResetOrders_ = Drawn;
+  else if (Kind == "refuse-orders")
+    RefusedOrders_ = Drawn;
   else if (Kind == "store-down")
     Store_.refuseFor(Length);
   else if (Kind == "deal-anew")
