Add a test bench of whole nodes, and cut their calls

The bench joins the parts as CellDaemon does, which can't be used itself since it has its own clock. A shared store deals partitions with generations and fenced appends, workers keep tokens, leases and listed ends, and a network below HttpCellPeer loses, delays and repeats calls.

Not covered: frozen processes, workers' clocks that run slow, advice.

--- /dev/null
+++ b/Tests/Cell/CellNodeBench.h
@@ -0,0 +1,516 @@
+#pragma once
+
+#include "Base/EventLog.h"
+#include "Base/Metrics.h"
+#include "Base/Signal.h"
+#include "Base/Supervisor.h"
+#include "Cell/CellGateway.h"
+#include "Cell/CellNode.h"
+#include "Cell/FakeAdvice.h"
+#include "Cell/FakeGroupStore.h"
+#include "Cell/FakeWorkers.h"
+#include "Cell/HttpCellPeer.h"
+#include "Cell/KeyedFollower.h"
+#include "Fakes/FakeTimerService.h"
+
+#include <asio/io_context.hpp>
+#include <fmt/format.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+/// Time that advances when the test says so and, by a nanosecond, with each
+/// look at it: what happens one after the other has different times, as with a
+/// real clock.
+class StrictTimerService final : public TimerService {
+public:
+  [[nodiscard]] Clock::time_point now() const override {
+    const Clock::time_point Begin = Timers_.now();
+    Looks_ = Begin == Last_ ? Looks_ + 1 : 0;
+    Last_ = Begin;
+    return Begin + std::chrono::nanoseconds(Looks_);
+  }
+  [[nodiscard]] std::chrono::system_clock::time_point wallNow() const override {
+    return Timers_.wallNow();
+  }
+  [[nodiscard]] Subscription after(Clock::duration Delay,
+                                   std::function<void()> Callback) override {
+    return Timers_.after(Delay, std::move(Callback));
+  }
+  void advance(Clock::duration Step) { Timers_.advance(Step); }
+
+private:
+  FakeTimerService Timers_;
+  mutable Clock::time_point Last_{};
+  mutable std::int64_t Looks_ = 0;
+};
+
+/// Calls between processes by address. Each may be cut as its fate says.
+class FakeCellNetwork {
+public:
+  using Server = std::function<asio::awaitable<HttpServerResponse>(
+      HttpServerRequest Request)>;
+
+  explicit FakeCellNetwork(TimerService &Timers) : Timers_(Timers) {}
+
+  /// Asked for the fate of each call. Names of calls as in HttpCellPeer, and
+  /// "reserve" for placements that reserve only.
+  std::function<CallFate(const std::string &From, const std::string &To,
+                         const std::string &Call)>
+      ChooseFate;
+
+  void serve(const std::string &Address, Server Handler) {
+    Servers_[Address] = std::make_shared<Server>(std::move(Handler));
+  }
+  void refuse(const std::string &Address) { Servers_.erase(Address); }
+
+  asio::awaitable<Result<HttpClientResponse>> send(std::string From,
+                                                   HttpClientRequest Request) {
+    using Kind = CallFate::Kind;
+    const std::size_t Begin = Request.Url.find("//") + 2;
+    const std::size_t Slash = Request.Url.find('/', Begin);
+    const std::string To = Request.Url.substr(Begin, Slash - Begin);
+    const CallFate Fate =
+        ChooseFate ? ChooseFate(From, To, nameOf(Request, Slash)) : CallFate{};
+    HttpServerRequest Received{.Method = Request.Method,
+                               .Path = Request.Url.substr(Slash),
+                               .Body = Request.Body};
+    const auto Executor = co_await asio::this_coro::executor;
+    const Clock::time_point Deadline = Timers_.now() + Request.Timeout;
+    co_await Timers_.sleepFor(Latency);
+    if (!Servers_.contains(To) || Fate.What == Kind::Refused)
+      co_return fail(ErrorCode::Refused, "connection refused by " + To);
+    auto First = std::make_shared<Pending>(Executor);
+    auto Second = std::make_shared<Pending>(Executor);
+    if (Fate.What == Kind::Late || Fate.What == Kind::Twice)
+      asio::co_spawn(Executor, arrive(To, Received, Fate.Delay, Second),
+                     asio::detached);
+    if (Fate.What != Kind::Late && Fate.What != Kind::LostRequest)
+      asio::co_spawn(Executor,
+                     arrive(To, Received, std::chrono::milliseconds(0), First),
+                     asio::detached);
+    // The answer to a call that was sent again is that to its last copy.
+    const auto Awaited =
+        Fate.What == Kind::Twice && Request.MayResend ? Second : First;
+    if (const auto Left = Deadline - Timers_.now();
+        !Awaited->Reply && Left > Clock::duration::zero())
+      co_await Awaited->Ready.waitFor(Timers_, Left);
+    if (!Awaited->Reply || Fate.What == Kind::LostAnswer) {
+      if (Timers_.now() < Deadline)
+        co_await Timers_.sleepFor(Deadline - Timers_.now());
+      co_return fail(ErrorCode::Timeout, "no answer");
+    }
+    co_await Timers_.sleepFor(Latency);
+    co_return HttpClientResponse{.Status = Awaited->Reply->Status,
+                                 .Body = Awaited->Reply->Body};
+  }
+
+private:
+  static constexpr std::chrono::milliseconds Latency{1};
+
+  struct Pending {
+    explicit Pending(const asio::any_io_executor &Executor) : Ready(Executor) {}
+    std::optional<HttpServerResponse> Reply;
+    Signal Ready;
+  };
+
+  static std::string nameOf(const HttpClientRequest &Request,
+                            std::size_t Slash) {
+    std::string Name = Request.Url.substr(Request.Url.rfind('/') + 1);
+    (void)Slash;
+    if (Name == "place" &&
+        Request.Body.find("\"ReserveOnly\":true") != std::string::npos)
+      Name = "reserve";
+    return Name;
+  }
+
+  asio::awaitable<void> arrive(std::string To, HttpServerRequest Request,
+                               std::chrono::milliseconds Delay,
+                               std::shared_ptr<Pending> Done) {
+    if (Delay.count() > 0)
+      co_await Timers_.sleepFor(Delay);
+    const auto It = Servers_.find(To);
+    if (It == Servers_.end())
+      co_return;
+    const auto Receiver = It->second;
+    auto Reply = co_await (*Receiver)(std::move(Request));
+    Done->Reply = std::move(Reply);
+    Done->Ready.notify();
+  }
+
+  TimerService &Timers_;
+  std::map<std::string, std::shared_ptr<Server>> Servers_;
+};
+
+/// The network as one process reaches it.
+class FakeCellNetworkClient final : public HttpClient {
+public:
+  FakeCellNetworkClient(TimerService &Timers, FakeCellNetwork &Network,
+                        std::string Address, ProcessGate Alive)
+      : Timers_(Timers), Network_(Network), Address_(std::move(Address)),
+        Alive_(std::move(Alive)) {}
+
+  asio::awaitable<Result<HttpClientResponse>>
+  send(HttpClientRequest Request) override {
+    return callFrom(Timers_, Alive_,
+                    Network_.send(Address_, std::move(Request)));
+  }
+
+private:
+  TimerService &Timers_;
+  FakeCellNetwork &Network_;
+  std::string Address_;
+  ProcessGate Alive_;
+};
+
+/// What the processes share.
+struct CellWorld {
+  asio::io_context Context;
+  StrictTimerService Timers;
+  RunHistory History;
+  FakeGroupStore Store;
+  FakeWorkers Workers{Timers, History};
+  FakeCellNetwork Network{Timers};
+  CellConfiguration Configuration;
+  int Shards;
+
+  explicit CellWorld(int Shards) : Store(Timers, Shards), Shards(Shards) {}
+};
+
+/// One process, its parts joined as in CellDaemon, which has its own clock.
+class TestCellNode {
+public:
+  static constexpr const char *WorkersTopic = "keyed.workers";
+
+  TestCellNode(CellWorld &World, const std::string &Address, int Incarnation)
+      : World_(World), Address_(Address),
+        Member_(fmt::format("{}/{}", Address, Incarnation)),
+        Events_(World.Timers, {.Process = Address}),
+        Store_(World.Timers, World.Store, Address, Alive_),
+        WorkersClient_(World.Timers, World.Workers, Address, Alive_),
+        NetworkClient_(World.Timers, World.Network, Address, Alive_),
+        Advice_(World.Timers, std::chrono::milliseconds(20)),
+        Map_(World.Shards),
+        Shards_(World.Context.get_executor(), World.Timers, Store_, Events_,
+                {.Member = Member_, .Shards = World.Shards}),
+        Pool_(World.Context.get_executor(), World.Timers, WorkersClient_,
+              Events_, Map_, {}),
+        Jobs_(World.Context.get_executor(), World.Timers, Store_, Events_, Map_,
+              {}),
+        View_(Pool_), Peers_(NetworkClient_, Address),
+        Adviser_(World.Timers, Advice_, Peers_, {.Address = Address}),
+        Dispatcher_(World.Context.get_executor(), World.Timers, Jobs_, View_,
+                    Peers_, Adviser_, Shards_, World.Configuration, Events_,
+                    Metrics_, {}),
+        Node_(World.Context.get_executor(), World.Timers, Shards_, Map_, Pool_,
+              Jobs_, View_, Dispatcher_, Adviser_, Peers_,
+              {.Address = Address}),
+        Gateway_(Shards_, Map_, Peers_, Node_, World.Configuration,
+                 World.Timers, Events_),
+        Followed_(World.Timers, Store_, Events_,
+                  {.Name = "workers_list", .Topic = WorkersTopic},
+                  [this](const auto &Values) { updateWorkers(Values); }),
+        Supervisor_(World.Context.get_executor(), World.Timers) {
+    wire();
+    Supervisor_.add(Followed_);
+    Supervisor_.add(Shards_);
+    World.Network.serve(Address, [this](HttpServerRequest Request) {
+      return answerCellCall(Node_, std::move(Request));
+    });
+    Supervisor_.start();
+    asio::co_spawn(World.Context, Dispatcher_.run(), asio::detached);
+    Node_.start();
+  }
+
+  /// Nothing that it does has an effect from now on.
+  void kill() {
+    *Alive_ = false;
+    World_.Network.refuse(Address_);
+    Followed_.stop();
+    Shards_.stop();
+    Dispatcher_.stop();
+    Node_.stop();
+    Pool_.stop();
+  }
+  asio::awaitable<void> drain() {
+    Draining_ = true;
+    co_await Shards_.drain();
+    Node_.announceLeaving();
+    co_await World_.Timers.sleepFor(std::chrono::milliseconds(2800));
+    if (*Alive_)
+      kill();
+  }
+
+  [[nodiscard]] bool alive() const { return *Alive_; }
+  [[nodiscard]] bool draining() const { return Draining_; }
+  [[nodiscard]] const std::string &address() const { return Address_; }
+  [[nodiscard]] const std::string &member() const { return Member_; }
+  [[nodiscard]] CellGateway &gateway() { return Gateway_; }
+  [[nodiscard]] CellHandler &handler() { return Node_; }
+  [[nodiscard]] JobOwner &jobs() { return Jobs_; }
+  [[nodiscard]] ShardMembership &shards() { return Shards_; }
+  [[nodiscard]] EventLog &events() { return Events_; }
+
+private:
+  void wire() {
+    Peers_.setLocal(Node_);
+    Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
+      Pool_.assign(Shard, Epoch);
+      Jobs_.assign(Shard, Epoch);
+    });
+    Shards_.onRevoked([this](int Shard) {
+      Pool_.revoke(Shard);
+      Jobs_.revoke(Shard);
+    });
+    Pool_.onRecord([this](int Shard, WorkerEntry Entry) {
+      Jobs_.recordWorker(Shard, std::move(Entry));
+    });
+    Pool_.onForget([this](int Shard, const std::string &Worker) {
+      Jobs_.forgetWorker(Shard, Worker);
+    });
+    Jobs_.onWorkersRead(
+        [this](int Shard, const std::vector<WorkerEntry> &Read) {
+          Pool_.restore(Shard, Read);
+        });
+    Jobs_.onWorkerRecorded([this](int Shard, const std::string &Worker) {
+      Pool_.recorded(Shard, Worker);
+    });
+    Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+    Pool_.onEnds([this] { Node_.endsChanged(); });
+    Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+    Jobs_.onWork([this] { Dispatcher_.wake(); });
+    Jobs_.onOpened([this] {
+      Node_.exchangeSoon();
+      Shards_.refreshHolders();
+    });
+    Jobs_.onHoldersNeeded([this] { Shards_.refreshHolders(); });
+    Jobs_.useHolders(
+        [this](int Shard, const std::string &Address, Clock::time_point Since) {
+          return Shards_.listedSince(Shard, Address, Since);
+        });
+    Shards_.onHoldersRead([this] { Jobs_.holdersRead(); });
+    Jobs_.onStop([this](std::vector<RunId> Runs) {
+      Dispatcher_.stopRuns(std::move(Runs));
+    });
+    Adviser_.useProcesses([this] { return Node_.owners(); },
+                          [this] { return Node_.helpers(); });
+  }
+
+  void updateWorkers(const std::map<std::string, std::string> &Values) {
+    std::map<std::string, WorkerEntry> Listed;
+    for (const auto &[Id, Value] : Values) {
+      WorkerEntry Entry = World_.Workers.entry(Id);
+      Entry.Draining = Value == "draining";
+      Listed.emplace(Id, std::move(Entry));
+    }
+    Pool_.updateList(Listed);
+    View_.updateList(std::move(Listed));
+    Dispatcher_.wake();
+  }
+
+  CellWorld &World_;
+  std::string Address_;
+  std::string Member_;
+  ProcessGate Alive_ = std::make_shared<bool>(true);
+  EventLog Events_;
+  Metrics Metrics_;
+  FakeGroupStoreClient Store_;
+  FakeWorkersClient WorkersClient_;
+  FakeCellNetworkClient NetworkClient_;
+  FakeAdviceClient Advice_;
+  ShardMap Map_;
+  ShardMembership Shards_;
+  WorkerPool Pool_;
+  JobOwner Jobs_;
+  CapacityView View_;
+  HttpCellPeer Peers_;
+  AdviceRouter Adviser_;
+  Dispatcher Dispatcher_;
+  CellNode Node_;
+  CellGateway Gateway_;
+  KeyedFollower Followed_;
+  Supervisor Supervisor_;
+  bool Draining_ = false;
+};
+
+/// Whole processes on one store, one set of workers and one network.
+class CellNodeBench {
+public:
+  explicit CellNodeBench(int Shards) : World(Shards) {
+    World.Configuration.Version = 1;
+    QueuePolicy Queue{.Name = "queue", .Service = "pool"};
+    Queue.MaximumAttempts = 3;
+    World.Configuration.Queues.push_back(Queue);
+    World.Workers.GangSize = [this](const std::string &Task) {
+      const auto Name = TaskName::parse(Task);
+      const auto Job = Name ? Jobs_.find(Name->Job) : Jobs_.end();
+      if (Job == Jobs_.end())
+        return 0;
+      const StepSpec &Step =
+          Job->second.Steps[static_cast<std::size_t>(Name->Step)];
+      return Step.Gang ? Step.Count : 0;
+    };
+  }
+
+  /// An id of that shard.
+  [[nodiscard]] std::string idIn(int Shard, int Number = 0) const {
+    for (int I = 0;; ++I) {
+      std::string Id = fmt::format("{:016x}", I);
+      if (ShardMap(World.Shards).shardOf(Id) == Shard && Number-- == 0)
+        return Id;
+    }
+  }
+  void addWorker(const std::string &Id, std::uint64_t Cpus = 4000) {
+    WorkerEntry Entry{.Id = Id, .Service = "pool", .Address = Id + ":80"};
+    Entry.Capacity = {.CpusMilli = Cpus, .MemoryMb = 8000};
+    World.Workers.add(std::move(Entry));
+    World.Store.put(TestCellNode::WorkersTopic, Id, "ready");
+  }
+  TestCellNode &startNode(const std::string &Address) {
+    Nodes_.push_back(
+        std::make_unique<TestCellNode>(World, Address, ++Incarnations_));
+    return *Nodes_.back();
+  }
+  [[nodiscard]] std::vector<TestCellNode *> alive() const {
+    std::vector<TestCellNode *> Found;
+    for (const auto &Node : Nodes_)
+      if (Node->alive())
+        Found.push_back(Node.get());
+    return Found;
+  }
+
+  /// Processes that take part in the group.
+  [[nodiscard]] std::vector<TestCellNode *> members() const {
+    auto Found = alive();
+    std::erase_if(Found, [](const auto *Node) { return Node->draining(); });
+    return Found;
+  }
+
+  [[nodiscard]] JobSpec jobOf(const std::string &Id,
+                              std::vector<StepSpec> Steps) const {
+    return {.Id = Id,
+            .Queue = World.Configuration.Queues.front(),
+            .Steps = std::move(Steps)};
+  }
+  static StepSpec step(int Count, std::uint64_t Cpus = 1000) {
+    StepSpec Step{.Count = Count};
+    Step.Demand = {.CpusMilli = Cpus, .MemoryMb = 100};
+    Step.Estimated = std::chrono::milliseconds(300);
+    return Step;
+  }
+  /// Hands the job in at the process, until it is accepted or refused.
+  void submit(TestCellNode &At, const JobSpec &Job) {
+    World.History.submitted(Job);
+    Jobs_.emplace(Job.Id, Job);
+    asio::co_spawn(World.Context, submitThrough(&At, Job), asio::detached);
+  }
+  void cancel(TestCellNode &At, const std::string &Id) {
+    World.History.cancelSent(Id);
+    asio::co_spawn(World.Context, cancelThrough(&At, Id), asio::detached);
+  }
+
+  /// Advances in steps of 1 ms, so that coroutines go on in between.
+  void run(std::chrono::milliseconds Duration) {
+    poll();
+    for (std::chrono::milliseconds Passed{0}; Passed < Duration;
+         Passed += std::chrono::milliseconds(1)) {
+      World.Timers.advance(std::chrono::milliseconds(1));
+      World.Workers.tick();
+      poll();
+    }
+  }
+
+  /// The state that clients read; the status if there is none.
+  std::string stateOf(const std::string &Id) {
+    for (TestCellNode *Node : alive()) {
+      const JobReference Job{.Id = Id};
+      const JobStateReply Reply = Node->handler().state(Job);
+      if (Reply.Status != 503)
+        return Reply.State.empty() ? std::to_string(Reply.Status) : Reply.State;
+    }
+    return "503";
+  }
+  /// Breaks of rules, once all trouble has ended long ago.
+  const std::vector<std::string> &judge() {
+    World.History.finish([this](const std::string &Id) { return stateOf(Id); });
+    return World.History.violations();
+  }
+
+  /// Events of all processes that name the text, in the order of time.
+  [[nodiscard]] std::string trace(const std::string &Text) const {
+    std::multimap<std::int64_t, std::string> Lines;
+    for (const auto &Node : Nodes_) {
+      const std::string All = Node->events().linesFrom(0);
+      for (std::size_t Begin = 0; Begin < All.size();) {
+        const std::size_t End = All.find('\n', Begin);
+        std::string Line = All.substr(Begin, End - Begin);
+        Begin = End + 1;
+        if (Line.find(Text) == std::string::npos)
+          continue;
+        auto Event = nlohmann::json::parse(Line);
+        const auto At = Event["mono_us"].get<std::int64_t>();
+        for (const char *Unused : {"mono_us", "wall_us", "seq"})
+          Event.erase(Unused);
+        Lines.emplace(At, Event.dump());
+      }
+    }
+    std::string Joined;
+    for (const auto &[At, Line] : Lines)
+      Joined += fmt::format("{} {}\n", At / 1000 - Origin, Line);
+    return Joined;
+  }
+
+  CellWorld World;
+
+private:
+  static constexpr std::int64_t Origin = 3600000; ///< Of the fake clock, ms.
+  static constexpr std::chrono::milliseconds ClientPause{400};
+
+  void poll() {
+    World.Context.restart();
+    World.Context.poll();
+  }
+
+  asio::awaitable<void> submitThrough(TestCellNode *First, JobSpec Job) {
+    TestCellNode *At = First;
+    for (std::size_t Try = 0;; ++Try) {
+      if (At->alive()) {
+        const GatewayAnswer Answer = co_await At->gateway().submit(Job);
+        if (At->alive())
+          World.History.answered(Job.Id, Answer.Status);
+        else
+          World.History.answered(Job.Id, 504);
+        if (Answer.Status == 200 || Answer.Status == 503)
+          co_return;
+      }
+      co_await World.Timers.sleepFor(ClientPause);
+      const auto Others = alive();
+      if (!Others.empty())
+        At = Others[Try % Others.size()];
+    }
+  }
+  asio::awaitable<void> cancelThrough(TestCellNode *First, std::string Id) {
+    TestCellNode *At = First;
+    for (std::size_t Try = 0;; ++Try) {
+      if (At->alive()) {
+        const GatewayAnswer Answer = co_await At->gateway().cancel(Id);
+        if (Answer.Status == 200 || Answer.Status == 410)
+          co_return;
+      }
+      co_await World.Timers.sleepFor(ClientPause);
+      const auto Others = alive();
+      if (!Others.empty())
+        At = Others[Try % Others.size()];
+    }
+  }
+
+  std::map<std::string, JobSpec> Jobs_;
+  std::vector<std::unique_ptr<TestCellNode>> Nodes_;
+  int Incarnations_ = 0;
+};
+
+} // namespace hickory
