--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -280,6 +280,9 @@
       Pool_.recorded(Shard, Worker);
     });
     Pool_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
+    Pool_.useProof([this](int Shard, std::uint64_t Epoch) {
+      return Jobs_.proveTerm(Shard, Epoch);
+    });
     Pool_.onEnds([this] { Node_.endsChanged(); });
     Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
     Jobs_.onWork([this] { Dispatcher_.wake(); });
@@ -289,12 +292,12 @@
     });
     Jobs_.onHoldersNeeded([this] { Shards_.refreshHolders(); });
     Jobs_.useHolders(
-        [this](int Shard, const std::string &Address, Clock::time_point Since) {
-          return Shards_.listedSince(Shard, Address, Since);
+        [this](int Shard, const std::string &Member, Clock::time_point Since) {
+          return Shards_.listedSince(Shard, Member, Since);
         });
     Shards_.onHoldersRead([this] { Jobs_.holdersRead(); });
     Jobs_.onStop([this](std::vector<RunId> Runs) {
-      Dispatcher_.stopRuns(std::move(Runs));
+      Dispatcher_.orders().stopRuns(std::move(Runs));
     });
     Adviser_.useProcesses([this] { return Node_.owners(); },
                           [this] { return Node_.helpers(); });
@@ -427,8 +430,7 @@
   /// The state that clients read; the status if there is none.
   std::string stateOf(const std::string &Id) {
     for (TestCellNode *Node : alive()) {
-      const JobReference Job{.Id = Id};
-      const JobStateReply Reply = Node->handler().state(Job);
+      const JobStateReply Reply = Node->jobs().state(Id);
       if (Reply.Status != 503)
         return Reply.State.empty() ? std::to_string(Reply.Status) : Reply.State;
     }
