Count no run as absent while its stop has no answer

An exchange without the run ended it, the task was started elsewhere, and the placement arrived after that.

Change: a run counts as being ordered until its stop is answered. A report that was asked for in the very moment a takeover began no longer counts for it.

--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -539,7 +539,7 @@
     if (!Worker.Resolved)
       Unclear.insert(Map_.shardOf(Worker.Id));
   for (auto &[Number, Owner] : Shards_) {
-    if (!Owner.Ready || Owner.Resolved || SentAt < Owner.ReadyAt)
+    if (!Owner.Ready || Owner.Resolved || SentAt <= Owner.ReadyAt)
       continue;
     for (const HeldShard &Item : Reply.Held)
       if (Item.Ready && !Unclear.contains(Item.Shard))
--- a/Source/Cell/RunOrders.cpp
+++ b/Source/Cell/RunOrders.cpp
@@ -251,7 +251,9 @@
 }
 
 bool RunOrders::isOrdering(const RunId &Run) const {
-  return Ordering_.contains(keyOf(Run));
+  const std::string Key = keyOf(Run);
+  // A placement without an answer may arrive until its stop is answered.
+  return Ordering_.contains(Key) || Stopping_.contains(Key);
 }
 
 void RunOrders::stopRuns(std::vector<RunId> Runs) {
@@ -266,7 +268,7 @@
   // its exchange and stops it.
   while (!Stopped_ && Jobs_.epochOf(Map_.shardOf(Run.Task.Job))) {
     // Ordered after the placement, which may still be on its way.
-    if (!isOrdering(Run)) {
+    if (!Ordering_.contains(keyOf(Run))) {
       const auto Holder = Shards_.holderOf(Map_.shardOf(Run.Worker));
       if (Holder) {
         StopRequest Request;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -98,7 +98,9 @@
 asio::awaitable<void> WorkerAgent::run() {
   const auto Self = shared_from_this();
   while (!Stopping_) {
-    HoldOrder Order{.Acknowledged = acknowledged()};
+    // After a break of contact another incarnation may answer, whose ends have
+    // the same numbers.
+    HoldOrder Order{.Acknowledged = Reachable_ ? acknowledged() : 0};
     // Without contact the lease is left to end: every order that is sent may
     // arrive and extend it.
     if (ClockKnown_ && Reachable_) {
