--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -244,6 +244,7 @@
   CPPUNIT_TEST_SUITE(CellNodePropertyTest);
   CPPUNIT_TEST(testRunsThatBrokeARuleBefore);
   CPPUNIT_TEST(propertyTroubleBreaksNoRule);
+  CPPUNIT_TEST(propertyTroubleBreaksNoRuleOfScheduledJobs);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,10 +272,18 @@
       CPPUNIT_ASSERT(Run.bench().World.History.violations().empty());
       return;
     }
-    const bool Holds = rc::check("no rule breaks under trouble", [] {
+    playRandomRuns(false);
+  }
+
+  // Guards against occurrences of scheduled jobs that a new owner starts again.
+  void propertyTroubleBreaksNoRuleOfScheduledJobs() { playRandomRuns(true); }
+
+private:
+  static void playRandomRuns(bool Times) {
+    const bool Holds = rc::check("no rule breaks under trouble", [Times] {
       const auto Seed =
           *rc::gen::noShrink(rc::gen::inRange<std::uint64_t>(0, 1U << 31));
-      const std::string Breaks = breaksOf(Seed, false);
+      const std::string Breaks = breaksOf(Seed, Times);
       RC_LOG(Breaks);
       RC_ASSERT(Breaks.empty());
     });
