--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -428,9 +428,13 @@
         confirmUnknown(Journal, std::move(Other.Records), Other.Confirmed));
   co_await waitForAll(Executor_, std::move(Writes));
   EndsReply Reply;
-  for (const auto &[Job, Accepted] : Answers)
+  for (const auto &[Job, Accepted] : Answers) {
     Reply.Accepted.push_back(Job ? Job->WrittenVersion == Job->Version
                                  : *Accepted);
+    if (Job && Reply.Accepted.back())
+      Reply.Owners.push_back(
+          {.Shard = Job->Shard, .Epoch = Job->Journal->epoch()});
+  }
   co_return Reply;
 }
 
@@ -539,7 +543,7 @@
     if (!Worker.Resolved)
       Unclear.insert(Map_.shardOf(Worker.Id));
   for (auto &[Number, Owner] : Shards_) {
-    if (!Owner.Ready || Owner.Resolved || SentAt < Owner.ReadyAt)
+    if (!Owner.Ready || Owner.Resolved || SentAt <= Owner.ReadyAt)
       continue;
     for (const HeldShard &Item : Reply.Held)
       if (Item.Ready && !Unclear.contains(Item.Shard))
