--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -183,9 +183,10 @@
 }
 
 void ShardMembership::fenced(int Shard) {
-  if (!Held_.contains(Shard))
+  const auto It = Held_.find(Shard);
+  if (It == Held_.end())
     return;
-  FencedAt_[Shard] = Generation_;
+  FencedAt_[Shard] = It->second;
   revoke(Shard);
 }
 
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -129,7 +129,7 @@
   Revoked Revoked_;
   AskRelief AskRelief_;
   std::map<int, std::uint64_t> Held_;
-  std::map<int, std::uint64_t> FencedAt_; ///< Generation at that time.
+  std::map<int, std::uint64_t> FencedAt_; ///< Epoch that was refused.
   std::map<int, std::string> Holders_;
   std::map<int, std::uint64_t> HighestEpoch_; ///< That anybody claimed.
   Signal JoinDue_;
--- a/Tests/Cell/ShardMembershipTest.cpp
+++ b/Tests/Cell/ShardMembershipTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(testShardsAreKeptWhileTheStoreIsAway);
   CPPUNIT_TEST(testChangesDuringAbsenceAreNotMissed);
   CPPUNIT_TEST(testFencedShardIsTakenAgainInLaterGenerationOnly);
+  CPPUNIT_TEST(testShardFencedInAnEarlierTermIsTakenInTheCurrentOne);
   CPPUNIT_TEST(testClaimOfFormerHolderIsRefused);
   CPPUNIT_TEST(testPredecessorAtTheSameAddressIsRemoved);
   CPPUNIT_TEST(testSmallProcessOwnsOnlyWhatOthersDoNot);
@@ -102,6 +103,21 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Bench.Shards.held().at(1));
   }
 
+  // All shards were dealt anew twice between two joins, so that the holder kept
+  // its first term and was fenced in it. The shard then had no owner.
+  void testShardFencedInAnEarlierTermIsTakenInTheCurrentOne() {
+    MembershipBench Bench;
+    Bench.Store.Membership = {.Generation = 4, .Shards = {1}};
+    Bench.start();
+    Bench.Store.Membership.Generation = 6;
+    Bench.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Bench.Shards.held().at(1));
+    Bench.Shards.fenced(1);
+    Bench.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Shards.held().size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Bench.Shards.held().at(1));
+  }
+
   // fleetbench trouble-1: a process that the store turned away still claimed
   // its shards, and others took its word for what ran there.
   void testClaimOfFormerHolderIsRefused() {
