--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -59,7 +59,16 @@
   Pool_.onEnds([this] { Node_.endsChanged(); });
   Jobs_.onFenced([this](int Shard) { Shards_.fenced(Shard); });
   Jobs_.onWork([this] { Dispatcher_.wake(); });
-  Jobs_.onOpened([this] { Node_.exchangeSoon(); });
+  Jobs_.onOpened([this] {
+    Node_.exchangeSoon();
+    Shards_.refreshHolders();
+  });
+  Jobs_.onHoldersNeeded([this] { Shards_.refreshHolders(); });
+  Jobs_.useHolders(
+      [this](int Shard, const std::string &Address, Clock::time_point Since) {
+        return Shards_.listedSince(Shard, Address, Since);
+      });
+  Shards_.onHoldersRead([this] { Jobs_.holdersRead(); });
   Jobs_.onStop([this](std::vector<RunId> Runs) {
     Dispatcher_.stopRuns(std::move(Runs));
   });
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -94,7 +94,7 @@
     Waiting_[Address] = Reply->Waiting;
   if (Address != Options_.Address)
     Starts_.hearClaims(Address, Reply->Claims);
-  Jobs_.applyExchange(*Reply, SentAt, [this](const RunId &Run) {
+  Jobs_.applyExchange(Address, *Reply, SentAt, [this](const RunId &Run) {
     return Starts_.isOrdering(Run);
   });
   Starts_.wake();
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -96,9 +96,10 @@
   /// Starts what has a place and a valid ticket, and asks for advice on the
   /// rest.
   void serve(const ReadyItem &Item);
+  /// True if an order of the step's job may go to the holder of the worker.
+  [[nodiscard]] bool mayOrder(const ReadyItem &Item, const std::string &Worker);
   /// Workers that may run the step; for a gang also those without room now.
-  [[nodiscard]] std::vector<Candidate>
-  candidatesFor(const ReadyItem &Item) const;
+  [[nodiscard]] std::vector<Candidate> candidatesFor(const ReadyItem &Item);
   /// Asks the holders of claimed workers to stop less urgent runs there.
   void makeRoom(const ReadyItem &Item,
                 const std::vector<ClaimedWorker> &Claimed);
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -15,6 +15,8 @@
 constexpr const char *JobPrefix = "j/";
 constexpr const char *ProgressPrefix = "p/";
 constexpr const char *WorkerPrefix = "w/";
+/// Never written with a value.
+constexpr const char *ProofKey = "t/";
 constexpr std::chrono::milliseconds RecordRetry{200};
 
 constexpr int Accepted = 200;
@@ -466,12 +468,13 @@
 }
 
 void JobOwner::applyExchange(
-    const ExchangeReply &Reply, Clock::time_point SentAt,
+    const std::string &Address, const ExchangeReply &Reply,
+    Clock::time_point SentAt,
     const std::function<bool(const RunId &)> &Ordering) {
   for (const RunReport &Report : Reply.Runs)
     applyRunReport(Report);
   endAbsent(Reply, SentAt, Ordering);
-  markCleared(Reply, SentAt);
+  noteReported(Address, Reply, SentAt);
 }
 
 void JobOwner::endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
@@ -508,23 +511,46 @@
     }
 }
 
-void JobOwner::markCleared(const ExchangeReply &Reply,
-                           Clock::time_point SentAt) {
+void JobOwner::noteReported(const std::string &Address,
+                            const ExchangeReply &Reply,
+                            Clock::time_point SentAt) {
   std::set<int> Unclear;
   for (const WorkerLoad &Worker : Reply.Workers)
     if (!Worker.Resolved)
       Unclear.insert(Map_.shardOf(Worker.Id));
   for (auto &[Number, Owner] : Shards_) {
-    if (!Owner.Ready || SentAt < Owner.ReadyAt)
+    if (!Owner.Ready || Owner.Resolved || SentAt < Owner.ReadyAt)
       continue;
     for (const HeldShard &Item : Reply.Held)
       if (Item.Ready && !Unclear.contains(Item.Shard))
-        Owner.Cleared.insert(Item.Shard);
-    if (static_cast<int>(Owner.Cleared.size()) == Map_.count())
-      resolve(Owner);
+        Owner.Reported[Item.Shard] = Address;
+    resolveIfReported(Owner);
+    const bool All = static_cast<int>(Owner.Reported.size()) == Map_.count();
+    if (!Owner.Resolved && All && HoldersNeeded_)
+      HoldersNeeded_();
   }
 }
 
+void JobOwner::holdersRead() {
+  for (auto &[Number, Owner] : Shards_)
+    if (Owner.Ready && !Owner.Resolved)
+      resolveIfReported(Owner);
+}
+
+void JobOwner::resolveIfReported(Shard &Owner) {
+  // A process that has not heard of the loss of its shard reports what it knew
+  // before; only what the store lists since the takeover counts.
+  const bool Complete =
+      static_cast<int>(Owner.Reported.size()) == Map_.count() &&
+      std::ranges::all_of(Owner.Reported, [&](const auto &Item) {
+        return Listed_ && Listed_(Item.first, Item.second, Owner.ReadyAt);
+      });
+  if (!Complete)
+    return;
+  Owner.Resolved = true;
+  resolve(Owner);
+}
+
 void JobOwner::resolve(Shard &Owner) {
   std::vector<JobPointer> Jobs;
   for (const auto &[Id, Job] : Owner.Jobs)
@@ -578,6 +604,34 @@
   return It == Shards_.end() ? std::nullopt : std::optional(It->second.Epoch);
 }
 
+bool JobOwner::provedSince(int Number, Clock::time_point Since) const {
+  const auto Journal = journalOf(Number);
+  return Journal && Journal->provedAt() > Since;
+}
+
+void JobOwner::prove(int Number) {
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end() || !It->second.Ready || It->second.Proving)
+    return;
+  It->second.Proving = true;
+  asio::co_spawn(Executor_,
+                 appendProof(Number, It->second.Epoch, It->second.Journal),
+                 asio::detached);
+}
+
+asio::awaitable<void> JobOwner::appendProof(int Number, std::uint64_t Epoch,
+                                            JournalPointer Journal) {
+  std::vector<KeyedRecord> Records;
+  Records.push_back({.Key = ProofKey});
+  co_await write(std::move(Journal), std::move(Records));
+  const auto It = Shards_.find(Number);
+  if (It == Shards_.end() || It->second.Epoch != Epoch)
+    co_return;
+  It->second.Proving = false;
+  if (Work_)
+    Work_();
+}
+
 std::map<std::string, int> JobOwner::waiting() const {
   std::map<std::string, int> Counts;
   for (const auto &[Id, Job] : Active_)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -80,6 +80,19 @@
   }
   void recordWorker(int Shard, WorkerEntry Entry);
   void forgetWorker(int Shard, const std::string &Worker);
+  /// Tells whether the store, asked after that time, named the address as the
+  /// holder of the shard. Without it, takeovers do not end.
+  void useHolders(std::function<bool(int Shard, const std::string &Address,
+                                     Clock::time_point Since)>
+                      Listed) {
+    Listed_ = std::move(Listed);
+  }
+  /// A takeover waits for the store to list the holders.
+  void onHoldersNeeded(std::function<void()> Callback) {
+    HoldersNeeded_ = std::move(Callback);
+  }
+  /// The store has listed the holders.
+  void holdersRead();
 
   /// These runs must be stopped.
   void onStop(std::function<void(std::vector<RunId>)> Callback) {
@@ -95,9 +108,10 @@
   [[nodiscard]] JobStateReply state(const std::string &Id) const;
   asio::awaitable<EndsReply> ends(EndsRequest Request);
 
-  /// What a worker owner says of the workers that it holds, in answer to a
-  /// call that was sent at SentAt.
-  void applyExchange(const ExchangeReply &Reply, Clock::time_point SentAt,
+  /// What the worker owner at the address says of the workers that it holds,
+  /// in answer to a call that was sent at SentAt.
+  void applyExchange(const std::string &Address, const ExchangeReply &Reply,
+                     Clock::time_point SentAt,
                      const std::function<bool(const RunId &)> &Ordering);
   /// Demands that the worker owner asked for in that answer.
   [[nodiscard]] std::vector<RunDemand>
@@ -116,6 +130,11 @@
   [[nodiscard]] int shardCount() const { return Map_.count(); }
   [[nodiscard]] std::vector<ShardEpoch> held() const;
   [[nodiscard]] std::optional<std::uint64_t> epochOf(int Shard) const;
+  /// True if the shard's journal accepted an append that was sent after that
+  /// time: no later owner had opened the shard then.
+  [[nodiscard]] bool provedSince(int Shard, Clock::time_point Since) const;
+  /// Appends to the shard's journal, so that provedSince() will hold.
+  void prove(int Shard);
   /// Unfinished jobs of all shards whose journal was read.
   [[nodiscard]] const std::map<std::string, JobPointer> &active() const {
     return Active_;
@@ -131,7 +150,10 @@
     JournalPointer Journal;
     bool Ready = false;
     Clock::time_point ReadyAt{};
-    std::set<int> Cleared; ///< Shards of workers that reported since.
+    /// Addresses that reported all runs on the workers of a shard since.
+    std::map<int, std::string> Reported;
+    bool Resolved = false;
+    bool Proving = false;
     std::unordered_map<std::string, JobPointer> Jobs;
   };
 
@@ -162,8 +184,13 @@
              const std::string &Checkpoint);
   void endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
                  const std::function<bool(const RunId &)> &Ordering);
-  void markCleared(const ExchangeReply &Reply, Clock::time_point SentAt);
+  void noteReported(const std::string &Address, const ExchangeReply &Reply,
+                    Clock::time_point SentAt);
+  /// Ends the takeover once the holders of all shards have reported.
+  void resolveIfReported(Shard &Owner);
   void resolve(Shard &Owner);
+  asio::awaitable<void> appendProof(int Number, std::uint64_t Epoch,
+                                    JournalPointer Journal);
 
   asio::any_io_executor Executor_;
   TimerService &Timers_;
@@ -177,6 +204,8 @@
   std::function<void(int, std::vector<WorkerEntry>)> WorkersRead_;
   std::function<void(int, const std::string &)> WorkerRecorded_;
   std::function<void(std::vector<RunId>)> Stop_;
+  std::function<bool(int, const std::string &, Clock::time_point)> Listed_;
+  std::function<void()> HoldersNeeded_;
   std::map<int, Shard> Shards_;
   std::map<std::string, JobPointer> Active_;
 };
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -44,6 +44,7 @@
   for (int Failures = 0; !Stopped_; ++Failures) {
     AppendStamp Stamp{
         .Producer = Options_.Producer, .Epoch = Options_.Epoch, .Sequence = 0};
+    const Clock::time_point SentAt = Timers_.now();
     const auto Reply = co_await Store_.append(
         Options_.Topic, Options_.Shard, std::vector<KeyedRecord>(),
         std::move(Stamp), timeoutAfter(Failures));
@@ -52,6 +53,7 @@
       co_return std::nullopt;
     }
     if (Reply && Reply->Status != AppendStatus::NotDone) {
+      ProvedAt_ = SentAt;
       auto Records = co_await readAll();
       if (Records)
         co_return Records;
@@ -128,6 +130,7 @@
       Answers_.answered(Timers_.now() - LastTry_);
     if (Reply && Reply->Status == AppendStatus::Appended) {
       FailingSince_.reset();
+      ProvedAt_ = LastTry_;
       ++NextSequence_;
       finish(Entries, JournalOutcome::Written);
       co_return;
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -67,6 +67,9 @@
   void stop();
   [[nodiscard]] int shard() const { return Options_.Shard; }
   [[nodiscard]] std::uint64_t epoch() const { return Options_.Epoch; }
+  /// When the latest append that succeeded was sent: this term had not been
+  /// followed by another one at that time.
+  [[nodiscard]] Clock::time_point provedAt() const { return ProvedAt_; }
   /// Time since the first failed try to append; zero if the latest succeeded.
   [[nodiscard]] Clock::duration failingFor() const {
     return FailingSince_ ? Timers_.now() - *FailingSince_
@@ -109,6 +112,7 @@
   std::uint64_t NextSequence_ = 1;
   std::optional<Clock::time_point> FailingSince_;
   Clock::time_point LastTry_{};
+  Clock::time_point ProvedAt_{};
   bool Appending_ = false;
   AnswerTime Answers_;
   bool Stopped_ = false;
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -158,8 +158,8 @@
       continue;
     FencedAt_.erase(Shard);
     Held_[Shard] = Generation_;
-    HighestEpoch_[Shard] = std::max(HighestEpoch_[Shard], Generation_);
     Holders_[Shard] = addressOf(Options_.Member);
+    learn(Shard, Generation_, Holders_[Shard]);
     Events_.emit("shards", "assigned",
                  {{"shard", Shard}, {"epoch", Generation_}});
     if (Assigned_)
@@ -192,10 +192,9 @@
 
 bool ShardMembership::heard(int Shard, std::uint64_t Epoch,
                             const std::string &Address) {
-  std::uint64_t &Highest = HighestEpoch_[Shard];
-  if (Epoch < Highest)
+  if (Epoch < Terms_[Shard].Epoch)
     return false;
-  Highest = Epoch;
+  learn(Shard, Epoch, Address);
   const auto It = Held_.find(Shard);
   if (It != Held_.end() && It->second >= Epoch)
     return true;
@@ -205,6 +204,29 @@
   return true;
 }
 
+void ShardMembership::learn(int Shard, std::uint64_t Epoch,
+                            const std::string &Address) {
+  Term &Known = Terms_[Shard];
+  if (Epoch > Known.Epoch)
+    Known = {.Epoch = Epoch, .Address = Address, .KnownSince = Timers_.now()};
+}
+
+std::optional<Clock::time_point>
+ShardMembership::termKnownSince(int Shard) const {
+  const auto Holder = Holders_.find(Shard);
+  const auto Known = Terms_.find(Shard);
+  if (Holder == Holders_.end() || Known == Terms_.end() ||
+      Known->second.Address != Holder->second)
+    return std::nullopt;
+  return Known->second.KnownSince;
+}
+
+bool ShardMembership::listedSince(int Shard, const std::string &Address,
+                                  Clock::time_point Since) const {
+  const auto It = Listed_.find(Shard);
+  return ListedAt_ >= Since && It != Listed_.end() && It->second == Address;
+}
+
 asio::awaitable<void> ShardMembership::readHolders() {
   const Clock::time_point AskedAt = Timers_.now();
   const auto Rows = co_await Store_.holders(Options_.Group);
@@ -219,6 +241,8 @@
       Holders[Row.Shard] = addressOf(Row.Member);
       Members_.insert(Row.Member);
     }
+  Listed_ = Holders;
+  ListedAt_ = AskedAt;
   const std::string Own = addressOf(Options_.Member);
   for (const auto &[Shard, Epoch] : Held_)
     Holders[Shard] = Own;
@@ -227,6 +251,8 @@
     return Item.second == Own && !Held_.contains(Item.first);
   });
   Holders_ = std::move(Holders);
+  if (HoldersReadCallback_)
+    HoldersReadCallback_();
 }
 
 asio::awaitable<void> ShardMembership::followHolders() {
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -86,7 +86,12 @@
   /// Members have left: asks the store at once for the shards that are free.
   void joinSoon() {
     JoinDue_.notify();
-    HoldersDue_.notify();
+    refreshHolders();
+  }
+  void refreshHolders() { HoldersDue_.notify(); }
+  /// Called when the store has listed the holders of all shards.
+  void onHoldersRead(std::function<void()> Callback) {
+    HoldersReadCallback_ = std::move(Callback);
   }
 
   /// Takes a member that does not reach the store out of the group, so that its
@@ -103,8 +108,23 @@
   /// Another process says that it holds the shard in this epoch. Returns false
   /// if a later holder is known, so that the claim is out of date.
   bool heard(int Shard, std::uint64_t Epoch, const std::string &Address);
+  /// When this process learned of the term of the shard's holder; nothing if
+  /// that holder has not been heard itself.
+  [[nodiscard]] std::optional<Clock::time_point>
+  termKnownSince(int Shard) const;
+  /// True if the store, asked after that time, named the address as holder.
+  [[nodiscard]] bool listedSince(int Shard, const std::string &Address,
+                                 Clock::time_point Since) const;
 
 private:
+  /// The latest term of a shard's holder that anybody claimed.
+  struct Term {
+    std::uint64_t Epoch = 0;
+    std::string Address;
+    Clock::time_point KnownSince{};
+  };
+
+  void learn(int Shard, std::uint64_t Epoch, const std::string &Address);
   asio::awaitable<void> readHolders();
   asio::awaitable<void> followHolders();
   /// Members of that address, without this process.
@@ -131,7 +151,10 @@
   std::map<int, std::uint64_t> Held_;
   std::map<int, std::uint64_t> FencedAt_; ///< Epoch that was refused.
   std::map<int, std::string> Holders_;
-  std::map<int, std::uint64_t> HighestEpoch_; ///< That anybody claimed.
+  std::map<int, Term> Terms_;
+  std::map<int, std::string> Listed_; ///< By the store.
+  Clock::time_point ListedAt_{};      ///< When the store was asked for these.
+  std::function<void()> HoldersReadCallback_;
   Signal JoinDue_;
   Signal HoldersDue_;
   std::uint64_t Generation_ = 0;
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -20,12 +20,16 @@
 }
 
 constexpr const char *FirstTask = "0123456789abcdef.0.0.0";
+constexpr const char *Holder = "10.0.0.2:7000";
 
 struct OwnerBench : CellTestBench {
   std::unique_ptr<JobOwner> owner(std::uint64_t Epoch, int Shards = 1) {
     auto Owner =
         std::make_unique<JobOwner>(Context.get_executor(), Timers, Store,
                                    Events, ShardMap(Shards), JobOwnerOptions{});
+    Owner->useHolders([this](int, const std::string &, Clock::time_point) {
+      return HoldersListed;
+    });
     for (int Shard = 0; Shard < Shards; ++Shard)
       Owner->assign(Shard, Epoch);
     run(100ms);
@@ -77,6 +81,7 @@
             .Runs = std::move(Runs)};
   }
   static bool nothingOrdered(const RunId & /*Run*/) { return false; }
+  bool HoldersListed = true; ///< The store names Holder for all shards.
 };
 
 } // namespace
@@ -90,6 +95,8 @@
   CPPUNIT_TEST(testEndIsAcceptedOnlyOnceItIsStored);
   CPPUNIT_TEST(testCompletedIsShownOnlyOnceItIsStored);
   CPPUNIT_TEST(testNewOwnerStartsNothingBeforeAllWorkersReported);
+  CPPUNIT_TEST(testTakeoverBelievesOnlyHoldersThatTheStoreLists);
+  CPPUNIT_TEST(testTermIsProvedOnlyByAnAppendSentAfterwards);
   CPPUNIT_TEST(testNewOwnerHearsOfEndsBeforeItStartsAgain);
   CPPUNIT_TEST(testRunThatItsWorkerNoLongerHasIsStartedAgain);
   CPPUNIT_TEST(testPendingOrderIsNotEndedByAnOlderExchange);
@@ -186,20 +193,56 @@
     CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
     ExchangeReply Reply = Bench.report({});
     Reply.Workers.front().Resolved = false;
-    Later->applyExchange(Reply, Bench.Timers.now(), OwnerBench::nothingOrdered);
+    Later->applyExchange(Holder, Reply, Bench.Timers.now(),
+                         OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
-    Later->applyExchange(Bench.report({}), Bench.Timers.now(),
+    Later->applyExchange(Holder, Bench.report({}), Bench.Timers.now(),
                          OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
   }
 
   // fleetbench trouble-1: TWICE, started again after an end that was listed.
+  // A process that had not heard of the loss of its shard reported what it knew
+  // before; its successor had started a task of the job since.
+  void testTakeoverBelievesOnlyHoldersThatTheStoreLists() {
+    OwnerBench Bench;
+    Bench.submit(*Bench.owner(1));
+    const auto Later = Bench.owner(2);
+    const auto &Job = Later->active().begin()->second;
+    Bench.HoldersListed = false;
+    Later->applyExchange(Holder, Bench.report({}), Bench.Timers.now(),
+                         OwnerBench::nothingOrdered);
+    CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
+    Bench.HoldersListed = true;
+    Later->holdersRead();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
+  }
+
+  // An owner that had been followed by another one placed tasks through a
+  // worker's holder that the new owner did not know of.
+  void testTermIsProvedOnlyByAnAppendSentAfterwards() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    const Clock::time_point Learned = Bench.Timers.now();
+    Bench.run(10ms);
+    CPPUNIT_ASSERT(!Owner->provedSince(0, Learned));
+    Owner->prove(0);
+    Bench.run(200ms);
+    CPPUNIT_ASSERT(Owner->provedSince(0, Learned));
+    const auto Later = Bench.owner(2);
+    const Clock::time_point Followed = Bench.Timers.now();
+    Owner->prove(0);
+    Bench.run(2s);
+    CPPUNIT_ASSERT(!Owner->provedSince(0, Followed));
+  }
+
   void testNewOwnerHearsOfEndsBeforeItStartsAgain() {
     OwnerBench Bench;
     Bench.submit(*Bench.owner(1));
     const auto Later = Bench.owner(2);
     const auto Job = Later->active().begin()->second;
     Later->applyExchange(
+        Holder,
         Bench.report(
             {{.Task = FirstTask, .Run = 1, .Worker = "w", .How = "done"}}),
         Bench.Timers.now(), OwnerBench::nothingOrdered);
@@ -213,15 +256,15 @@
     Bench.startFirst(*Owner);
     const auto &Job = Owner->active().begin()->second;
     // An answer to a call from before the start says nothing.
-    Owner->applyExchange(Bench.report({}), Bench.Timers.now() - 1ms,
+    Owner->applyExchange(Holder, Bench.report({}), Bench.Timers.now() - 1ms,
                          OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
     Bench.run(10ms);
     // Nor while the order itself has no answer.
-    Owner->applyExchange(Bench.report({}), Bench.Timers.now(),
+    Owner->applyExchange(Holder, Bench.report({}), Bench.Timers.now(),
                          [](const RunId &) { return true; });
     CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
-    Owner->applyExchange(Bench.report({}), Bench.Timers.now(),
+    Owner->applyExchange(Holder, Bench.report({}), Bench.Timers.now(),
                          OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
   }
@@ -238,7 +281,8 @@
     const Clock::time_point SentAt = Bench.Timers.now();
     Bench.run(10ms);
     Owner->ordered(OwnerBench::firstRun());
-    Owner->applyExchange(Bench.report({}), SentAt, OwnerBench::nothingOrdered);
+    Owner->applyExchange(Holder, Bench.report({}), SentAt,
+                         OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT(Job->Progress.readySteps().empty());
   }
 
@@ -248,7 +292,7 @@
     std::vector<RunId> Stopped;
     Owner->onStop([&Stopped](std::vector<RunId> Runs) { Stopped = Runs; });
     Owner->applyExchange(
-        Bench.report({{.Task = FirstTask, .Run = 1, .Worker = "w"}}),
+        Holder, Bench.report({{.Task = FirstTask, .Run = 1, .Worker = "w"}}),
         Bench.Timers.now(), OwnerBench::nothingOrdered);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Stopped.size());
   }
--- a/Tests/Cell/ShardMembershipTest.cpp
+++ b/Tests/Cell/ShardMembershipTest.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(testFencedShardIsTakenAgainInLaterGenerationOnly);
   CPPUNIT_TEST(testShardFencedInAnEarlierTermIsTakenInTheCurrentOne);
   CPPUNIT_TEST(testClaimOfFormerHolderIsRefused);
+  CPPUNIT_TEST(testTermIsKnownOnceItsHolderIsHeard);
+  CPPUNIT_TEST(testHolderIsListedOnlyByALaterReading);
   CPPUNIT_TEST(testPredecessorAtTheSameAddressIsRemoved);
   CPPUNIT_TEST(testSmallProcessOwnsOnlyWhatOthersDoNot);
   CPPUNIT_TEST(testLostAnswersToJoinsLeaveTimeForAnother);
@@ -118,6 +120,38 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Bench.Shards.held().at(1));
   }
 
+  // The store's list names a holder before that one has been heard. What a
+  // former holder says until then must not count for the new one.
+  void testTermIsKnownOnceItsHolderIsHeard() {
+    MembershipBench Bench;
+    Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/a"}};
+    Bench.start();
+    CPPUNIT_ASSERT(!Bench.Shards.termKnownSince(7));
+    Bench.Shards.heard(7, 9, "10.0.0.2:7000");
+    const auto Since = Bench.Shards.termKnownSince(7);
+    CPPUNIT_ASSERT(Since && *Since == Bench.Timers.now());
+    Bench.run(100ms);
+    Bench.Shards.heard(7, 9, "10.0.0.2:7000");
+    CPPUNIT_ASSERT(*Bench.Shards.termKnownSince(7) == *Since);
+    Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.3:7000/a"}};
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!Bench.Shards.termKnownSince(7));
+    Bench.Shards.heard(7, 11, "10.0.0.3:7000");
+    CPPUNIT_ASSERT(*Bench.Shards.termKnownSince(7) > *Since);
+  }
+
+  void testHolderIsListedOnlyByALaterReading() {
+    MembershipBench Bench;
+    Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/a"}};
+    Bench.start();
+    const Clock::time_point Opened = Bench.Timers.now();
+    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.2:7000", Opened));
+    Bench.Shards.refreshHolders();
+    Bench.run(10ms);
+    CPPUNIT_ASSERT(Bench.Shards.listedSince(7, "10.0.0.2:7000", Opened));
+    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.3:7000", Opened));
+  }
+
   // fleetbench trouble-1: a process that the store turned away still claimed
   // its shards, and others took its word for what ran there.
   void testClaimOfFormerHolderIsRefused() {
