--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -68,16 +68,34 @@
     if (Spec_.Repetitions > 0 &&
         SinceEpoch < Spec_.FirstRun + Number * Spec_.Interval)
       break;
-    Occurrence &New = Occurrences_.emplace_back();
-    New.Number = Number;
-    for (const StepSpec &Step : Spec_.Steps)
-      New.Steps.emplace_back().Tasks.resize(
-          static_cast<std::size_t>(Step.Count));
+    addOccurrence();
     Added = true;
   }
   return Added;
 }
 
+void JobProgress::addOccurrence() {
+  const auto Number = static_cast<int>(Occurrences_.size());
+  Occurrence &New = Occurrences_.emplace_back();
+  New.Number = Number;
+  for (const StepSpec &Spec : Spec_.Steps) {
+    StepProgress &Step = New.Steps.emplace_back();
+    Step.Tasks.resize(static_cast<std::size_t>(Spec.Count));
+    if (!Unknown_)
+      continue;
+    // The former owner may have begun it.
+    Step.LastRun = RunGapAfterTakeover;
+    for (TaskProgress &Task : Step.Tasks)
+      Task.Phase = TaskPhase::Unknown;
+  }
+}
+
+void JobProgress::addOccurrenceOf(const TaskName &Task) {
+  while (!finished() && Task.Occurrence < Spec_.Repetitions &&
+         Task.Occurrence >= static_cast<int>(Occurrences_.size()))
+    addOccurrence();
+}
+
 StepProgress *JobProgress::stepOf(const TaskName &Task) {
   if (Task.Occurrence >= static_cast<int>(Occurrences_.size()))
     return nullptr;
@@ -191,6 +209,7 @@
                                         const std::string &Checkpoint,
                                         Clock::time_point Now) {
   ProgressEffect Effect;
+  addOccurrenceOf(Run.Task);
   StepProgress *Step = stepOf(Run.Task);
   if (Step == nullptr || finished()) {
     Effect.Stop.push_back(Run);
@@ -272,6 +291,7 @@
                                       const std::string &Checkpoint,
                                       Clock::time_point Now) {
   ProgressEffect Effect;
+  addOccurrenceOf(Run.Task);
   StepProgress *Step = stepOf(Run.Task);
   if (Step == nullptr || finished())
     return Effect;
@@ -340,14 +360,13 @@
 }
 
 void JobProgress::markAllUnknown() {
+  Unknown_ = true;
   for (Occurrence &In : Occurrences_)
     for (StepProgress &Step : In.Steps) {
       Step.LastRun += RunGapAfterTakeover;
       for (TaskProgress &Task : Step.Tasks)
-        if (Task.Phase != TaskPhase::Done) {
+        if (Task.Phase != TaskPhase::Done)
           Task.Phase = TaskPhase::Unknown;
-          Unknown_ = true;
-        }
     }
 }
 
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -138,6 +138,9 @@
   void restore(const nlohmann::json &Durable);
 
 private:
+  void addOccurrence();
+  /// A run of an occurrence shows that it is due, whatever the clock here says.
+  void addOccurrenceOf(const TaskName &Task);
   StepProgress *stepOf(const TaskName &Task);
   [[nodiscard]] bool dependenciesDone(const Occurrence &In, int Step) const;
   void endDone(const RunId &Run, StepProgress &Step, ProgressEffect &Effect);
@@ -152,7 +155,7 @@
   JobSpec Spec_;
   std::vector<Occurrence> Occurrences_;
   JobState State_ = JobState::Pending;
-  bool Unknown_ = false;
+  bool Unknown_ = false; ///< After a takeover, until all runs are known.
 };
 
 } // namespace hickory
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -60,6 +60,19 @@
     run(2s);
     return **Status;
   }
+  /// A job that is due now and once more in an hour.
+  void submitTimed(JobOwner &Owner) {
+    JobSpec Job = jobOf(1);
+    Job.Repetitions = 2;
+    Job.FirstRun = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Timers.wallNow().time_since_epoch());
+    Job.Interval = 1h;
+    begin(Owner.submit(std::move(Job)));
+    run(200ms);
+  }
+  static std::size_t stepsReadyIn(JobOwner &Owner) {
+    return Owner.active().begin()->second->Progress.readySteps().size();
+  }
   static RunId firstRun() {
     return {.Task = *TaskName::parse(FirstTask), .Run = 1, .Worker = "w"};
   }
@@ -95,6 +108,8 @@
   CPPUNIT_TEST(testEndIsAcceptedOnlyOnceItIsStored);
   CPPUNIT_TEST(testCompletedIsShownOnlyOnceItIsStored);
   CPPUNIT_TEST(testNewOwnerStartsNothingBeforeAllWorkersReported);
+  CPPUNIT_TEST(testTakeoverStartsNoDueOccurrenceBeforeAllWorkersReported);
+  CPPUNIT_TEST(testEndOfAnOccurrenceThatIsNotDueHereIsStored);
   CPPUNIT_TEST(testTakeoverBelievesOnlyHoldersThatTheStoreLists);
   CPPUNIT_TEST(testTermIsProvedOnlyByAnAppendSentAfterwards);
   CPPUNIT_TEST(testNewOwnerHearsOfEndsBeforeItStartsAgain);
@@ -201,7 +216,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
   }
 
-  // fleetbench trouble-1: TWICE, started again after an end that was listed.
+  // Which occurrences have begun is stored with their first end only: the next
+  // owner started those that ran elsewhere again, with the same run number.
+  void testTakeoverStartsNoDueOccurrenceBeforeAllWorkersReported() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    Bench.submitTimed(*Owner);
+    Owner->tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.stepsReadyIn(*Owner));
+    Bench.startFirst(*Owner);
+    const auto Later = Bench.owner(2);
+    Later->tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Bench.stepsReadyIn(*Later));
+    Later->applyExchange(
+        Holder, Bench.report({{.Task = FirstTask, .Run = 1, .Worker = "w"}}),
+        Bench.Timers.now(), OwnerBench::nothingOrdered);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Bench.stepsReadyIn(*Later));
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1),
+        Later->active().begin()->second->Progress.activeRuns().size());
+  }
+
+  // The clock of the former owner was ahead, or this one has not looked since
+  // it read the journal: the end was accepted and stored nowhere.
+  void testEndOfAnOccurrenceThatIsNotDueHereIsStored() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    Bench.submitTimed(*Owner);
+    const auto Later = Bench.owner(2);
+    const auto Ends = Bench.endFirst(*Later, "done");
+    Bench.run(1s);
+    CPPUNIT_ASSERT((**Ends).Accepted.at(0));
+    const auto Third = Bench.owner(3);
+    CPPUNIT_ASSERT_EQUAL(1,
+                         Third->active().begin()->second->Progress.tasksDone());
+  }
+
   // A process that had not heard of the loss of its shard reported what it knew
   // before; its successor had started a task of the job since.
   void testTakeoverBelievesOnlyHoldersThatTheStoreLists() {
@@ -236,6 +286,7 @@
     CPPUNIT_ASSERT(!Owner->provedSince(0, Followed));
   }
 
+  // fleetbench trouble-1: TWICE, started again after an end that was listed.
   void testNewOwnerHearsOfEndsBeforeItStartsAgain() {
     OwnerBench Bench;
     Bench.submit(*Bench.owner(1));
