--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -68,8 +68,8 @@
   });
   Jobs_.onHoldersNeeded([this] { Shards_.refreshHolders(); });
   Jobs_.useHolders(
-      [this](int Shard, const std::string &Address, Clock::time_point Since) {
-        return Shards_.listedSince(Shard, Address, Since);
+      [this](int Shard, const std::string &Member, Clock::time_point Since) {
+        return Shards_.listedSince(Shard, Member, Since);
       });
   Shards_.onHoldersRead([this] { Jobs_.holdersRead(); });
   Jobs_.onStop([this](std::vector<RunId> Runs) {
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -67,12 +67,15 @@
 }
 
 asio::awaitable<void> CellNode::announceTo(std::string Address) {
-  ExchangeRequest Request{.Sender = Options_.Address, .Leaving = true};
+  ExchangeRequest Request{
+      .Sender = Options_.Address, .Member = Shards_.member(), .Leaving = true};
   co_await Peers_.exchange(Address, std::move(Request));
 }
 
 asio::awaitable<void> CellNode::exchangeWith(std::string Address) {
-  ExchangeRequest Request{.Sender = Options_.Address, .Held = Jobs_.held()};
+  ExchangeRequest Request{.Sender = Options_.Address,
+                          .Member = Shards_.member(),
+                          .Held = Jobs_.held()};
   Request.Demands = std::move(Demands_[Address]);
   Demands_.erase(Address);
   const Clock::time_point SentAt = Timers_.now();
@@ -87,23 +90,23 @@
   SilentSince_.erase(Address);
   if (Stopped_)
     co_return;
-  dropOutdated(*Reply, Address);
+  dropOutdated(*Reply);
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   if (Reply->WaitingKnown)
     Waiting_[Address] = Reply->Waiting;
   if (Address != Options_.Address)
     Starts_.gangs().hearClaims(Address, Reply->Claims);
-  Jobs_.applyExchange(Address, *Reply, SentAt, [this](const RunId &Run) {
+  Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
     return Starts_.orders().isOrdering(Run);
   });
   Starts_.wake();
 }
 
-void CellNode::dropOutdated(ExchangeReply &Reply, const std::string &Address) {
+void CellNode::dropOutdated(ExchangeReply &Reply) {
   std::set<int> Current;
   std::erase_if(Reply.Held, [&](const HeldShard &Item) {
-    if (!Shards_.heard(Item.Shard, Item.Epoch, Address))
+    if (!Shards_.heard(Item.Shard, Item.Epoch, Reply.Member))
       return true;
     Current.insert(Item.Shard);
     return false;
@@ -126,13 +129,14 @@
   std::set<int> JobShards;
   for (const ShardEpoch &Item : Request.Held) {
     if (Request.Sender != Options_.Address)
-      Shards_.heard(Item.Shard, Item.Epoch, Request.Sender);
+      Shards_.heard(Item.Shard, Item.Epoch, Request.Member);
     Pool_.fenceJobs(Item);
     JobShards.insert(Item.Shard);
   }
   for (const RunDemand &Demand : Request.Demands)
     Pool_.learnDemand(Demand);
-  return {.Held = Pool_.held(),
+  return {.Member = Shards_.member(),
+          .Held = Pool_.held(),
           .Workers =
               Request.Held.empty() ? std::vector<WorkerLoad>() : Pool_.loads(),
           .Runs = Pool_.runsOf(JobShards),
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -83,7 +83,7 @@
                                   Clock::duration FailingFor);
   asio::awaitable<void> exchangeWith(std::string Address);
   /// Leaves out what the sender says of shards that have a later holder.
-  void dropOutdated(ExchangeReply &Reply, const std::string &Address);
+  void dropOutdated(ExchangeReply &Reply);
   asio::awaitable<void> endsLoop();
   asio::awaitable<void> deliver(std::string Address,
                                 std::vector<EndReport> Ends);
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -468,13 +468,13 @@
 }
 
 void JobOwner::applyExchange(
-    const std::string &Address, const ExchangeReply &Reply,
+    const std::string &Member, const ExchangeReply &Reply,
     Clock::time_point SentAt,
     const std::function<bool(const RunId &)> &Ordering) {
   for (const RunReport &Report : Reply.Runs)
     applyRunReport(Report);
   endAbsent(Reply, SentAt, Ordering);
-  noteReported(Address, Reply, SentAt);
+  noteReported(Member, Reply, SentAt);
 }
 
 void JobOwner::endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
@@ -511,7 +511,7 @@
     }
 }
 
-void JobOwner::noteReported(const std::string &Address,
+void JobOwner::noteReported(const std::string &Member,
                             const ExchangeReply &Reply,
                             Clock::time_point SentAt) {
   std::set<int> Unclear;
@@ -523,7 +523,7 @@
       continue;
     for (const HeldShard &Item : Reply.Held)
       if (Item.Ready && !Unclear.contains(Item.Shard))
-        Owner.Reported[Item.Shard] = Address;
+        Owner.Reported[Item.Shard] = Member;
     resolveIfReported(Owner);
     const bool All = static_cast<int>(Owner.Reported.size()) == Map_.count();
     if (!Owner.Resolved && All && HoldersNeeded_)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -80,9 +80,9 @@
   }
   void recordWorker(int Shard, WorkerEntry Entry);
   void forgetWorker(int Shard, const std::string &Worker);
-  /// Tells whether the store, asked after that time, named the address as the
+  /// Tells whether the store, asked after that time, named the member as the
   /// holder of the shard. Without it, takeovers do not end.
-  void useHolders(std::function<bool(int Shard, const std::string &Address,
+  void useHolders(std::function<bool(int Shard, const std::string &Member,
                                      Clock::time_point Since)>
                       Listed) {
     Listed_ = std::move(Listed);
@@ -108,9 +108,9 @@
   [[nodiscard]] JobStateReply state(const std::string &Id) const;
   asio::awaitable<EndsReply> ends(EndsRequest Request);
 
-  /// What the worker owner at the address says of the workers that it holds,
-  /// in answer to a call that was sent at SentAt.
-  void applyExchange(const std::string &Address, const ExchangeReply &Reply,
+  /// What a member says of the workers that it holds, in answer to a call that
+  /// was sent at SentAt.
+  void applyExchange(const std::string &Member, const ExchangeReply &Reply,
                      Clock::time_point SentAt,
                      const std::function<bool(const RunId &)> &Ordering);
   /// Demands that the worker owner asked for in that answer.
@@ -152,7 +152,7 @@
     JournalPointer Journal;
     bool Ready = false;
     Clock::time_point ReadyAt{};
-    /// Addresses that reported all runs on the workers of a shard since.
+    /// Members that reported all runs on the workers of a shard since.
     std::map<int, std::string> Reported;
     bool Resolved = false;
     bool Proving = false;
@@ -186,7 +186,7 @@
              const std::string &Checkpoint);
   void endAbsent(const ExchangeReply &Reply, Clock::time_point SentAt,
                  const std::function<bool(const RunId &)> &Ordering);
-  void noteReported(const std::string &Address, const ExchangeReply &Reply,
+  void noteReported(const std::string &Member, const ExchangeReply &Reply,
                     Clock::time_point SentAt);
   /// Ends the takeover once the holders of all shards have reported.
   void resolveIfReported(Shard &Owner);
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -130,7 +130,8 @@
 };
 
 struct ExchangeRequest {
-  std::string Sender;
+  std::string Sender;           ///< Address.
+  std::string Member;           ///< See ExchangeReply.
   std::vector<ShardEpoch> Held; ///< Shards of jobs of the sender.
   std::vector<RunDemand> Demands;
   bool Leaving = false; ///< The sender has just given all shards up.
@@ -144,6 +145,8 @@
 };
 
 struct ExchangeReply {
+  /// ADDRESS/INCARNATION: another process may be at the address later.
+  std::string Member;
   std::vector<HeldShard> Held;
   std::vector<WorkerLoad> Workers;
   std::vector<RunReport> Runs;        ///< Of the sender's jobs.
@@ -213,11 +216,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MakeRoomRequest, Job, Needs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MakeRoomReply, Stopped)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Held, Demands,
-                                   Leaving)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Member, Held,
+                                   Demands, Leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Held, Workers, Runs, Waiting,
-                                   WaitingKnown, Claims)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Member, Held, Workers, Runs,
+                                   Waiting, WaitingKnown, Claims)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
                                    Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -62,8 +62,11 @@
     if (Reply)
       StoreAnswers_.answered(Timers_.now() - SentAt);
     Failures = Reply ? 0 : Failures + 1;
-    if (Left_)
+    if (Left_) {
+      // The join may have been carried out after the departure.
+      co_await Store_.leave(Options_.Group, Options_.Member);
       break;
+    }
     if (Reply.has_value() != Reachable) {
       Reachable = Reply.has_value();
       Events_.emit("shards", Reachable ? "group_regained" : "group_lost",
@@ -156,10 +159,13 @@
     if (const auto It = FencedAt_.find(Shard);
         It != FencedAt_.end() && It->second >= Generation_)
       continue;
+    // An answer to an earlier join, from before a term that was heard.
+    if (Terms_[Shard].Epoch > Generation_)
+      continue;
     FencedAt_.erase(Shard);
     Held_[Shard] = Generation_;
     Holders_[Shard] = addressOf(Options_.Member);
-    learn(Shard, Generation_, Holders_[Shard]);
+    learn(Shard, Generation_, Options_.Member);
     Events_.emit("shards", "assigned",
                  {{"shard", Shard}, {"epoch", Generation_}});
     if (Assigned_)
@@ -191,24 +197,24 @@
 }
 
 bool ShardMembership::heard(int Shard, std::uint64_t Epoch,
-                            const std::string &Address) {
+                            const std::string &Member) {
   if (Epoch < Terms_[Shard].Epoch)
     return false;
-  learn(Shard, Epoch, Address);
+  learn(Shard, Epoch, Member);
   const auto It = Held_.find(Shard);
   if (It != Held_.end() && It->second >= Epoch)
     return true;
   if (It != Held_.end())
     fenced(Shard);
-  Holders_[Shard] = Address;
+  Holders_[Shard] = addressOf(Member);
   return true;
 }
 
 void ShardMembership::learn(int Shard, std::uint64_t Epoch,
-                            const std::string &Address) {
+                            const std::string &Member) {
   Term &Known = Terms_[Shard];
   if (Epoch > Known.Epoch)
-    Known = {.Epoch = Epoch, .Address = Address, .KnownSince = Timers_.now()};
+    Known = {.Epoch = Epoch, .Member = Member, .KnownSince = Timers_.now()};
 }
 
 std::optional<Clock::time_point>
@@ -216,15 +222,21 @@
   const auto Holder = Holders_.find(Shard);
   const auto Known = Terms_.find(Shard);
   if (Holder == Holders_.end() || Known == Terms_.end() ||
-      Known->second.Address != Holder->second)
+      addressOf(Known->second.Member) != Holder->second)
     return std::nullopt;
-  return Known->second.KnownSince;
+  // A list that was asked for after the holder was heard names it, unless it
+  // has been followed by another process, perhaps at the same address.
+  const auto Listed = Listed_.find(Shard);
+  const bool Followed = ListedAt_ > Known->second.KnownSince &&
+                        Listed != Listed_.end() &&
+                        Listed->second != Known->second.Member;
+  return Followed ? std::nullopt : std::optional(Known->second.KnownSince);
 }
 
-bool ShardMembership::listedSince(int Shard, const std::string &Address,
+bool ShardMembership::listedSince(int Shard, const std::string &Member,
                                   Clock::time_point Since) const {
   const auto It = Listed_.find(Shard);
-  return ListedAt_ >= Since && It != Listed_.end() && It->second == Address;
+  return ListedAt_ >= Since && It != Listed_.end() && It->second == Member;
 }
 
 asio::awaitable<void> ShardMembership::readHolders() {
@@ -236,12 +248,13 @@
   StoreAnswers_.answered(Timers_.now() - AskedAt);
   std::map<int, std::string> Holders;
   Members_.clear();
+  Listed_.clear();
   for (const ShardHolder &Row : *Rows)
     if (!Row.Member.empty()) {
       Holders[Row.Shard] = addressOf(Row.Member);
+      Listed_[Row.Shard] = Row.Member;
       Members_.insert(Row.Member);
     }
-  Listed_ = Holders;
   ListedAt_ = AskedAt;
   const std::string Own = addressOf(Options_.Member);
   for (const auto &[Shard, Epoch] : Held_)
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -105,26 +105,27 @@
   /// A later epoch of the shard exists. It is given up, and taken again if the
   /// store still deals it to this process.
   void fenced(int Shard);
-  /// Another process says that it holds the shard in this epoch. Returns false
+  /// Another member says that it holds the shard in this epoch. Returns false
   /// if a later holder is known, so that the claim is out of date.
-  bool heard(int Shard, std::uint64_t Epoch, const std::string &Address);
+  bool heard(int Shard, std::uint64_t Epoch, const std::string &Member);
   /// When this process learned of the term of the shard's holder; nothing if
   /// that holder has not been heard itself.
   [[nodiscard]] std::optional<Clock::time_point>
   termKnownSince(int Shard) const;
-  /// True if the store, asked after that time, named the address as holder.
-  [[nodiscard]] bool listedSince(int Shard, const std::string &Address,
+  /// True if the store, asked after that time, named the member as holder.
+  [[nodiscard]] bool listedSince(int Shard, const std::string &Member,
                                  Clock::time_point Since) const;
+  [[nodiscard]] const std::string &member() const { return Options_.Member; }
 
 private:
   /// The latest term of a shard's holder that anybody claimed.
   struct Term {
     std::uint64_t Epoch = 0;
-    std::string Address;
+    std::string Member;
     Clock::time_point KnownSince{};
   };
 
-  void learn(int Shard, std::uint64_t Epoch, const std::string &Address);
+  void learn(int Shard, std::uint64_t Epoch, const std::string &Member);
   asio::awaitable<void> readHolders();
   asio::awaitable<void> followHolders();
   /// Members of that address, without this process.
@@ -152,7 +153,7 @@
   std::map<int, std::uint64_t> FencedAt_; ///< Epoch that was refused.
   std::map<int, std::string> Holders_;
   std::map<int, Term> Terms_;
-  std::map<int, std::string> Listed_; ///< By the store.
+  std::map<int, std::string> Listed_; ///< Members that the store named.
   Clock::time_point ListedAt_{};      ///< When the store was asked for these.
   std::function<void()> HoldersReadCallback_;
   Signal JoinDue_;
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -20,7 +20,7 @@
 }
 
 constexpr const char *FirstTask = "0123456789abcdef.0.0.0";
-constexpr const char *Holder = "10.0.0.2:7000";
+constexpr const char *Holder = "10.0.0.2:7000/a";
 
 struct OwnerBench : CellTestBench {
   std::unique_ptr<JobOwner> owner(std::uint64_t Epoch, int Shards = 1) {
--- a/Tests/Cell/ShardMembershipTest.cpp
+++ b/Tests/Cell/ShardMembershipTest.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(testClaimOfFormerHolderIsRefused);
   CPPUNIT_TEST(testTermIsKnownOnceItsHolderIsHeard);
   CPPUNIT_TEST(testHolderIsListedOnlyByALaterReading);
+  CPPUNIT_TEST(testProcessAtTheSameAddressIsAnotherHolder);
+  CPPUNIT_TEST(testShardIsNotTakenBelowAHeardTerm);
   CPPUNIT_TEST(testPredecessorAtTheSameAddressIsRemoved);
   CPPUNIT_TEST(testSmallProcessOwnsOnlyWhatOthersDoNot);
   CPPUNIT_TEST(testLostAnswersToJoinsLeaveTimeForAnother);
@@ -127,16 +129,16 @@
     Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/a"}};
     Bench.start();
     CPPUNIT_ASSERT(!Bench.Shards.termKnownSince(7));
-    Bench.Shards.heard(7, 9, "10.0.0.2:7000");
+    Bench.Shards.heard(7, 9, "10.0.0.2:7000/a");
     const auto Since = Bench.Shards.termKnownSince(7);
     CPPUNIT_ASSERT(Since && *Since == Bench.Timers.now());
     Bench.run(100ms);
-    Bench.Shards.heard(7, 9, "10.0.0.2:7000");
+    Bench.Shards.heard(7, 9, "10.0.0.2:7000/a");
     CPPUNIT_ASSERT(*Bench.Shards.termKnownSince(7) == *Since);
     Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.3:7000/a"}};
     Bench.run(1s);
     CPPUNIT_ASSERT(!Bench.Shards.termKnownSince(7));
-    Bench.Shards.heard(7, 11, "10.0.0.3:7000");
+    Bench.Shards.heard(7, 11, "10.0.0.3:7000/a");
     CPPUNIT_ASSERT(*Bench.Shards.termKnownSince(7) > *Since);
   }
 
@@ -145,11 +147,39 @@
     Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/a"}};
     Bench.start();
     const Clock::time_point Opened = Bench.Timers.now();
-    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.2:7000", Opened));
+    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.2:7000/a", Opened));
     Bench.Shards.refreshHolders();
     Bench.run(10ms);
-    CPPUNIT_ASSERT(Bench.Shards.listedSince(7, "10.0.0.2:7000", Opened));
-    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.3:7000", Opened));
+    CPPUNIT_ASSERT(Bench.Shards.listedSince(7, "10.0.0.2:7000/a", Opened));
+    CPPUNIT_ASSERT(!Bench.Shards.listedSince(7, "10.0.0.2:7000/b", Opened));
+  }
+
+  // A process was killed and started again at the same address; orders went to
+  // it on the strength of what was proved for the former one.
+  void testProcessAtTheSameAddressIsAnotherHolder() {
+    MembershipBench Bench;
+    Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/a"}};
+    Bench.start();
+    Bench.Shards.heard(7, 9, "10.0.0.2:7000/a");
+    CPPUNIT_ASSERT(Bench.Shards.termKnownSince(7));
+    Bench.Store.Holders = {{.Shard = 7, .Member = "10.0.0.2:7000/c"}};
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!Bench.Shards.termKnownSince(7));
+    Bench.Shards.heard(7, 12, "10.0.0.2:7000/c");
+    CPPUNIT_ASSERT(Bench.Shards.termKnownSince(7));
+  }
+
+  // The answer to an earlier join lists the shard in a generation below the
+  // term of the present holder.
+  void testShardIsNotTakenBelowAHeardTerm() {
+    MembershipBench Bench;
+    Bench.Store.Membership = {.Generation = 4, .Shards = {1}};
+    Bench.start();
+    Bench.Store.Membership.Generation = 6;
+    Bench.run(1s);
+    Bench.Shards.heard(1, 7, "10.0.0.2:7000/a");
+    Bench.run(1s);
+    CPPUNIT_ASSERT(Bench.Shards.held().empty());
   }
 
   // fleetbench trouble-1: a process that the store turned away still claimed
