--- a/Source/Cell/AdviceRouter.cpp
+++ b/Source/Cell/AdviceRouter.cpp
@@ -71,12 +71,13 @@
     const std::string &Peer = Carriers[NextPeer_ % Carriers.size()];
     ++NextPeer_;
     const auto Reply = co_await Peers_.advise(Peer, std::move(Request));
-    if (!Reply || !Reply->Answered)
+    if (!Reply || !Reply->Answered ||
+        Reply->Tickets.size() != Reply->Good.size())
       continue;
     Advice Answer;
     for (std::size_t I = 0; I < Reply->Good.size(); ++I)
       Answer.Good.push_back(
-          {.Worker = Reply->Good[I], .Text = Reply->Tickets.at(I)});
+          {.Worker = Reply->Good[I], .Text = Reply->Tickets[I]});
     Found = std::move(Answer);
   }
   --Open;
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -27,7 +27,7 @@
     return fail(ErrorCode::Unavailable, "the peer's answer is not JSON");
   try {
     return Parsed.get<T>();
-  } catch (const json::exception &Failure) {
+  } catch (const std::exception &Failure) {
     return fail(ErrorCode::Unavailable,
                 std::string("the peer's answer is incomplete: ") +
                     Failure.what());
@@ -200,7 +200,7 @@
   try {
     Reply = co_await dispatch(Handler, Request.Path.substr(PathPrefix.size()),
                               std::move(Body));
-  } catch (const json::exception &Failure) {
+  } catch (const std::exception &Failure) {
     co_return HttpServerResponse{.Status = 400, .Body = Failure.what()};
   }
   if (Reply.is_null())
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int InternalServerError = 500;
+
 /// All handlers run on one thread, so no strands are needed.
 struct ServerTraits : restinio::default_single_thread_traits_t {
   // RESTinio requires this name.
@@ -103,6 +105,18 @@
   [[nodiscard]] std::size_t requestsInFlight() const { return InFlight_; }
 
 private:
+  /// Calls the handler. An exception is answered with 500, as the caller would
+  /// otherwise wait until its timeout.
+  asio::awaitable<HttpServerResponse> answer(HttpServerRequest Request) {
+    const std::string Call = Request.Method + " " + Request.Path;
+    try {
+      co_return co_await OnRequest_(std::move(Request));
+    } catch (const std::exception &Failure) {
+      LOG(ERROR) << Call << " failed: " << Failure.what();
+    }
+    co_return HttpServerResponse{.Status = InternalServerError, .Body = "{}"};
+  }
+
   asio::awaitable<void> handle(restinio::request_handle_t Request) {
     ++InFlight_;
     HttpServerRequest Incoming{
@@ -112,7 +126,7 @@
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
 
         .Body = Request->body()};
-    HttpServerResponse Reply = co_await OnRequest_(std::move(Incoming));
+    const HttpServerResponse Reply = co_await answer(std::move(Incoming));
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
                            Reply.ContentType);
@@ -121,7 +135,7 @@
                              std::to_string(Reply.RetryAfter->count()));
     if (CloseAfterResponse_)
       Response.connection_close();
-    Response.set_body(std::move(Reply.Body));
+    Response.set_body(Reply.Body);
     // The response is only queued here; the request is in flight until the
     // response has been written.
     Response.done([this](const asio::error_code &) { --InFlight_; });
--- a/Tests/Http/HttpRoundTripTest.cpp
+++ b/Tests/Http/HttpRoundTripTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(HttpRoundTripTest);
   CPPUNIT_TEST(concurrentRequestsGetTheirOwnResponses);
   CPPUNIT_TEST(refusedConnectionIsReported);
+  CPPUNIT_TEST(exceptionInAHandlerIsAnswered);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,6 +72,34 @@
     Context.run();
     CPPUNIT_ASSERT(Code == ErrorCode::ConnectionRefused);
   }
+
+  // Guards against a request without a response, and against a request that is
+  // counted as in flight forever.
+  void exceptionInAHandlerIsAnswered() {
+    asio::io_context Context;
+    HttpServer Server(
+        Context, {},
+        [](HttpServerRequest) -> asio::awaitable<HttpServerResponse> {
+          throw std::runtime_error("unexpected");
+          co_return HttpServerResponse{};
+        });
+    Server.start();
+    CurlHttpClient Client(Context);
+    int Status = 0;
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          HttpClientRequest Request{
+              .Url = "http://127.0.0.1:" + std::to_string(Server.port()) + "/",
+              .Timeout = std::chrono::seconds(20)};
+          const auto Response = co_await Client.send(std::move(Request));
+          Status = Response ? Response->Status : 0;
+          Context.stop();
+        },
+        asio::detached);
+    Context.run();
+    CPPUNIT_ASSERT_EQUAL(500, Status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpRoundTripTest);
--- a/Tests/Platform/PlatformCallsTest.cpp
+++ b/Tests/Platform/PlatformCallsTest.cpp
@@ -39,6 +39,7 @@
   FakeHttpClient Client{Timers};
   PlatformStore Stored{Client, Address};
   PlatformWorkers Workers{Client};
+  PlatformAdvice Adviser{Client, Address};
 };
 
 } // namespace
@@ -48,6 +49,8 @@
   CPPUNIT_TEST(testStoredAppendIsNotReportedAsNotDone);
   CPPUNIT_TEST(testExecutedStartIsNotReportedAsRefused);
   CPPUNIT_TEST(testStopIsSentAgainAfterAReset);
+  CPPUNIT_TEST(testMalformedRepliesAreFailures);
+  CPPUNIT_TEST(testUnreadableItemDoesNotHideOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +88,54 @@
         Bench.Workers.stop(ResetBench::worker(), 1, "j.0.0.0", 1, 700ms));
     CPPUNIT_ASSERT_EQUAL(2, Bench.Received);
   }
+
+  // Guards against an exception that ends the coroutine of a worker's
+  // heartbeats, of a start or of a journal, which is never resumed.
+  void testMalformedRepliesAreFailures() {
+    for (const char *Body :
+         {"", "[]", "null", "{", R"({"reason":7,"clock-ms":"x","born":{}})",
+          R"({"reason":["fence"],"clock-ms":-1})",
+          R"({"clock-ms":1e300,"running":[[]],"finished":[[1]]})",
+          "{\"reason\":\"\xff\"}", R"({"good":[["w"],7]})"})
+      for (const int Status : {200, 302, 400, 409, 421, 429, 500, 503}) {
+        ResetBench Bench;
+        Bench.Client.ChooseFault = nullptr;
+        Bench.Client.serve(Address, [=](const HttpClientRequest &) {
+          return HttpClientResponse{.Status = Status, .Body = Body};
+        });
+        Bench.call(Bench.Workers.start(ResetBench::worker(), 1, 5000ms,
+                                       {.Task = "j.0.0.0", .Run = 1}, 700ms));
+        Bench.call(
+            Bench.Workers.stop(ResetBench::worker(), 1, "j.0.0.0", 1, 700ms));
+        const auto Heartbeat =
+            Bench.call(Bench.Workers.heartbeat(ResetBench::worker(), 1, {}));
+        CPPUNIT_ASSERT(!Heartbeat || Heartbeat->Status != OrderStatus::Ok);
+        Bench.call(Bench.Stored.append("topic", 0, {}, {}, 400ms));
+        CPPUNIT_ASSERT(!Bench.call(Bench.Stored.readNewest("topic", 0, "")));
+        CPPUNIT_ASSERT(
+            !Bench.call(Bench.Stored.join("g", "m", "t", 1200ms, 0, 300ms)));
+        Bench.call(Bench.Stored.listHolders("g"));
+        CPPUNIT_ASSERT(!Bench.call(Bench.Adviser.ask("j.0.0", {"w"}, 500ms)));
+      }
+  }
+
+  // Guards against a record that no process can read and that keeps each of
+  // them from reading those after it.
+  void testUnreadableItemDoesNotHideOthers() {
+    ResetBench Bench;
+    Bench.Client.ChooseFault = nullptr;
+    Bench.Client.serve(Address, [](const HttpClientRequest &) {
+      return HttpClientResponse{
+          .Status = 200,
+          .Body = R"({"items":[{"key":"a","value":7},{"value":"eA=="},"text",
+                     {"key":"b","value":"***"},{"key":"c","value":"e30="}],
+                     "end":5})"};
+    });
+    const auto Page = Bench.call(Bench.Stored.readNewest("topic", 0, ""));
+    CPPUNIT_ASSERT(Page);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), Page->Records.back().Key);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), *Page->Records.back().Value);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCallsTest);
--- a/Tests/Platform/PlatformFormatsTest.cpp
+++ b/Tests/Platform/PlatformFormatsTest.cpp
@@ -82,6 +82,10 @@
     json Unknown = workerRecord();
     Unknown["state"] = "resting";
     CPPUNIT_ASSERT(!Records.parseWorker("i", Unknown.dump()));
+    // As an unsigned number, it would be a capacity without limit.
+    json Negative = workerRecord();
+    Negative["capacity"]["cpu"] = -1;
+    CPPUNIT_ASSERT(!Records.parseWorker("i", Negative.dump()));
   }
 
   void testConfigurationAndLongestPrefix() {
@@ -125,7 +129,8 @@
     for (const char *Body :
          {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
           R"({"steps":[{"count":1,"depends-on":[0]}]})",
-          R"({"steps":[{"count":1000000}]})"})
+          R"({"steps":[{"count":1000000}]})",
+          R"({"steps":[{"count":1,"mem-mb":-1}]})"})
       CPPUNIT_ASSERT(!parseJob("id", {}, Body));
   }
 
