Look workers up once when they are listed, not in each pass

Sorting called slotsOn() for each comparison, a claim called it up to 240 times for each worker. A heartbeat of one worker parsed the records of all. An exchange with a process that owns no jobs listed all runs first and then dropped them. Change: CapacityView keeps the shard and the reported load beside the entry; canOrder() is asked once for each pair of shards in a pass; full workers are left out first; sort keys are computed once. WorkerList parses changed records only and tells whether an entry changed at all. Exchanges without shards list no runs. Measured: cell_tests pass (159).

--- a/Source/Cell/CapacityView.cpp
+++ b/Source/Cell/CapacityView.cpp
@@ -2,6 +2,25 @@
 
 namespace hickory {
 
+void CapacityView::updateWorkers(
+    const std::map<std::string, WorkerEntry> &Workers) {
+  std::erase_if(Workers_, [&](const auto &IdAndWorker) {
+    return !Workers.contains(IdAndWorker.first);
+  });
+  std::erase_if(Remote_, [&](const auto &IdAndWorker) {
+    return !Workers.contains(IdAndWorker.first) &&
+           IdAndWorker.second.InFlight.empty();
+  });
+  for (const auto &[Id, Entry] : Workers) {
+    const auto [It, IsNew] = Workers_.try_emplace(Id);
+    It->second.Entry = Entry;
+    if (IsNew) {
+      It->second.Shard = Map_.shardOf(Id);
+      It->second.Reported = &Remote_[Id];
+    }
+  }
+}
+
 void CapacityView::applyLoads(const std::vector<WorkerLoad> &Loads) {
   for (const WorkerLoad &Load : Loads) {
     RemoteWorker &State = Remote_[Load.Id];
@@ -38,22 +57,18 @@
 }
 
 CapacityView::WorkerCapacity
-CapacityView::capacityOn(const std::string &Worker) const {
-  const auto It = Remote_.find(Worker);
-  if (const WorkerAgent *Agent = Pool_.find(Worker)) {
-    const WorkerLoad Load = Agent->load();
-    const Resources InFlight =
-        It == Remote_.end() ? Resources{} : It->second.InFlight;
-    return {.Free = Load.Free.minusClamped(InFlight),
-            .Usable = Load.Usable,
-            .Local = true,
-            .Suspect = Load.Suspect};
-  }
-  if (It == Remote_.end())
-    return {};
-  return {.Free = It->second.Free,
-          .Usable = It->second.Usable,
-          .Suspect = It->second.Suspect};
+CapacityView::capacityOn(const ListedWorker &Worker) const {
+  const RemoteWorker &Reported = *Worker.Reported;
+  const WorkerAgent *Agent = Pool_.find(Worker.Shard, Worker.Entry.Id);
+  if (Agent == nullptr)
+    return {.Free = Reported.Free,
+            .Usable = Reported.Usable,
+            .Suspect = Reported.Suspect};
+  const WorkerLoad Load = Agent->load();
+  return {.Free = Load.Free.minusClamped(Reported.InFlight),
+          .Usable = Load.Usable,
+          .Local = true,
+          .Suspect = Load.Suspect};
 }
 
 } // namespace hickory
--- a/Source/Cell/CapacityView.h
+++ b/Source/Cell/CapacityView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/PeerMessages.h"
+#include "Cell/ShardMap.h"
 #include "Cell/WorkerClient.h"
 #include "Cell/WorkerPool.h"
 
@@ -12,13 +13,29 @@
 /// Free capacity of all workers as known to this process: exact for the workers
 /// that it holds; for the others, the load reported in the latest exchange less
 /// the placements that this process has made since.
+///
+/// The dispatcher reads all workers for each step. What identifies a worker is
+/// therefore looked up once, when the list of workers changes.
 class CapacityView {
+  /// A worker as reported by its holder.
+  struct RemoteWorker {
+    Resources Free;
+    Resources InFlight; ///< Demand of placements without an answer.
+    bool Usable = false;
+    bool Suspect = false;
+  };
+
 public:
-  explicit CapacityView(const WorkerPool &Pool) : Pool_(Pool) {}
+  struct ListedWorker {
+    WorkerEntry Entry;
+    int Shard = 0;
+    const RemoteWorker *Reported = nullptr; ///< Never null.
+  };
 
-  void updateWorkers(std::map<std::string, WorkerEntry> Workers) {
-    Workers_ = std::move(Workers);
-  }
+  CapacityView(const WorkerPool &Pool, ShardMap Map) : Pool_(Pool), Map_(Map) {}
+
+  /// Applies the platform's complete list of workers.
+  void updateWorkers(const std::map<std::string, WorkerEntry> &Workers);
   /// Applies load reports of the workers' holders.
   void applyLoads(const std::vector<WorkerLoad> &Loads);
   /// Subtracts the demand of a placement that is sent to the worker's holder.
@@ -37,22 +54,16 @@
     bool Local = false;
     bool Suspect = false; ///< See Candidate::Suspect.
   };
-  [[nodiscard]] WorkerCapacity capacityOn(const std::string &Worker) const;
-  [[nodiscard]] const std::map<std::string, WorkerEntry> &workers() const {
+  [[nodiscard]] WorkerCapacity capacityOn(const ListedWorker &Worker) const;
+  [[nodiscard]] const std::map<std::string, ListedWorker> &workers() const {
     return Workers_;
   }
 
 private:
-  /// A worker as reported by its holder.
-  struct RemoteWorker {
-    Resources Free;
-    Resources InFlight; ///< Demand of placements without an answer.
-    bool Usable = false;
-    bool Suspect = false;
-  };
-
   const WorkerPool &Pool_;
-  std::map<std::string, WorkerEntry> Workers_;
+  ShardMap Map_;
+  std::map<std::string, ListedWorker> Workers_;
+  /// Also has workers that the list does not name, or no longer names.
   std::map<std::string, RemoteWorker> Remote_;
 };
 
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -5,6 +5,14 @@
 
 namespace hickory {
 
+namespace {
+
+/// Longest time between two evaluations of the list of workers while records
+/// are written but no entry changes.
+constexpr std::chrono::seconds UnchangedListPeriod{1};
+
+} // namespace
+
 CellDaemon::CellDaemon(asio::io_context &Context, CellServices Services,
                        CellDaemonOptions Options)
     : Context_(Context), Services_(Services), Options_(std::move(Options)),
@@ -16,7 +24,7 @@
             Options_.Workers),
       Jobs_(Context.get_executor(), Timers_, Services.Store, Events_, Map_,
             Options_.Jobs),
-      View_(Pool_), Peers_(Services.Peers, Options_.Address),
+      View_(Pool_, Map_), Peers_(Services.Peers, Options_.Address),
       Adviser_(Timers_, Services.Adviser, Peers_,
                {.Address = Options_.Address}),
       Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
@@ -25,14 +33,19 @@
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
             Dispatcher_, Adviser_, Peers_, Options_.Node),
       Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
+      ListedWorkers_(Services.Records),
       Workers_(Timers_, Services.Store, Events_,
                {.Name = "workers_list",
                 .Topic = Options_.WorkersTopic,
                 .IsNeeded = [this] { return Shards_.isParticipating(); }},
-               [this](const auto &Values) { updateWorkers(Values); }),
+               [this](const auto &Values, const auto &Changed) {
+                 updateWorkers(Values, Changed);
+               }),
       Operator_(Timers_, Services.Store, Events_,
                 {.Name = "configuration", .Topic = Options_.OperatorTopic},
-                [this](const auto &Values) { updateConfiguration(Values); }),
+                [this](const auto &Values, const auto &) {
+                  updateConfiguration(Values);
+                }),
       Supervisor_(Context.get_executor(), Timers_) {
   Peers_.setLocal(Node_);
   Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
@@ -90,14 +103,16 @@
   Node_.start();
 }
 
-void CellDaemon::updateWorkers(
-    const std::map<std::string, std::string> &Values) {
-  std::map<std::string, WorkerEntry> Workers;
-  for (const auto &[Key, Value] : Values)
-    if (auto Entry = Services_.Records.parseWorker(Key, Value))
-      Workers.emplace(Key, std::move(*Entry));
-  Pool_.updateWorkers(Workers);
-  View_.updateWorkers(std::move(Workers));
+void CellDaemon::updateWorkers(const std::map<std::string, std::string> &Values,
+                               const std::set<std::string> &Changed) {
+  const bool ListChanged = ListedWorkers_.apply(Values, Changed);
+  const Clock::time_point Now = Timers_.now();
+  // Workers that have left are removed some time after their entry.
+  if (!ListChanged && Now - WorkersAppliedAt_ < UnchangedListPeriod)
+    return;
+  WorkersAppliedAt_ = Now;
+  Pool_.updateWorkers(ListedWorkers_.workers());
+  View_.updateWorkers(ListedWorkers_.workers());
   Dispatcher_.wake();
 }
 
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -8,11 +8,13 @@
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
+#include "Cell/CellRecords.h"
 #include "Cell/Dispatcher.h"
 #include "Cell/HttpCellPeer.h"
 #include "Cell/JobOwner.h"
 #include "Cell/KeyedFollower.h"
 #include "Cell/ShardMembership.h"
+#include "Cell/WorkerList.h"
 #include "Cell/WorkerPool.h"
 
 #include <functional>
@@ -21,19 +23,6 @@
 
 namespace hickory {
 
-/// Parses the records that the operator and the workers publish in the store.
-class CellRecords {
-public:
-  virtual ~CellRecords() = default;
-  /// Returns nothing if the record does not describe a usable worker.
-  [[nodiscard]] virtual std::optional<WorkerEntry>
-  parseWorker(const std::string &Key, const std::string &Value) const = 0;
-  /// Returns nothing if the record is not a configuration.
-  [[nodiscard]] virtual std::optional<CellConfiguration>
-  parseConfiguration(const std::string &Key,
-                     const std::string &Value) const = 0;
-};
-
 struct CellDaemonOptions {
   std::string Address; ///< ip:port at which the other processes reach this one.
   int Shards = 24;
@@ -80,7 +69,8 @@
   [[nodiscard]] EventLog &events() { return Events_; }
 
 private:
-  void updateWorkers(const std::map<std::string, std::string> &Values);
+  void updateWorkers(const std::map<std::string, std::string> &Values,
+                     const std::set<std::string> &Changed);
   void updateConfiguration(const std::map<std::string, std::string> &Values);
 
   asio::io_context &Context_;
@@ -100,6 +90,8 @@
   Dispatcher Dispatcher_;
   CellNode Node_;
   CellGateway Gateway_;
+  WorkerList ListedWorkers_;
+  Clock::time_point WorkersAppliedAt_{};
   KeyedFollower Workers_;
   KeyedFollower Operator_;
   Supervisor Supervisor_;
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -91,6 +91,7 @@
 
 void Dispatcher::runPass() {
   const Clock::time_point Now = Timers_.now();
+  OrderableInPass_.clear();
   DeferrableSkipped_ = Now < DeferrableDueAt_;
   if (DeferrableSkipped_) {
     for (const SchedulableStep &Schedulable : collectReadySteps(false))
@@ -104,6 +105,16 @@
   Gangs_.endPass();
 }
 
+bool Dispatcher::canOrderInPass(int JobShard, int WorkerShard) {
+  auto &Row = OrderableInPass_[JobShard];
+  if (Row.empty())
+    Row.resize(static_cast<std::size_t>(Jobs_.shardCount()));
+  auto &Known = Row[static_cast<std::size_t>(WorkerShard)];
+  if (!Known)
+    Known = Orders_.canOrder(JobShard, WorkerShard);
+  return *Known;
+}
+
 std::vector<Candidate>
 Dispatcher::candidatesFor(const SchedulableStep &Schedulable) {
   const JobSpec &Job = Schedulable.job();
@@ -111,16 +122,21 @@
   const std::string Service = serviceOf(Job);
   const PlacementNeed Need = Schedulable.need();
   const std::set<std::string> &Blocked = Gangs_.workersBlockedFor(Schedulable);
-  std::vector<Candidate> Found;
-  for (const auto &[Id, Worker] : View_.workers()) {
-    if (Worker.Service != Service || Worker.Draining || Blocked.contains(Id))
-      continue;
-    const bool Labelled =
-        std::ranges::all_of(Step.RequiredLabels, [&](const std::string &Label) {
+  const auto HasLabels = [&Step](const WorkerEntry &Worker) {
+    return std::ranges::all_of(
+        Step.RequiredLabels, [&](const std::string &Label) {
           return std::ranges::count(Worker.Labels, Label) > 0;
         });
-    const CapacityView::WorkerCapacity Capacity = View_.capacityOn(Id);
-    if (!Labelled || !Capacity.Usable)
+  };
+  std::vector<Candidate> Found;
+  // Most workers are full: whether the step fits is checked before what takes a
+  // search.
+  for (const auto &[Id, Listed] : View_.workers()) {
+    const WorkerEntry &Worker = Listed.Entry;
+    if (Worker.Draining || Worker.Service != Service)
+      continue;
+    const CapacityView::WorkerCapacity Capacity = View_.capacityOn(Listed);
+    if (!Capacity.Usable)
       continue;
     Candidate New{.Worker = &Worker,
                   .Free =
@@ -128,11 +144,16 @@
                                  Job.Queue.Priority, Options_.Gangs.Placement),
                   .Local = Capacity.Local,
                   .Suspect = Capacity.Suspect};
-    if (Step.MaximumPerWorker > 0)
+    if (!Step.Gang && slotsOn(Need, New) == 0)
+      continue;
+    if (Step.MaximumPerWorker > 0) {
       New.AlreadyPlaced = Schedulable.Job->Progress.countActiveOn(
           Schedulable.Step.Occurrence, Schedulable.Step.Step, Id);
-    if ((Step.Gang || slotsOn(Need, New) > 0) &&
-        Orders_.canOrder(Schedulable.Job->Shard, Id))
+      if (!Step.Gang && slotsOn(Need, New) == 0)
+        continue;
+    }
+    if (HasLabels(Worker) && !Blocked.contains(Id) &&
+        canOrderInPass(Schedulable.Job->Shard, Listed.Shard))
       Found.push_back(New);
   }
   dropSuspects(Found);
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -11,6 +11,7 @@
 #include "Cell/ShardMembership.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,9 @@
   /// free capacity at present.
   [[nodiscard]] std::vector<Candidate>
   candidatesFor(const SchedulableStep &Schedulable);
+  /// Returns RunOrderSender::canOrder() as of the first call in this pass, as
+  /// many workers share a shard.
+  [[nodiscard]] bool canOrderInPass(int JobShard, int WorkerShard);
   void startAdviceCall(const SchedulableStep &Schedulable,
                        const std::vector<Candidate> &Candidates, int Count);
   asio::awaitable<void> runAdviceCall(SchedulableStep Schedulable,
@@ -92,6 +96,8 @@
   std::map<std::string, double> GoodShare_; ///< By queue.
   RunOrderSender Orders_;
   GangClaimManager Gangs_;
+  /// By shard of the job, then by shard of the worker; empty if not asked yet.
+  std::map<int, std::vector<std::optional<bool>>> OrderableInPass_;
   Clock::time_point DeferrableDueAt_{};
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
--- a/Source/Cell/GangClaim.cpp
+++ b/Source/Cell/GangClaim.cpp
@@ -1,7 +1,6 @@
 #include "Cell/GangClaim.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace hickory {
 
@@ -44,30 +43,60 @@
          std::max<std::size_t>(1, Workers / Options_.WorkersPerClaim);
 }
 
+namespace {
+
+/// A candidate for a claim, by its index.
+struct ClaimCandidate {
+  int Slots = 0;
+  int SlotsWhenEmpty = 0;
+  std::uint64_t FreeCpus = 0;
+  std::size_t Index = 0;
+
+  /// Returns the number of members that the claim expects on the worker if it
+  /// waits there for capacity for ExtraMembers.
+  [[nodiscard]] int members(int ExtraMembers) const {
+    return std::min(Slots + ExtraMembers, SlotsWhenEmpty);
+  }
+};
+
+/// Returns the candidates, those with the most free capacity first.
+std::vector<ClaimCandidate>
+claimCandidates(const PlacementNeed &Need,
+                const std::vector<Candidate> &Candidates) {
+  std::vector<ClaimCandidate> Found;
+  Found.reserve(Candidates.size());
+  for (std::size_t I = 0; I < Candidates.size(); ++I)
+    if (const int Empty = slotsWhenEmpty(Need, Candidates[I]); Empty > 0)
+      Found.push_back({.Slots = slotsOn(Need, Candidates[I]),
+                       .SlotsWhenEmpty = Empty,
+                       .FreeCpus = Candidates[I].Free.CpusMilli,
+                       .Index = I});
+  std::ranges::stable_sort(Found, std::greater<>(),
+                           [](const ClaimCandidate &Each) {
+                             return std::pair(Each.Slots, Each.FreeCpus);
+                           });
+  return Found;
+}
+
+} // namespace
+
 std::vector<ClaimedWorker>
 chooseWorkersToClaim(const PlacementNeed &Need,
                      const std::vector<Candidate> &Candidates) {
-  std::vector<std::size_t> Order(Candidates.size());
-  std::iota(Order.begin(), Order.end(), 0);
-  std::ranges::stable_sort(Order, std::greater<>(), [&](std::size_t I) {
-    return std::pair(slotsOn(Need, Candidates[I]),
-                     Candidates[I].Free.CpusMilli);
-  });
+  const auto Order = claimCandidates(Need, Candidates);
   for (int ExtraMembers = 1; ExtraMembers <= Need.Count; ++ExtraMembers) {
-    std::vector<ClaimedWorker> Claimed;
     int Expected = 0;
-    for (const std::size_t I : Order) {
-      if (Expected >= Need.Count)
-        break;
-      const int Members = std::min(slotsOn(Need, Candidates[I]) + ExtraMembers,
-                                   slotsWhenEmpty(Need, Candidates[I]));
-      if (Members == 0)
-        continue;
-      Expected += Members;
-      Claimed.push_back({.Id = Candidates[I].Worker->Id, .Members = Members});
-    }
-    if (Expected >= Need.Count)
-      return Claimed;
+    std::size_t Count = 0;
+    for (; Count < Order.size() && Expected < Need.Count; ++Count)
+      Expected += Order[Count].members(ExtraMembers);
+    if (Expected < Need.Count)
+      continue;
+    std::vector<ClaimedWorker> Claimed;
+    Claimed.reserve(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      Claimed.push_back({.Id = Candidates[Order[I].Index].Worker->Id,
+                         .Members = Order[I].members(ExtraMembers)});
+    return Claimed;
   }
   return {};
 }
--- a/Source/Cell/GangClaimManager.cpp
+++ b/Source/Cell/GangClaimManager.cpp
@@ -99,7 +99,7 @@
     const auto Holder = Shards_.holderOf(Map_.shardOf(Each.Id));
     if (!Holder)
       continue;
-    const Resources &Capacity = View_.workers().at(Each.Id).Capacity;
+    const Resources &Capacity = View_.workers().at(Each.Id).Entry.Capacity;
     PreemptionNeed Need{.Worker = Each.Id,
                         .Demand =
                             headroomOf(Capacity, Priority, Options_.Placement),
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -57,31 +57,41 @@
     if (!Page->HasMore || Page->Records.empty())
       break;
   }
+  std::set<std::string> Changed;
+  for (const auto &[Key, Value] : Values_)
+    if (!Values.contains(Key))
+      Changed.insert(Key);
+  for (const auto &[Key, Value] : Values)
+    Changed.insert(Key);
   Values_ = std::move(Values);
   NextOffset_ = End;
   Ready_ = true;
-  OnChange_(Values_);
+  OnChange_(Values_, Changed);
   co_return true;
 }
 
 asio::awaitable<bool> KeyedFollower::readTail() {
-  const auto Page = co_await Store_.readTail(Options_.Topic, Options_.Partition,
-                                             NextOffset_, Options_.PollWait);
+  auto Page = co_await Store_.readTail(Options_.Topic, Options_.Partition,
+                                       NextOffset_, Options_.PollWait);
   if (!Page || Page->Expired)
     co_return false;
   NextOffset_ = Page->NextOffset;
-  if (apply(Page->Records))
-    OnChange_(Values_);
+  const auto Changed = apply(std::move(Page->Records));
+  if (!Changed.empty())
+    OnChange_(Values_, Changed);
   co_return true;
 }
 
-bool KeyedFollower::apply(const std::vector<KeyedRecord> &Records) {
-  for (const KeyedRecord &Record : Records)
+std::set<std::string> KeyedFollower::apply(std::vector<KeyedRecord> Records) {
+  std::set<std::string> Changed;
+  for (KeyedRecord &Record : Records) {
+    Changed.insert(Record.Key);
     if (Record.Value)
-      Values_[Record.Key] = *Record.Value;
+      Values_[Record.Key] = std::move(*Record.Value);
     else
       Values_.erase(Record.Key);
-  return !Records.empty();
+  }
+  return Changed;
 }
 
 } // namespace hickory
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace hickory {
@@ -25,8 +26,11 @@
 /// Maintains a copy of the newest record of each key of a topic.
 class KeyedFollower final : public Component {
 public:
+  /// Receives all values, and the keys that were written or deleted since the
+  /// previous call.
   using ChangeCallback =
-      std::function<void(const std::map<std::string, std::string> &)>;
+      std::function<void(const std::map<std::string, std::string> &Values,
+                         const std::set<std::string> &Changed)>;
 
   KeyedFollower(TimerService &Timers, StoreClient &Store, EventLog &Events,
                 KeyedFollowerOptions Options, ChangeCallback OnChange);
@@ -40,7 +44,7 @@
 private:
   asio::awaitable<bool> readNewest();
   asio::awaitable<bool> readTail();
-  bool apply(const std::vector<KeyedRecord> &Records);
+  std::set<std::string> apply(std::vector<KeyedRecord> Records);
 
   TimerService &Timers_;
   StoreClient &Store_;
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -28,22 +28,30 @@
          Target.Worker->Rack == Need.Step->DataRack;
 }
 
+/// Key of a candidate in the order of preference; the least comes first.
+using PreferenceKey = std::tuple<bool, std::int64_t, std::int64_t>;
+
+PreferenceKey preferenceKey(const PlacementNeed &Need, const Candidate &Each) {
+  if (Need.Step->Gang)
+    return {!isNearData(Need, Each), -slotsOn(Need, Each), Each.Local ? 0 : 1};
+  return {!isNearData(Need, Each), Each.Local ? 0 : 1,
+          static_cast<std::int64_t>(Each.Free.CpusMilli)};
+}
+
+/// Returns the indices of the candidates in the order of preference. Equal
+/// candidates keep their order.
 std::vector<std::size_t>
 candidateOrder(const PlacementNeed &Need,
                const std::vector<Candidate> &Candidates) {
-  std::vector<std::size_t> Order(Candidates.size());
-  std::iota(Order.begin(), Order.end(), 0);
-  if (Need.Step->Gang) {
-    std::ranges::stable_sort(Order, std::greater<>(), [&](std::size_t I) {
-      return std::tuple(isNearData(Need, Candidates[I]),
-                        slotsOn(Need, Candidates[I]), Candidates[I].Local);
-    });
-    return Order;
-  }
-  std::ranges::stable_sort(Order, std::less<>(), [&](std::size_t I) {
-    return std::tuple(!isNearData(Need, Candidates[I]), !Candidates[I].Local,
-                      Candidates[I].Free.CpusMilli);
-  });
+  std::vector<std::pair<PreferenceKey, std::size_t>> Keys;
+  Keys.reserve(Candidates.size());
+  for (std::size_t I = 0; I < Candidates.size(); ++I)
+    Keys.emplace_back(preferenceKey(Need, Candidates[I]), I);
+  std::ranges::sort(Keys);
+  std::vector<std::size_t> Order;
+  Order.reserve(Keys.size());
+  for (const auto &[Key, Index] : Keys)
+    Order.push_back(Index);
   return Order;
 }
 
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -147,12 +147,12 @@
       withdrawReservations(Address, Placements, Replies[Index++]);
 }
 
-bool RunOrderSender::canOrder(int JobShard, const std::string &Worker) {
+bool RunOrderSender::canOrder(int JobShard, int WorkerShard) {
   // A later owner of the job learns of the run from the worker's holder that
   // the store lists. This process must therefore have confirmed its ownership
   // of the job's shard after that holder's term was known; else both owners
   // could start the task.
-  const auto Since = Shards_.termKnownSince(Map_.shardOf(Worker));
+  const auto Since = Shards_.termKnownSince(WorkerShard);
   if (!Since)
     return false;
   if (Jobs_.isOwnershipConfirmedSince(JobShard, *Since))
@@ -166,10 +166,12 @@
   if (Jobs_.epochOf(Job.Shard) != Job.Epoch)
     return false;
   for (const auto &[Address, Placements] : Orders)
-    for (const PendingPlacement &Placement : Placements)
-      if (Shards_.holderOf(Map_.shardOf(Placement.Run.Worker)) != Address ||
-          !canOrder(Job.Shard, Placement.Run.Worker))
+    for (const PendingPlacement &Placement : Placements) {
+      const int WorkerShard = Map_.shardOf(Placement.Run.Worker);
+      if (Shards_.holderOf(WorkerShard) != Address ||
+          !canOrder(Job.Shard, WorkerShard))
         return false;
+    }
   return true;
 }
 
--- a/Source/Cell/RunOrderSender.h
+++ b/Source/Cell/RunOrderSender.h
@@ -36,9 +36,9 @@
              const std::vector<std::size_t> &Chosen);
   void stopRuns(std::vector<RunId> Runs);
   /// Returns true if a placement for a job of the shard may be sent to the
-  /// holder of the worker. If only the confirmation of the shard's ownership is
-  /// missing, requests it and returns false.
-  [[nodiscard]] bool canOrder(int JobShard, const std::string &Worker);
+  /// holder of the workers' shard. If only the confirmation of the ownership of
+  /// the job's shard is missing, requests it and returns false.
+  [[nodiscard]] bool canOrder(int JobShard, int WorkerShard);
   /// Returns true while a placement or a stop call of the run has no definite
   /// answer from the holder of its worker.
   [[nodiscard]] bool hasPendingOrder(const RunId &Run) const;
--- a/Source/Cell/StepAdvice.h
+++ b/Source/Cell/StepAdvice.h
@@ -3,9 +3,9 @@
 #include "Base/TimerService.h"
 #include "Cell/WorkerClient.h"
 
-#include <map>
-#include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace hickory {
 
@@ -58,8 +58,8 @@
   Clock::time_point RetryAt{}; ///< Time of the next attempt to ask.
 
 private:
-  std::map<std::string, GoodWorker> Good_;
-  std::set<std::string> Bad_;
+  std::unordered_map<std::string, GoodWorker> Good_;
+  std::unordered_set<std::string> Bad_;
 };
 
 } // namespace hickory
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -618,10 +618,11 @@
   return static_cast<int>(Victims->size());
 }
 
-std::vector<RunReport> WorkerAgent::runs() const {
-  std::vector<RunReport> Reports;
+void WorkerAgent::appendRuns(
+    const std::function<bool(const std::string &Task)> &IsWanted,
+    std::vector<RunReport> &Reports) const {
   for (const auto &[Key, Tracked] : Runs_) {
-    if (Tracked.State == Phase::Reserved)
+    if (Tracked.State == Phase::Reserved || !IsWanted(Key.first))
       continue;
     Reports.push_back(
         {.Task = Key.first,
@@ -631,7 +632,6 @@
          .DemandKnown = Tracked.DemandKnown,
          .How = Tracked.State == Phase::Ended ? nameOf(Tracked.Outcome) : ""});
   }
-  return Reports;
 }
 
 std::vector<EndReport> WorkerAgent::undeliveredEnds() const {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -96,7 +96,9 @@
 
   [[nodiscard]] WorkerLoad load() const;
   [[nodiscard]] const WorkerEntry &entry() const { return Entry_; }
-  [[nodiscard]] std::vector<RunReport> runs() const;
+  /// Appends the runs of the tasks for which the predicate returns true.
+  void appendRuns(const std::function<bool(const std::string &Task)> &IsWanted,
+                  std::vector<RunReport> &Reports) const;
   /// Returns the ends that the owners of the jobs have not accepted yet.
   [[nodiscard]] std::vector<EndReport> undeliveredEnds() const;
   /// Records that the job's owner has accepted the end, which is then
--- a/Source/Cell/WorkerClient.h
+++ b/Source/Cell/WorkerClient.h
@@ -23,6 +23,8 @@
   bool Draining = false;
   std::int64_t StartedAtMs =
       0; ///< Start of this incarnation, Unix milliseconds.
+
+  bool operator==(const WorkerEntry &) const = default;
 };
 
 struct StartOrder {
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -137,8 +137,13 @@
   return Agent == It->second.Agents.end() ? nullptr : Agent->second;
 }
 
-const WorkerAgent *WorkerPool::find(const std::string &Worker) const {
-  return findAgent(Worker).get();
+const WorkerAgent *WorkerPool::find(int ShardNumber,
+                                    const std::string &Worker) const {
+  const auto It = Shards_.find(ShardNumber);
+  if (It == Shards_.end())
+    return nullptr;
+  const auto Agent = It->second.Agents.find(Worker);
+  return Agent == It->second.Agents.end() ? nullptr : Agent->second.get();
 }
 
 void WorkerPool::fenceEarlierOwners(const ShardEpoch &JobShard) {
@@ -220,7 +225,7 @@
 WorkerPool::loadsOf(const std::set<std::string> &Workers) const {
   std::vector<WorkerLoad> Found;
   for (const std::string &Id : Workers)
-    if (const WorkerAgent *Agent = find(Id))
+    if (const auto Agent = findAgent(Id))
       Found.push_back(Agent->load());
   return Found;
 }
@@ -228,13 +233,14 @@
 std::vector<RunReport>
 WorkerPool::runsOfJobs(const std::set<int> &JobShards) const {
   std::vector<RunReport> All;
+  if (JobShards.empty())
+    return All;
+  const auto IsWanted = [&](const std::string &Task) {
+    return JobShards.contains(Map_.shardOf(TaskName::jobOf(Task)));
+  };
   for (const auto &[ShardNumber, Held] : Shards_)
     for (const auto &[Id, Agent] : Held.Agents)
-      for (RunReport &Report : Agent->runs()) {
-        const std::string Job = TaskName::jobOf(Report.Task);
-        if (JobShards.contains(Map_.shardOf(Job)))
-          All.push_back(std::move(Report));
-      }
+      Agent->appendRuns(IsWanted, All);
   return All;
 }
 
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -74,7 +74,10 @@
   [[nodiscard]] std::vector<WorkerLoad> loads() const;
   [[nodiscard]] std::vector<WorkerLoad>
   loadsOf(const std::set<std::string> &Workers) const;
-  [[nodiscard]] const WorkerAgent *find(const std::string &Worker) const;
+  /// Returns the agent of a worker of the shard; null if this process does not
+  /// hold it.
+  [[nodiscard]] const WorkerAgent *find(int ShardNumber,
+                                        const std::string &Worker) const;
   /// Returns the runs of jobs of these shards. Ended runs are included until
   /// the job's owner has accepted their end.
   [[nodiscard]] std::vector<RunReport>
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -207,7 +207,7 @@
               WorkersClient_, Events_, Map_, {}),
         Jobs_(Environment.Context.get_executor(), Environment.Timers, Store_,
               Events_, Map_, {}),
-        View_(Pool_), Peers_(NetworkClient_, Address),
+        View_(Pool_, Map_), Peers_(NetworkClient_, Address),
         Adviser_(Environment.Timers, Advice_, Peers_, {.Address = Address}),
         Dispatcher_(Environment.Context.get_executor(), Environment.Timers,
                     Jobs_, View_, Peers_, Adviser_, Shards_,
@@ -219,7 +219,9 @@
                  Environment.Timers, Events_),
         WorkersFollower_(Environment.Timers, Store_, Events_,
                          {.Name = "workers_list", .Topic = WorkersTopic},
-                         [this](const auto &Values) { updateWorkers(Values); }),
+                         [this](const auto &Values, const auto &) {
+                           updateWorkers(Values);
+                         }),
         Supervisor_(Environment.Context.get_executor(), Environment.Timers) {
     wire();
     Supervisor_.add(WorkersFollower_);
@@ -317,7 +319,7 @@
       Listed.emplace(Id, std::move(Entry));
     }
     Pool_.updateWorkers(Listed);
-    View_.updateWorkers(std::move(Listed));
+    View_.updateWorkers(Listed);
     Dispatcher_.wake();
   }
 
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -18,6 +18,12 @@
   return {.Task = Task, .Run = 1, .Worker = "w", .How = "done"};
 }
 
+std::vector<RunReport> runsOf(const WorkerAgent &Agent) {
+  std::vector<RunReport> Reports;
+  Agent.appendRuns([](const std::string &) { return true; }, Reports);
+  return Reports;
+}
+
 struct AgentBench : CellTestBench {
   std::shared_ptr<WorkerAgent> startAgent(std::uint64_t InEpoch = Epoch) {
     auto Agent = std::make_shared<WorkerAgent>(
@@ -398,7 +404,7 @@
     Agent->reserve(Order);
     Bench.run(1500ms);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Agent->load().Free.CpusMilli);
-    CPPUNIT_ASSERT(Agent->runs().empty());
+    CPPUNIT_ASSERT(runsOf(*Agent).empty());
   }
 
   // Guards against a run that is treated as possibly absent because the reply
@@ -459,7 +465,7 @@
     Bench.run(200ms);
     Bench.startAgain(Agent, "j.0.0.0");
     CPPUNIT_ASSERT_EQUAL(1, Bench.Worker.Starts);
-    CPPUNIT_ASSERT(Agent->runs().empty());
+    CPPUNIT_ASSERT(runsOf(*Agent).empty());
   }
 
   void testRepeatedPlacementOfAStoppedRunDoesNotStartIt() {
