Tell a process that its term of a shard is outdated, whoever had the later one

The others knew term 17 from the holder's reports of its workers and ignored all reports of term 15, so no takeover was completed. Change: The reply to an exchange also names shards of which a later term is known as a holder's report.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -49,9 +49,11 @@
     for (const std::string &Address : Addresses)
       if (Exchanging_.insert(Address).second)
         asio::co_spawn(Executor_, exchangeWith(Address), asio::detached);
-    std::erase_if(WaitingJobs_, [&](const auto &AddressAndCounts) {
-      return !Addresses.contains(AddressAndCounts.first);
-    });
+    const auto HasLeft = [&](const auto &AddressAndValue) {
+      return !Addresses.contains(AddressAndValue.first);
+    };
+    std::erase_if(WaitingJobs_, HasLeft);
+    std::erase_if(FailureDomains_, HasLeft);
     Jobs_.tick();
     Dispatcher_.wake();
     const auto Period = Shards_.heldShards().empty()
@@ -97,6 +99,7 @@
   dropOutdatedShards(*Reply);
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
+  FailureDomains_[Address] = Reply->FailureDomain;
   if (Reply->WaitingKnown)
     WaitingJobs_[Address] = Reply->Waiting;
   if (Address != Options_.Address)
@@ -135,6 +138,11 @@
     if (Request.Sender != Options_.Address)
       Shards_.applyHolderReport(Shard.Shard, Shard.Epoch, Request.Member);
     Pool_.fenceEarlierOwners(Shard);
+    // The later holder may have lost the shard before it read the journal, so
+    // that the journal does not fence the sender.
+    if (const auto Latest = Shards_.latestTerm(Shard.Shard);
+        Latest.Epoch > Shard.Epoch)
+      Pool_.fenceEarlierOwners(Latest);
     JobShards.insert(Shard.Shard);
   }
   for (const RunDemand &Demand : Request.Demands)
@@ -147,7 +155,8 @@
           .Waiting = Jobs_.waitingJobs(),
           .WaitingKnown = Jobs_.isWaitingKnown(),
           .Claims = Dispatcher_.gangClaims().ownClaims(),
-          .Outdated = Pool_.laterEpochs(Request.Held)};
+          .Outdated = Pool_.laterEpochs(Request.Held),
+          .FailureDomain = Options_.FailureDomain};
 }
 
 asio::awaitable<void> CellNode::startRun(ShardEpoch Job, PlaceOrder Order,
@@ -242,6 +251,22 @@
   asio::co_spawn(Executor_, Shards_.removeMembersAt(Address), asio::detached);
 }
 
+asio::awaitable<RecordsReply> CellNode::relayRecords(RecordsRequest Request) {
+  if (RelaySource_ == nullptr)
+    co_return RecordsReply{};
+  co_return co_await RelaySource_->recordsFrom(
+      Request.From, std::chrono::milliseconds(Request.WaitMs));
+}
+
+std::vector<std::string> CellNode::ownersNearby() const {
+  std::vector<std::string> Found;
+  for (const auto &[Address, Domain] : FailureDomains_)
+    if (Address != Options_.Address && Domain == Options_.FailureDomain &&
+        !UnansweredSince_.contains(Address))
+      Found.push_back(Address);
+  return Found;
+}
+
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
   if (!Jobs_.isOwnerOf(Job.Id))
     co_return SubmitReply{.NotOwner = true};
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -221,6 +221,11 @@
     Latest = {.Epoch = Epoch, .Member = Member, .KnownSince = Timers_.now()};
 }
 
+ShardEpoch ShardMembership::latestTerm(int Shard) const {
+  const auto It = Terms_.find(Shard);
+  return {.Shard = Shard, .Epoch = It == Terms_.end() ? 0 : It->second.Epoch};
+}
+
 std::optional<Clock::time_point>
 ShardMembership::termKnownSince(int Shard) const {
   const auto Holder = Holders_.find(Shard);
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -4,6 +4,7 @@
 #include "Base/EventLog.h"
 #include "Base/Notifier.h"
 #include "Base/TimerService.h"
+#include "Cell/PeerMessages.h"
 #include "Cell/ResponseTimeEstimator.h"
 #include "Cell/StoreClient.h"
 
@@ -128,6 +129,9 @@
   /// stale.
   bool applyHolderReport(int Shard, std::uint64_t Epoch,
                          const std::string &Member);
+  /// Returns the latest term of the shard that its holder has reported; epoch 0
+  /// if there is none.
+  [[nodiscard]] ShardEpoch latestTerm(int Shard) const;
   /// Returns the time at which this process learned of the current term of the
   /// shard; nothing if the shard's holder has not reported that term itself.
   [[nodiscard]] std::optional<Clock::time_point>
--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -267,6 +267,10 @@
     // A new owner restarted a task whose run it had adopted before all holders
     // of workers knew of the takeover, and so did the former owner.
     CPPUNIT_ASSERT_EQUAL(std::string(), violationsOf(231047510, true));
+    // A shard came back to a process that had not noticed its loss, from one
+    // that had not read the journal yet: the others ignored its reports, and no
+    // takeover was completed.
+    CPPUNIT_ASSERT_EQUAL(std::string(), violationsOf(0, true));
   }
 
   // Guards against violations when calls fail while processes start, stop and
