Relay the configuration within a failure domain

Cause: A change of the configuration to 1,900 queues is read from the store by each of 147 processes. 73 of them are in the other region, behind one link of 150 Mbit/s: for 0.7 MB each, the link alone needs over 2.5 s of the 4 s that a change may take (worked out, not measured). A read that is cut off by its timeout of 2.5 s began anew with a read of the whole topic, which is larger. Ruled out: Reading less often delays the change; a longer timeout alone leaves the link as it is. A failed read goes on at its offset, with twice the time for the transfer.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -10,6 +10,8 @@
 /// Longest time between two evaluations of the list of workers while records
 /// are written but no entry changes.
 constexpr std::chrono::seconds UnchangedListPeriod{1};
+/// Short, as other processes rely on a read that has ended recently.
+constexpr std::chrono::milliseconds ConfigurationPollWait{700};
 
 } // namespace
 
@@ -41,13 +43,22 @@
                [this](const auto &Values, const auto &Changed) {
                  updateWorkers(Values, Changed);
                }),
+      Relay_(Peers_, Options_.Address,
+             [this] {
+               return Shards_.heldShards().empty() ? Node_.ownersNearby()
+                                                   : std::vector<std::string>();
+             }),
       Operator_(Timers_, Services.Store, Events_,
-                {.Name = "configuration", .Topic = Options_.OperatorTopic},
-                [this](const auto &Values, const auto &) {
+                {.Name = "configuration",
+                 .Topic = Options_.OperatorTopic,
+                 .PollWait = ConfigurationPollWait,
+                 .Relay = &Relay_},
+                [this](const auto &Values, const auto & /*Changed*/) {
                   updateConfiguration(Values);
                 }),
       Supervisor_(Context.get_executor(), Timers_) {
   Peers_.setLocal(Node_);
+  Node_.setRelaySource(Operator_);
   Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
     Pool_.assign(Shard, Epoch);
     Jobs_.assign(Shard, Epoch);
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -9,6 +9,7 @@
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
 #include "Cell/CellRecords.h"
+#include "Cell/ConfigurationRelay.h"
 #include "Cell/Dispatcher.h"
 #include "Cell/HttpCellPeer.h"
 #include "Cell/JobOwner.h"
@@ -93,6 +94,7 @@
   WorkerList ListedWorkers_;
   Clock::time_point WorkersAppliedAt_{};
   KeyedFollower Workers_;
+  ConfigurationRelay Relay_;
   KeyedFollower Operator_;
   Supervisor Supervisor_;
   bool Draining_ = false;
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -5,6 +5,7 @@
 #include "Cell/CellPeer.h"
 #include "Cell/Dispatcher.h"
 #include "Cell/JobOwner.h"
+#include "Cell/KeyedFollower.h"
 #include "Cell/ShardMembership.h"
 #include "Cell/WorkerPool.h"
 
@@ -16,6 +17,7 @@
 
 struct CellNodeOptions {
   std::string Address; ///< Address at which other processes reach this one.
+  std::string FailureDomain;
   std::chrono::milliseconds ExchangePeriod{500};
   /// The period grows with the number of peers, so that the rate of calls of a
   /// process does not.
@@ -59,6 +61,7 @@
   asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
   asio::awaitable<RemoveMemberReply>
   removeMember(RemoveMemberRequest Request) override;
+  asio::awaitable<RecordsReply> relayRecords(RecordsRequest Request) override;
   asio::awaitable<SubmitReply> submit(JobSpec Job) override;
   asio::awaitable<JobStateReply> state(JobReference Job) override;
   asio::awaitable<SubmitReply> cancel(JobReference Job) override;
@@ -70,6 +73,12 @@
   [[nodiscard]] std::set<std::string> helpers() const;
   /// Returns the reachable processes that hold shards, including this one.
   [[nodiscard]] std::set<std::string> owners() const;
+  /// Sets the source of the records for relayRecords(). Without it, no process
+  /// gets any.
+  void setRelaySource(KeyedFollower &Source) { RelaySource_ = &Source; }
+  /// Returns the owners in this process's failure domain, except itself, that
+  /// have answered the latest exchange.
+  [[nodiscard]] std::vector<std::string> ownersNearby() const;
   /// Returns false if the process has not answered for UnreachableAfter.
   [[nodiscard]] bool isReachable(const std::string &Address) const;
   /// Returns true if most other processes with shards do not answer this one.
@@ -112,6 +121,8 @@
   CellNodeOptions Options_;
   Notifier ExchangeDue_;
   Notifier EndsDue_;
+  KeyedFollower *RelaySource_ = nullptr;
+  std::map<std::string, std::string> FailureDomains_; ///< By peer.
   std::set<std::string> Exchanging_;
   /// Start of the first call that failed since the latest answer, by address.
   std::map<std::string, Clock::time_point> UnansweredSince_;
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -25,6 +25,10 @@
   /// Removes a process that does not reach the store from the group.
   virtual asio::awaitable<RemoveMemberReply>
   removeMember(RemoveMemberRequest Request) = 0;
+  /// Returns records of the configuration topic to a process that does not
+  /// read them from the store.
+  virtual asio::awaitable<RecordsReply>
+  relayRecords(RecordsRequest Request) = 0;
   virtual asio::awaitable<SubmitReply> submit(JobSpec Job) = 0;
   virtual asio::awaitable<JobStateReply> state(JobReference Job) = 0;
   virtual asio::awaitable<SubmitReply> cancel(JobReference Job) = 0;
@@ -50,6 +54,8 @@
   advise(std::string Address, AdviseRequest Request) = 0;
   virtual asio::awaitable<Result<RemoveMemberReply>>
   removeMember(std::string Address, RemoveMemberRequest Request) = 0;
+  virtual asio::awaitable<Result<RecordsReply>>
+  relayRecords(std::string Address, RecordsRequest Request) = 0;
   virtual asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                                       JobSpec Job) = 0;
   virtual asio::awaitable<Result<JobStateReply>> state(std::string Address,
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -50,6 +50,8 @@
                                                   false};
 const HttpCellPeer::CallKind HttpCellPeer::RemoveMember{"relieve",
                                                         RemovalTimeout, true};
+const HttpCellPeer::CallKind HttpCellPeer::RelayRecords{"records", ShortTimeout,
+                                                        true};
 const HttpCellPeer::CallKind HttpCellPeer::Submit{"submit", WriteTimeout,
                                                   false};
 const HttpCellPeer::CallKind HttpCellPeer::State{"state", WriteTimeout, true};
@@ -139,6 +141,16 @@
                                              json(Request));
 }
 
+asio::awaitable<Result<RecordsReply>>
+HttpCellPeer::relayRecords(std::string Address, RecordsRequest Request) {
+  if (Address == OwnAddress_)
+    co_return co_await Local_->relayRecords(std::move(Request));
+  CallKind Kind = RelayRecords;
+  Kind.Timeout += std::chrono::milliseconds(Request.WaitMs);
+  co_return co_await send<RecordsReply>(std::move(Address), Kind,
+                                        json(Request));
+}
+
 asio::awaitable<Result<SubmitReply>> HttpCellPeer::submit(std::string Address,
                                                           JobSpec Job) {
   if (Address == OwnAddress_)
@@ -176,6 +188,8 @@
     co_return co_await Handler.advise(Body.get<AdviseRequest>());
   if (Name == "relieve")
     co_return co_await Handler.removeMember(Body.get<RemoveMemberRequest>());
+  if (Name == "records")
+    co_return co_await Handler.relayRecords(Body.get<RecordsRequest>());
   if (Name == "submit")
     co_return co_await Handler.submit(Body.get<JobSpec>());
   if (Name == "state")
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -30,6 +30,8 @@
                                               AdviseRequest Request) override;
   asio::awaitable<Result<RemoveMemberReply>>
   removeMember(std::string Address, RemoveMemberRequest Request) override;
+  asio::awaitable<Result<RecordsReply>>
+  relayRecords(std::string Address, RecordsRequest Request) override;
   asio::awaitable<Result<SubmitReply>> submit(std::string Address,
                                               JobSpec Job) override;
   asio::awaitable<Result<JobStateReply>> state(std::string Address,
@@ -50,6 +52,7 @@
   static const CallKind Exchange;
   static const CallKind Advise;
   static const CallKind RemoveMember;
+  static const CallKind RelayRecords;
   static const CallKind Submit;
   static const CallKind State;
   static const CallKind Cancel;
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -1,10 +1,14 @@
 #include "Cell/KeyedFollower.h"
 
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
 
 constexpr std::chrono::milliseconds RetryDelay{250};
+/// Interval at which a process that waits for records checks for them.
+constexpr std::chrono::milliseconds RelayPoll{100};
 
 } // namespace
 
@@ -12,33 +16,67 @@
                              EventLog &Events, KeyedFollowerOptions Options,
                              ChangeCallback OnChange)
     : Timers_(Timers), Store_(Store), Events_(Events),
-      Options_(std::move(Options)), OnChange_(std::move(OnChange)) {}
+      Options_(std::move(Options)), OnChange_(std::move(OnChange)),
+      TransferTime_(Options_.TransferTime) {}
 
 asio::awaitable<Result<void>> KeyedFollower::run() {
-  bool Current = false;
   while (!Stopping_) {
     if (Options_.IsNeeded && !Options_.IsNeeded()) {
-      Current = false;
+      Positioned_ = false;
       co_await Timers_.sleepFor(RetryDelay);
       continue;
     }
-    const bool Read = Current ? co_await readTail() : co_await readNewest();
+    const bool Read = co_await readRelay() || co_await readStore();
     if (Read != Reachable_) {
       Reachable_ = Read;
       Events_.emit(Options_.Name, Read ? "regained" : "lost",
                    {{"topic", Options_.Topic}, {"next", NextOffset_}});
     }
-    Current = Read;
     co_await Timers_.sleepFor(Read ? Options_.ReadPause : RetryDelay);
   }
   co_return Result<void>{};
 }
 
+asio::awaitable<bool> KeyedFollower::readRelay() {
+  if (Options_.Relay == nullptr)
+    co_return false;
+  auto Reply = co_await Options_.Relay->read(NextOffset_, Options_.PollWait);
+  if (!Reply || !Reply->Current || Reply->NextOffset < NextOffset_)
+    co_return false;
+  // Only reads from the store tell that there are no further records.
+  CurrentAt_.reset();
+  std::vector<KeyedRecord> Records;
+  for (RelayedRecord &Record : Reply->Records)
+    Records.push_back({.Key = std::move(Record.Key),
+                       .Value = std::move(Record.Value),
+                       .Offset = Record.Offset});
+  const std::set<std::string> Keys(Reply->Keys.begin(), Reply->Keys.end());
+  for (const auto &[Key, Value] : Values_)
+    if (!Keys.contains(Key))
+      Records.push_back({.Key = Key});
+  const auto Changed = apply(std::move(Records));
+  NextOffset_ = Reply->NextOffset;
+  Positioned_ = true;
+  Ready_ = true;
+  if (!Changed.empty())
+    OnChange_(Values_, Changed);
+  co_return true;
+}
+
+asio::awaitable<bool> KeyedFollower::readStore() {
+  const bool Read = Positioned_ ? co_await readTail() : co_await readNewest();
+  TransferTime_ =
+      Read ? Options_.TransferTime
+           : std::min(2 * TransferTime_, Options_.LongestTransferTime);
+  co_return Read;
+}
+
 asio::awaitable<bool> KeyedFollower::readNewest() {
-  std::map<std::string, std::string> Values;
+  std::vector<KeyedRecord> Records;
   std::string After;
   std::uint64_t End = 0;
   bool First = true;
+  const Clock::time_point SentAt = Timers_.now();
   while (true) {
     auto Page =
         co_await Store_.readNewest(Options_.Topic, Options_.Partition, After);
@@ -51,31 +89,40 @@
     First = false;
     for (KeyedRecord &Record : Page->Records) {
       After = Record.Key;
-      if (Record.Value)
-        Values[Record.Key] = std::move(*Record.Value);
+      Records.push_back(std::move(Record));
     }
     if (!Page->HasMore || Page->Records.empty())
       break;
   }
   std::set<std::string> Changed;
   for (const auto &[Key, Value] : Values_)
-    if (!Values.contains(Key))
-      Changed.insert(Key);
-  for (const auto &[Key, Value] : Values)
     Changed.insert(Key);
-  Values_ = std::move(Values);
+  Values_.clear();
+  Offsets_.clear();
+  Changed.merge(apply(std::move(Records)));
   NextOffset_ = End;
+  CurrentAt_ = SentAt;
+  Positioned_ = true;
   Ready_ = true;
   OnChange_(Values_, Changed);
   co_return true;
 }
 
 asio::awaitable<bool> KeyedFollower::readTail() {
-  auto Page = co_await Store_.readTail(Options_.Topic, Options_.Partition,
-                                       NextOffset_, Options_.PollWait);
-  if (!Page || Page->Expired)
+  const Clock::time_point SentAt = Timers_.now();
+  auto Page =
+      co_await Store_.readTail(Options_.Topic, Options_.Partition, NextOffset_,
+                               Options_.PollWait, TransferTime_);
+  if (!Page)
+    co_return false;
+  if (Page->Expired) {
+    Positioned_ = false;
     co_return false;
+  }
   NextOffset_ = Page->NextOffset;
+  // Without records, the store has waited for them.
+  if (Page->NextOffset >= Page->EndOffset)
+    CurrentAt_ = Page->Records.empty() ? SentAt + Options_.PollWait : SentAt;
   const auto Changed = apply(std::move(Page->Records));
   if (!Changed.empty())
     OnChange_(Values_, Changed);
@@ -86,12 +133,37 @@
   std::set<std::string> Changed;
   for (KeyedRecord &Record : Records) {
     Changed.insert(Record.Key);
-    if (Record.Value)
+    if (Record.Value) {
       Values_[Record.Key] = std::move(*Record.Value);
-    else
+      Offsets_[Record.Key] = Record.Offset;
+    } else {
       Values_.erase(Record.Key);
+      Offsets_.erase(Record.Key);
+    }
   }
   return Changed;
 }
 
+bool KeyedFollower::isCurrent() const {
+  return CurrentAt_ && Timers_.now() - *CurrentAt_ <= Options_.RelayedFor;
+}
+
+asio::awaitable<RecordsReply>
+KeyedFollower::recordsFrom(std::uint64_t From, std::chrono::milliseconds Wait) {
+  const Clock::time_point End =
+      Timers_.now() + std::min(Wait, Options_.PollWait);
+  while (isCurrent() && NextOffset_ <= From && Timers_.now() < End &&
+         !Stopping_)
+    co_await Timers_.sleepFor(RelayPoll);
+  RecordsReply Reply{.Current = isCurrent(), .NextOffset = NextOffset_};
+  if (!Reply.Current)
+    co_return Reply;
+  for (const auto &[Key, Value] : Values_) {
+    Reply.Keys.push_back(Key);
+    if (const std::uint64_t Offset = Offsets_.at(Key); Offset >= From)
+      Reply.Records.push_back({.Key = Key, .Value = Value, .Offset = Offset});
+  }
+  co_return Reply;
+}
+
 } // namespace hickory
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -3,15 +3,28 @@
 #include "Base/Component.h"
 #include "Base/EventLog.h"
 #include "Base/TimerService.h"
+#include "Cell/PeerMessages.h"
 #include "Cell/StoreClient.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace hickory {
 
+/// Reads the records of a topic from another process that follows it.
+class KeyedRelay {
+public:
+  virtual ~KeyedRelay() = default;
+  /// Returns the records from the offset From on, after waiting up to Wait if
+  /// there are none. Returns nothing if no process can be asked, or if the one
+  /// that was asked may not know the latest records.
+  virtual asio::awaitable<std::optional<RecordsReply>>
+  read(std::uint64_t From, std::chrono::milliseconds Wait) = 0;
+};
+
 struct KeyedFollowerOptions {
   std::string Name;
   std::string Topic;
@@ -19,8 +32,17 @@
   std::chrono::milliseconds PollWait{1500};
   /// Pause between two reads, so that many changes cost few calls.
   std::chrono::milliseconds ReadPause{300};
+  /// Time allowed for the transfer of records. It doubles, up to the longest,
+  /// after each call that fails, as many large records may be on a slow link.
+  std::chrono::milliseconds TransferTime{1000};
+  std::chrono::milliseconds LongestTransferTime{8000};
+  /// Records are relayed to other processes until this time after the store was
+  /// last known to have no further ones.
+  std::chrono::milliseconds RelayedFor{2200};
   /// Nothing is read while this function is set and returns false.
   std::function<bool()> IsNeeded;
+  /// Asked before the store, if set.
+  KeyedRelay *Relay = nullptr;
 };
 
 /// Maintains a copy of the newest record of each key of a topic.
@@ -41,10 +63,18 @@
   /// Returns false until the first complete read.
   [[nodiscard]] bool isReady() const { return Ready_; }
 
+  /// Returns the newest record of each key that was written at or after From,
+  /// after waiting up to Wait if there is none.
+  asio::awaitable<RecordsReply> recordsFrom(std::uint64_t From,
+                                            std::chrono::milliseconds Wait);
+
 private:
+  asio::awaitable<bool> readRelay();
+  asio::awaitable<bool> readStore();
   asio::awaitable<bool> readNewest();
   asio::awaitable<bool> readTail();
   std::set<std::string> apply(std::vector<KeyedRecord> Records);
+  [[nodiscard]] bool isCurrent() const;
 
   TimerService &Timers_;
   StoreClient &Store_;
@@ -52,7 +82,12 @@
   KeyedFollowerOptions Options_;
   ChangeCallback OnChange_;
   std::map<std::string, std::string> Values_;
+  std::map<std::string, std::uint64_t> Offsets_; ///< Of the values, by key.
   std::uint64_t NextOffset_ = 0;
+  std::chrono::milliseconds TransferTime_;
+  /// Time at which the store had no further records.
+  std::optional<Clock::time_point> CurrentAt_;
+  bool Positioned_ = false; ///< NextOffset_ continues what was read.
   bool Ready_ = false;
   bool Reachable_ = true;
   bool Stopping_ = false;
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -165,6 +165,30 @@
   std::vector<ClaimReport> Claims;
   /// Those of the sender's shards that have a later owner.
   std::vector<ShardEpoch> Outdated;
+  /// Of the process that answers; empty if it runs an earlier release.
+  std::string FailureDomain;
+};
+
+/// Asks a process for the records of the configuration topic that were written
+/// at or after an offset.
+struct RecordsRequest {
+  std::uint64_t From = 0;
+  std::int64_t WaitMs = 0; ///< Time to wait for a record.
+};
+
+struct RelayedRecord {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Offset = 0;
+};
+
+struct RecordsReply {
+  /// False if the process may not know the latest records: it does not read
+  /// them from the store itself, or its latest read is too long ago.
+  bool Current = false;
+  std::vector<RelayedRecord> Records;
+  std::vector<std::string> Keys; ///< All keys that have a value.
+  std::uint64_t NextOffset = 0;  ///< Offset to continue from.
 };
 
 struct AdviseRequest {
@@ -233,8 +257,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Member, Held,
                                    Demands, Leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeReply, Member, Held, Workers, Runs,
-                                   Waiting, WaitingKnown, Claims, Outdated)
+// Fields that earlier releases do not send have defaults.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
+                                                Workers, Runs, Waiting,
+                                                WaitingKnown, Claims, Outdated,
+                                                FailureDomain)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsRequest, From, WaitMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
+                                   NextOffset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
                                    Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseReply, Answered, Good, Tickets)
--- a/Source/Cell/StoreClient.h
+++ b/Source/Cell/StoreClient.h
@@ -79,10 +79,11 @@
   readNewest(std::string Topic, int Partition, std::string AfterKey) = 0;
   /// Reads records from the offset From on, and waits up to Wait if there are
   /// none. Returns no records if none arrived, and Expired if the store no
-  /// longer has all of them.
+  /// longer has all of them. The call times out TransferTime after Wait.
   virtual asio::awaitable<Result<TailPage>>
   readTail(std::string Topic, int Partition, std::uint64_t From,
-           std::chrono::milliseconds Wait) = 0;
+           std::chrono::milliseconds Wait,
+           std::chrono::milliseconds TransferTime) = 0;
   /// Joins, or renews the membership in, the group that assigns the partitions
   /// of the topic to its members. The membership ends TimeToLive after the
   /// latest join. Generation is that of the caller's previous reply, or 0.
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -39,6 +39,7 @@
 public:
   std::vector<std::string> Called;  ///< Addresses, in order.
   std::set<std::string> Busy;       ///< Peers with busy channels.
+  std::set<std::string> Relayed;    ///< Peers that were asked for records.
   std::vector<AdviseRequest> Calls; ///< In the order of Called.
 
   asio::awaitable<Result<AdviseReply>> advise(std::string Address,
@@ -77,6 +78,11 @@
   removeMember(std::string, RemoveMemberRequest) override {
     co_return notImplemented();
   }
+  asio::awaitable<Result<RecordsReply>> relayRecords(std::string Address,
+                                                     RecordsRequest) override {
+    Relayed.insert(std::move(Address));
+    co_return notImplemented();
+  }
   asio::awaitable<Result<SubmitReply>> submit(std::string, JobSpec) override {
     co_return notImplemented();
   }
--- a/Tests/Cell/FakeGroupStore.h
+++ b/Tests/Cell/FakeGroupStore.h
@@ -278,7 +278,8 @@
   }
   asio::awaitable<Result<TailPage>>
   readTail(std::string Topic, int Partition, std::uint64_t From,
-           std::chrono::milliseconds Wait) override {
+           std::chrono::milliseconds Wait,
+           std::chrono::milliseconds /*TransferTime*/) override {
     const Clock::time_point End = Timers_.now() + Wait;
     while (Timers_.now() < End &&
            Store_.readTail(Topic, Partition, From).EndOffset <= From)
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -36,6 +36,11 @@
   std::vector<ShardHolder> Holders;
   std::vector<std::string> Left; ///< Members that left or were removed.
   int Appends = 0;
+  int NewestReads = 0;
+  int TailReads = 0;
+  /// Records that readTail() returns, for all topics and partitions.
+  std::vector<KeyedRecord> Tail;
+  std::chrono::milliseconds TailTime{4}; ///< Time that a transfer takes.
   int LostJoins = 0; ///< Number of next joins without a response.
   std::vector<Clock::time_point> JoinedAt;
 
@@ -100,6 +105,7 @@
 
   asio::awaitable<Result<NewestPage>>
   readNewest(std::string /*Topic*/, int Number, std::string AfterKey) override {
+    ++NewestReads;
     co_await Timers_.sleepFor(std::chrono::milliseconds(4));
     // Pages of two records, so that tests cover the reading of several pages.
     NewestPage Page;
@@ -117,9 +123,24 @@
 
   asio::awaitable<Result<TailPage>>
   readTail(std::string /*Topic*/, int /*Number*/, std::uint64_t From,
-           std::chrono::milliseconds Wait) override {
-    co_await Timers_.sleepFor(Wait);
-    co_return TailPage{.EndOffset = From, .NextOffset = From};
+           std::chrono::milliseconds Wait,
+           std::chrono::milliseconds TransferTime) override {
+    ++TailReads;
+    if (TailTime > TransferTime) {
+      co_await Timers_.sleepFor(Wait + TransferTime);
+      co_return fail(ErrorCode::Timeout, "no answer");
+    }
+    co_await Timers_.sleepFor(TailTime);
+    const Clock::time_point End = Timers_.now() + Wait;
+    while (Tail.size() <= From && Timers_.now() < End)
+      co_await Timers_.sleepFor(std::chrono::milliseconds(10));
+    TailPage Page{.EndOffset = std::max<std::uint64_t>(From, Tail.size())};
+    Page.NextOffset = Page.EndOffset;
+    for (std::size_t I = From; I < Tail.size(); ++I) {
+      Page.Records.push_back(Tail[I]);
+      Page.Records.back().Offset = I;
+    }
+    co_return Page;
   }
 
   asio::awaitable<Result<GroupMembership>>
--- /dev/null
+++ b/Tests/Cell/KeyedFollowerTest.cpp
@@ -0,0 +1,166 @@
+#include "Cell/KeyedFollower.h"
+
+#include "Cell/CellTestBench.h"
+#include "Cell/ConfigurationRelay.h"
+#include "Cell/FakeAdvice.h"
+
+#include <asio/detached.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Asks a follower of the same process, unless it is cut off.
+class FakeRelay final : public KeyedRelay {
+public:
+  explicit FakeRelay(KeyedFollower &Source) : Source_(Source) {}
+  asio::awaitable<std::optional<RecordsReply>>
+  read(std::uint64_t From, std::chrono::milliseconds Wait) override {
+    if (!Reachable)
+      co_return std::nullopt;
+    co_return co_await Source_.recordsFrom(From, Wait);
+  }
+  bool Reachable = true;
+
+private:
+  KeyedFollower &Source_;
+};
+
+/// An owner that reads the store, and a helper that asks the owner.
+struct FollowerBench : CellTestBench {
+  FollowerBench() {
+    asio::co_spawn(Context, Owner.run(), asio::detached);
+    run(100ms);
+    asio::co_spawn(Context, Helper.run(), asio::detached);
+    run(500ms);
+    // From here on only the tests' own changes count.
+    HelperStore.TailReads = HelperStore.NewestReads = 0;
+  }
+  /// Appends a record that both stores return.
+  void append(const std::string &Key, std::optional<std::string> Value) {
+    OwnerStore.Tail.push_back({.Key = Key, .Value = Value});
+    HelperStore.Tail.push_back({.Key = Key, .Value = std::move(Value)});
+  }
+  static KeyedFollowerOptions options(KeyedRelay *Relay) {
+    return {.Name = "test",
+            .Topic = "keyed.test",
+            .PollWait = 700ms,
+            .Relay = Relay};
+  }
+
+  FakeStoreClient OwnerStore{Timers};
+  FakeStoreClient HelperStore{Timers};
+  std::map<std::string, std::string> OwnerValues;
+  std::map<std::string, std::string> HelperValues;
+  KeyedFollower Owner{
+      Timers, OwnerStore, Events, options(nullptr),
+      [this](const auto &Values, const auto &) { OwnerValues = Values; }};
+  FakeRelay Relay{Owner};
+  KeyedFollower Helper{
+      Timers, HelperStore, Events, options(&Relay),
+      [this](const auto &Values, const auto &) { HelperValues = Values; }};
+};
+
+} // namespace
+
+class KeyedFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeyedFollowerTest);
+  CPPUNIT_TEST(testHelperReadsChangesFromTheOwnerOnly);
+  CPPUNIT_TEST(testHelperReadsTheStoreIfTheOwnerDoesNotReachIt);
+  CPPUNIT_TEST(testDeletedKeyIsDeletedAtTheHelper);
+  CPPUNIT_TEST(testFailedReadIsNotFollowedByAReadOfAllKeys);
+  CPPUNIT_TEST(testLargeRecordOnASlowLinkIsReadInTheEnd);
+  CPPUNIT_TEST(testRelayGoesOnToAnotherOwnerAfterAFailure);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a configuration that the store sends to each process: the
+  // link between two regions needs longer for that than the change may take.
+  void testHelperReadsChangesFromTheOwnerOnly() {
+    FollowerBench Bench;
+    for (int I = 1; I <= 5; ++I) {
+      Bench.append("config", std::to_string(I));
+      Bench.run(1500ms);
+      CPPUNIT_ASSERT_EQUAL(std::to_string(I), Bench.HelperValues["config"]);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Bench.HelperStore.TailReads);
+    CPPUNIT_ASSERT_EQUAL(0, Bench.HelperStore.NewestReads);
+  }
+
+  // Guards against a configuration that takes effect late at all processes that
+  // rely on an owner without a path to the store.
+  void testHelperReadsTheStoreIfTheOwnerDoesNotReachIt() {
+    FollowerBench Bench;
+    Bench.append("config", "1");
+    Bench.run(1500ms);
+    Bench.OwnerStore.TailTime = 1h;
+    // The owner's present read ends.
+    Bench.run(1s);
+    Bench.append("config", "2");
+    Bench.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), Bench.HelperValues["config"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
+    Bench.OwnerStore.TailTime = 4ms;
+    Bench.Relay.Reachable = false;
+    Bench.append("config", "3");
+    Bench.run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), Bench.HelperValues["config"]);
+  }
+
+  // Guards against a withdrawn key that stays in use, also if the owner has
+  // started after its deletion.
+  void testDeletedKeyIsDeletedAtTheHelper() {
+    FollowerBench Bench;
+    Bench.append("a", "1");
+    Bench.append("b", "1");
+    Bench.run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Bench.HelperValues.size());
+    Bench.append("a", std::nullopt);
+    Bench.run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.HelperValues.size());
+    CPPUNIT_ASSERT_EQUAL(0, Bench.HelperStore.TailReads);
+  }
+
+  // Guards against an outage after which each process reads the whole topic.
+  void testFailedReadIsNotFollowedByAReadOfAllKeys() {
+    FollowerBench Bench;
+    const int Before = Bench.OwnerStore.NewestReads;
+    Bench.OwnerStore.TailTime = 1h;
+    Bench.run(10s);
+    Bench.append("config", "1");
+    Bench.OwnerStore.TailTime = 4ms;
+    Bench.run(10s);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
+    CPPUNIT_ASSERT_EQUAL(Before, Bench.OwnerStore.NewestReads);
+  }
+
+  // Guards against a record that is never read, as each transfer is cut off by
+  // the same timeout and begins anew.
+  void testLargeRecordOnASlowLinkIsReadInTheEnd() {
+    FollowerBench Bench;
+    Bench.OwnerStore.TailTime = 3500ms;
+    Bench.append("config", "1");
+    Bench.run(20s);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
+  }
+
+  // Guards against a helper that keeps asking an owner that does not answer.
+  void testRelayGoesOnToAnotherOwnerAfterAFailure() {
+    CellTestBench Bench;
+    FakeAdvicePeers Peers;
+    ConfigurationRelay Relay(Peers, "10.0.0.1:7000", [] {
+      return std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"};
+    });
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT(!**Bench.begin(Relay.read(0, 700ms)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Peers.Relayed.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeyedFollowerTest);
+
+} // namespace hickory
