Probe silent workers in short intervals, so that silence within the lease restarts nothing

Cause: A worker that was silent for 4.2 s of its lease of 6 s lost its run (trace of the new test): the lease was last extended 1 s before the silence, and each probe without contact waited 1 s for its answer, so the first one that could be answered came after the lease. FakeWorkers::end() used a key after it was erased, so a run whose lease expired went on in the test's history: a fault of the simulation, which reported TWICE and UNASKED. The fake now copies the key; its checks are the same. Change: The time for the answer is part of the order; two of three probes wait 0.3 s. Measured: SilentWorkerTest (4 tests: calls lost, answers lost, refused, delayed, of all calls or of heartbeats only, for up to the lease less a heartbeat and an answer; holder changes meanwhile; list entry lapses) passes. With the former fake and agent, two of its tests fail.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -104,7 +104,8 @@
   while (!Stopping_) {
     // After lost contact another incarnation of the worker may answer, whose
     // ends have the same numbers.
-    HeartbeatOrder Order{.Acknowledged = Reachable_ ? acknowledgedEnd() : 0};
+    HeartbeatOrder Order{.Acknowledged = Reachable_ ? acknowledgedEnd() : 0,
+                         .AnswerTime = answerTime()};
     // Without contact the lease is not extended, so that it expires: an order
     // may reach the worker even if its reply is lost.
     if (WorkerClockKnown_ && Reachable_) {
@@ -155,7 +156,14 @@
   }
 }
 
+std::chrono::milliseconds WorkerAgent::answerTime() const {
+  const bool Patient =
+      UnansweredHeartbeats_ % Options_.PatientProbeInterval == 0;
+  return Patient ? Options_.AnswerTime : Options_.ProbeAnswerTime;
+}
+
 void WorkerAgent::markUnreachable() {
+  ++UnansweredHeartbeats_;
   if (Reachable_)
     Events_.emit("workers", "lost_contact", {{"worker", Entry_.Id}});
   Reachable_ = false;
@@ -197,6 +205,7 @@
                   {"running", Reply.Running.size()},
                   {"ended", Reply.Ended.size()}});
   StartedAtMs_ = Reply.StartedAtMs;
+  UnansweredHeartbeats_ = 0;
   Reachable_ = true;
   AcceptsOrders_ = true;
   setWorkerClock(Reply.ClockNow);
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -24,6 +24,14 @@
   /// time.
   std::chrono::milliseconds LeaseDuration{6000};
   std::chrono::milliseconds HeartbeatWait{1500};
+  /// Time for the answer to a heartbeat, and to most of those without contact,
+  /// which are short: one that is lost just before a silent worker answers
+  /// again costs the runs a part of their lease.
+  std::chrono::milliseconds AnswerTime{1000};
+  std::chrono::milliseconds ProbeAnswerTime{300};
+  /// Every such heartbeat without contact has the long time, for workers that
+  /// answer slowly.
+  int PatientProbeInterval = 3;
   std::chrono::milliseconds StartTimeout{700};
   std::chrono::milliseconds StopTimeout{700};
   /// A worker answers a heartbeat at once while it has ends that are not
@@ -142,6 +150,8 @@
   void endAllRuns(RunOutcome Outcome);
   void endRun(TrackedRun &Tracked, RunOutcome Outcome, std::int64_t Number);
   void markUnreachable();
+  /// Returns the time to wait for the answer to the next heartbeat.
+  [[nodiscard]] std::chrono::milliseconds answerTime() const;
   /// Reports the worker's runs as lost in either of two cases: the lease has
   /// ended and the ownership of the shard is confirmed (a later holder may have
   /// extended the lease), or the worker was draining, is no longer listed and
@@ -179,6 +189,7 @@
   Clock::time_point LastExtension_;
   WorkerHealth RunHealth_;
   Notifier AllEndsAccepted_;
+  int UnansweredHeartbeats_ = 0; ///< Since the latest contact.
   bool WorkerClockKnown_ = false;
   bool Resolved_ = false;
   bool Reachable_ = false;
--- a/Source/Cell/WorkerClient.h
+++ b/Source/Cell/WorkerClient.h
@@ -77,6 +77,8 @@
   std::chrono::milliseconds LeaseEnd{
       0}; ///< By the worker's clock; 0: not extended.
   std::chrono::milliseconds Wait{0}; ///< Longest time to wait for an end.
+  /// The call times out this time after Wait.
+  std::chrono::milliseconds AnswerTime{1000};
 };
 
 struct HeartbeatReply {
--- a/Tests/Cell/FakeWorkers.h
+++ b/Tests/Cell/FakeWorkers.h
@@ -197,7 +197,8 @@
     return {.Status = Status, .ClockNow = clock(Target)};
   }
 
-  void end(Worker &Target, const Key &Name, const std::string &Outcome) {
+  /// Name is a copy, as the original may be a key of Target.Running.
+  void end(Worker &Target, Key Name, const std::string &Outcome) {
     Target.Running.erase(Name);
     int &HighestClosedRun = Target.HighestClosedRun[Name.first];
     HighestClosedRun = std::max(HighestClosedRun, Name.second);
@@ -306,7 +307,6 @@
 private:
   static constexpr std::chrono::milliseconds Latency{2};
   static constexpr std::chrono::milliseconds Poll{10};
-  static constexpr std::chrono::milliseconds AnswerMargin{1000};
 
   asio::awaitable<Result<OrderReply>> call(const std::string &Id,
                                            const char *Name,
@@ -322,13 +322,12 @@
                                                       std::int64_t Token,
                                                       HeartbeatOrder Order,
                                                       CallFault Fault) {
-    const Clock::time_point Deadline =
-        Timers_.now() + Order.Wait + AnswerMargin;
     std::function<HeartbeatReply()> Effect = [this, Id, Token, Order] {
       return Workers_.heartbeat(Id, Token, Order);
     };
     auto Reply = co_await executeWithFault<HeartbeatReply>(
-        Timers_, Fault, Latency, Order.Wait + AnswerMargin, std::move(Effect));
+        Timers_, Fault, Latency, Order.Wait + Order.AnswerTime,
+        std::move(Effect));
     if (!Reply || Reply->Status != OrderStatus::Ok)
       co_return Reply;
     const Clock::time_point End = Timers_.now() + Order.Wait;
