--- a/Source/Cell/ConfigurationRelay.cpp
+++ b/Source/Cell/ConfigurationRelay.cpp
@@ -14,8 +14,8 @@
   if (Sources.empty())
     co_return std::nullopt;
   RecordsRequest Request{.From = From, .WaitMs = Wait.count()};
-  auto Reply = co_await Peers_.relayRecords(Sources[Next_ % Sources.size()],
-                                            std::move(Request));
+  auto Reply =
+      co_await Peers_.relayRecords(Sources[Next_ % Sources.size()], Request);
   if (Reply && Reply->Current)
     co_return std::move(*Reply);
   ++Next_;
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -144,7 +144,7 @@
 asio::awaitable<Result<RecordsReply>>
 HttpCellPeer::relayRecords(std::string Address, RecordsRequest Request) {
   if (Address == OwnAddress_)
-    co_return co_await Local_->relayRecords(std::move(Request));
+    co_return co_await Local_->relayRecords(Request);
   CallKind Kind = RelayRecords;
   Kind.Timeout += std::chrono::milliseconds(Request.WaitMs);
   co_return co_await send<RecordsReply>(std::move(Address), Kind,
