--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -24,13 +24,13 @@
   /// time.
   std::chrono::milliseconds LeaseDuration{6000};
   std::chrono::milliseconds HeartbeatWait{1500};
-  /// Time for the answer to a heartbeat, and to most of those without contact,
-  /// which are short: one that is lost just before a silent worker answers
-  /// again costs the runs a part of their lease.
+  /// Time for the answer to a heartbeat.
   std::chrono::milliseconds AnswerTime{1000};
+  /// Time for the answer to a probe, a heartbeat without contact. It is short,
+  /// as a probe that is lost just before a silent worker answers again uses up
+  /// the lease of the worker's runs.
   std::chrono::milliseconds ProbeAnswerTime{300};
-  /// Every such heartbeat without contact has the long time, for workers that
-  /// answer slowly.
+  /// One of so many probes has AnswerTime, for workers that answer slowly.
   int PatientProbeInterval = 3;
   std::chrono::milliseconds StartTimeout{700};
   std::chrono::milliseconds StopTimeout{700};
