--- a/Tests/Cell/SilentWorkerTest.cpp
+++ b/Tests/Cell/SilentWorkerTest.cpp
@@ -77,7 +77,7 @@
     for (const Kind Type :
          {Kind::LostRequest, Kind::LostReply, Kind::Refused, Kind::Delayed})
       for (const char *Call : {"", "hold"})
-        for (const double Leases : {0.1, 0.3, ToleratedSilence}) {
+        for (const double Leases : {0.1, 0.5, ToleratedSilence, 0.7}) {
           SilentWorkerBench Bench;
           Bench.silence(Type, Call,
                         std::chrono::duration_cast<std::chrono::milliseconds>(
