Log what each answer about waiting jobs was computed from

Change: event gateway/waiting_jobs: number, age of the oldest report, shards that no report covered. The number itself is computed as before.

--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -92,10 +92,18 @@
 }
 
 GatewayAnswer CellGateway::waitingJobs(const std::string &Queue) const {
-  const auto Count = Node_.waitingJobs(Queue);
-  if (!Count)
+  const WaitingJobsReport Report = Node_.waitingJobs(Queue);
+  Events_.emit("gateway", "waiting_jobs",
+               {{"queue", Queue},
+                {"jobs", Report.Jobs ? nlohmann::json(*Report.Jobs) : nullptr},
+                {"oldest_report_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     Report.OldestReport)
+                     .count()},
+                {"unreported_shards", Report.UnreportedShards}});
+  if (!Report.Jobs)
     return {.RetryAfter = retryDelay()};
-  return {.Status = 200, .Waiting = Count};
+  return {.Status = 200, .Waiting = Report.Jobs};
 }
 
 } // namespace hickory
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -100,8 +100,12 @@
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   FailureDomains_[Address] = Reply->FailureDomain;
-  if (Reply->WaitingKnown)
-    WaitingJobs_[Address] = Reply->Waiting;
+  if (Reply->WaitingKnown) {
+    WaitingCounts &Counts = WaitingJobs_[Address];
+    Counts = {.ByQueue = Reply->Waiting, .RequestedAt = SentAt};
+    for (const HeldShard &Shard : Reply->Held)
+      Counts.Shards.insert(Shard.Shard);
+  }
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
@@ -317,18 +321,27 @@
   return Found;
 }
 
-std::optional<int> CellNode::waitingJobs(const std::string &Queue) const {
+WaitingJobsReport CellNode::waitingJobs(const std::string &Queue) const {
   const auto Peers = Shards_.peers();
-  for (const std::string &Address : Peers)
-    if (!WaitingJobs_.contains(Address))
-      return std::nullopt;
-  if (!WaitingJobs_.contains(Options_.Address))
-    return std::nullopt;
+  WaitingJobsReport Report;
+  const bool AllReported =
+      WaitingJobs_.contains(Options_.Address) &&
+      std::ranges::all_of(Peers, [this](const std::string &Address) {
+        return WaitingJobs_.contains(Address);
+      });
   int Sum = 0;
-  for (const auto &[Address, Counts] : WaitingJobs_)
-    if (const auto It = Counts.find(Queue); It != Counts.end())
+  std::set<int> Reported;
+  for (const auto &[Address, Counts] : WaitingJobs_) {
+    Reported.insert(Counts.Shards.begin(), Counts.Shards.end());
+    Report.OldestReport =
+        std::max(Report.OldestReport, Timers_.now() - Counts.RequestedAt);
+    if (const auto It = Counts.ByQueue.find(Queue); It != Counts.ByQueue.end())
       Sum += It->second;
-  return Sum;
+  }
+  Report.UnreportedShards = Map_.count() - static_cast<int>(Reported.size());
+  if (AllReported)
+    Report.Jobs = Sum;
+  return Report;
 }
 
 asio::awaitable<void> CellNode::endDeliveryLoop() {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -33,6 +33,14 @@
   std::chrono::milliseconds EndsRetryDelay{250};
 };
 
+/// The number of waiting jobs of a queue, and what it was computed from.
+struct WaitingJobsReport {
+  /// Nothing until all processes with shards have reported.
+  std::optional<int> Jobs;
+  Clock::duration OldestReport{};
+  int UnreportedShards = 0; ///< Shards that no report covers.
+};
+
 /// Connects the components of one process with the other processes of the cell
 /// (see CellDaemon):
 /// handles their calls, exchanges state with them and delivers the ends of runs
@@ -84,10 +92,17 @@
   /// Returns true if most other processes with shards do not answer this one.
   [[nodiscard]] bool isIsolated() const;
   /// Returns the number of jobs of the queue that have not started, over all
-  /// processes; nothing until all of them have reported.
-  [[nodiscard]] std::optional<int> waitingJobs(const std::string &Queue) const;
+  /// processes.
+  [[nodiscard]] WaitingJobsReport waitingJobs(const std::string &Queue) const;
 
 private:
+  /// Numbers of waiting jobs that a process has reported.
+  struct WaitingCounts {
+    std::map<std::string, int> ByQueue;
+    std::set<int> Shards; ///< Shards that the counts cover.
+    Clock::time_point RequestedAt{};
+  };
+
   /// Adds the loads of the workers that rejected an order.
   void addLoads(const std::vector<std::string> &Workers,
                 PlaceReply &Reply) const;
@@ -127,8 +142,8 @@
   /// Start of the first call that failed since the latest answer, by address.
   std::map<std::string, Clock::time_point> UnansweredSince_;
   std::map<std::string, Clock::time_point> HelperLastSeen_;
-  std::map<std::string, std::vector<RunDemand>> Demands_;         ///< By peer.
-  std::map<std::string, std::map<std::string, int>> WaitingJobs_; ///< By peer.
+  std::map<std::string, std::vector<RunDemand>> Demands_; ///< By peer.
+  std::map<std::string, WaitingCounts> WaitingJobs_;      ///< By peer.
   std::set<std::string> EndsInDelivery_;
   std::size_t NextRemovalPeer_ = 0; ///< Each request goes to the next process.
   bool Stopped_ = false;
