Report waiting jobs by shard, so that no shard is left out while it moves

A process reported one number for all its shards; a shard that had left one owner and was not open at the next one was in no number, and the sum was answered all the same. Change: owners report per shard and term (WaitingJobsView); the former owner's number counts until the next owner reports, and without a number for each shard the caller gets 503. Reports of a process that is not the shard's holder are ignored. Processes of an earlier release are treated as ones without reports. The age of a number is still not bounded.

--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -92,18 +92,18 @@
 }
 
 GatewayAnswer CellGateway::waitingJobs(const std::string &Queue) const {
-  const WaitingJobsReport Report = Node_.waitingJobs(Queue);
+  const WaitingJobsCount Count = Node_.waitingJobs(Queue);
   Events_.emit("gateway", "waiting_jobs",
                {{"queue", Queue},
-                {"jobs", Report.Jobs ? nlohmann::json(*Report.Jobs) : nullptr},
+                {"jobs", Count.Jobs ? nlohmann::json(*Count.Jobs) : nullptr},
                 {"oldest_report_ms",
                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                     Report.OldestReport)
+                     Count.OldestReport)
                      .count()},
-                {"unreported_shards", Report.UnreportedShards}});
-  if (!Report.Jobs)
+                {"missing_shards", Count.MissingShards}});
+  if (!Count.Jobs)
     return {.RetryAfter = retryDelay()};
-  return {.Status = 200, .Waiting = Report.Jobs};
+  return {.Status = 200, .Waiting = Count.Jobs};
 }
 
 } // namespace hickory
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -24,7 +24,7 @@
     : Executor_(Executor), Timers_(Timers), Shards_(Shards), Map_(Map),
       Pool_(Pool), Jobs_(Jobs), View_(View), Dispatcher_(RunDispatcher),
       Adviser_(Adviser), Peers_(Peers), Options_(std::move(Options)),
-      ExchangeDue_(Executor), EndsDue_(Executor) {}
+      ExchangeDue_(Executor), EndsDue_(Executor), WaitingJobs_(Map.count()) {}
 
 void CellNode::start() {
   Shards_.onRemovalNeeded(
@@ -52,7 +52,6 @@
     const auto HasLeft = [&](const auto &AddressAndValue) {
       return !Addresses.contains(AddressAndValue.first);
     };
-    std::erase_if(WaitingJobs_, HasLeft);
     std::erase_if(FailureDomains_, HasLeft);
     Jobs_.tick();
     Dispatcher_.wake();
@@ -100,12 +99,7 @@
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   FailureDomains_[Address] = Reply->FailureDomain;
-  if (Reply->WaitingKnown) {
-    WaitingCounts &Counts = WaitingJobs_[Address];
-    Counts = {.ByQueue = Reply->Waiting, .RequestedAt = SentAt};
-    for (const HeldShard &Shard : Reply->Held)
-      Counts.Shards.insert(Shard.Shard);
-  }
+  applyWaitingJobs(Address, *Reply, SentAt);
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
@@ -114,6 +108,18 @@
   Dispatcher_.wake();
 }
 
+void CellNode::applyWaitingJobs(const std::string &Address,
+                                const ExchangeReply &Reply,
+                                Clock::time_point SentAt) {
+  for (const ShardWaitingJobs &Report : Reply.WaitingJobs) {
+    const auto Holder = Shards_.holderOf(Report.Shard);
+    // A process that has not noticed that it has lost the shard does not know
+    // the jobs that the next owner has accepted.
+    if (!Holder || *Holder == Address)
+      WaitingJobs_.apply(Report, SentAt);
+  }
+}
+
 void CellNode::dropOutdatedShards(ExchangeReply &Reply) {
   std::set<int> Current;
   std::erase_if(Reply.Held, [&](const HeldShard &Shard) {
@@ -156,8 +162,7 @@
           .Workers =
               Request.Held.empty() ? std::vector<WorkerLoad>() : Pool_.loads(),
           .Runs = Pool_.runsOfJobs(JobShards),
-          .Waiting = Jobs_.waitingJobs(),
-          .WaitingKnown = Jobs_.isWaitingKnown(),
+          .WaitingJobs = Jobs_.waitingJobs(),
           .Claims = Dispatcher_.gangClaims().ownClaims(),
           .Outdated = Pool_.laterEpochs(Request.Held),
           .FailureDomain = Options_.FailureDomain};
@@ -321,29 +326,6 @@
   return Found;
 }
 
-WaitingJobsReport CellNode::waitingJobs(const std::string &Queue) const {
-  const auto Peers = Shards_.peers();
-  WaitingJobsReport Report;
-  const bool AllReported =
-      WaitingJobs_.contains(Options_.Address) &&
-      std::ranges::all_of(Peers, [this](const std::string &Address) {
-        return WaitingJobs_.contains(Address);
-      });
-  int Sum = 0;
-  std::set<int> Reported;
-  for (const auto &[Address, Counts] : WaitingJobs_) {
-    Reported.insert(Counts.Shards.begin(), Counts.Shards.end());
-    Report.OldestReport =
-        std::max(Report.OldestReport, Timers_.now() - Counts.RequestedAt);
-    if (const auto It = Counts.ByQueue.find(Queue); It != Counts.ByQueue.end())
-      Sum += It->second;
-  }
-  Report.UnreportedShards = Map_.count() - static_cast<int>(Reported.size());
-  if (AllReported)
-    Report.Jobs = Sum;
-  return Report;
-}
-
 asio::awaitable<void> CellNode::endDeliveryLoop() {
   while (!Stopped_) {
     co_await EndsDue_.waitFor(Timers_, Options_.EndsRetryDelay);
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -7,6 +7,7 @@
 #include "Cell/JobOwner.h"
 #include "Cell/KeyedFollower.h"
 #include "Cell/ShardMembership.h"
+#include "Cell/WaitingJobsView.h"
 #include "Cell/WorkerPool.h"
 
 #include <map>
@@ -33,14 +34,6 @@
   std::chrono::milliseconds EndsRetryDelay{250};
 };
 
-/// The number of waiting jobs of a queue, and what it was computed from.
-struct WaitingJobsReport {
-  /// Nothing until all processes with shards have reported.
-  std::optional<int> Jobs;
-  Clock::duration OldestReport{};
-  int UnreportedShards = 0; ///< Shards that no report covers.
-};
-
 /// Connects the components of one process with the other processes of the cell
 /// (see CellDaemon):
 /// handles their calls, exchanges state with them and delivers the ends of runs
@@ -93,16 +86,11 @@
   [[nodiscard]] bool isIsolated() const;
   /// Returns the number of jobs of the queue that have not started, over all
   /// processes.
-  [[nodiscard]] WaitingJobsReport waitingJobs(const std::string &Queue) const;
+  [[nodiscard]] WaitingJobsCount waitingJobs(const std::string &Queue) const {
+    return WaitingJobs_.count(Queue, Timers_.now());
+  }
 
 private:
-  /// Numbers of waiting jobs that a process has reported.
-  struct WaitingCounts {
-    std::map<std::string, int> ByQueue;
-    std::set<int> Shards; ///< Shards that the counts cover.
-    Clock::time_point RequestedAt{};
-  };
-
   /// Adds the loads of the workers that rejected an order.
   void addLoads(const std::vector<std::string> &Workers,
                 PlaceReply &Reply) const;
@@ -114,6 +102,10 @@
   asio::awaitable<bool> requestRemoval(std::string Member,
                                        Clock::duration FailingFor);
   asio::awaitable<void> exchangeWith(std::string Address);
+  /// Applies the reported numbers of waiting jobs, except those of shards whose
+  /// holder is known to be another process.
+  void applyWaitingJobs(const std::string &Address, const ExchangeReply &Reply,
+                        Clock::time_point SentAt);
   /// Drops what the sender reports about shards that have a later holder.
   void dropOutdatedShards(ExchangeReply &Reply);
   asio::awaitable<void> endDeliveryLoop();
@@ -143,7 +135,7 @@
   std::map<std::string, Clock::time_point> UnansweredSince_;
   std::map<std::string, Clock::time_point> HelperLastSeen_;
   std::map<std::string, std::vector<RunDemand>> Demands_; ///< By peer.
-  std::map<std::string, WaitingCounts> WaitingJobs_;      ///< By peer.
+  WaitingJobsView WaitingJobs_;
   std::set<std::string> EndsInDelivery_;
   std::size_t NextRemovalPeer_ = 0; ///< Each request goes to the next process.
   bool Stopped_ = false;
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -723,17 +723,21 @@
     StepsReady_();
 }
 
-std::map<std::string, int> JobOwner::waitingJobs() const {
-  std::map<std::string, int> Counts;
-  for (const auto &[Id, Job] : Active_)
-    if (!Job->Progress.hasStarted() && Job->Progress.spec().Repetitions == 0)
-      ++Counts[Job->Progress.spec().Queue.Name];
-  return Counts;
-}
-
-bool JobOwner::isWaitingKnown() const {
-  return std::ranges::all_of(
-      Shards_, [](const auto &Entry) { return Entry.second.Ready; });
+std::vector<ShardWaitingJobs> JobOwner::waitingJobs() const {
+  std::map<int, ShardWaitingJobs> ByShard;
+  for (const auto &[Number, Owned] : Shards_)
+    if (Owned.Ready)
+      ByShard[Number] = {.Shard = Number, .Epoch = Owned.Epoch};
+  for (const auto &[Id, Job] : Active_) {
+    const JobSpec &Spec = Job->Progress.spec();
+    if (!Job->Progress.hasStarted() && Spec.Repetitions == 0)
+      ++ByShard[Job->Shard].Jobs[Spec.Queue.Name];
+  }
+  std::vector<ShardWaitingJobs> Reports;
+  Reports.reserve(ByShard.size());
+  for (auto &[Number, Report] : ByShard)
+    Reports.push_back(std::move(Report));
+  return Reports;
 }
 
 void JobOwner::tick() {
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -177,12 +177,9 @@
   [[nodiscard]] const std::map<std::string, JobPointer> &activeJobs() const {
     return Active_;
   }
-  /// Returns the number of jobs that have not started, by queue. Jobs with
-  /// repetitions are not counted.
-  [[nodiscard]] std::map<std::string, int> waitingJobs() const;
-  /// Returns true if waitingJobs() covers all owned shards, as their journals
-  /// have been read.
-  [[nodiscard]] bool isWaitingKnown() const;
+  /// Returns the jobs that have not started, for each owned shard whose journal
+  /// has been read. Jobs with repetitions are not counted.
+  [[nodiscard]] std::vector<ShardWaitingJobs> waitingJobs() const;
   /// Adds occurrences that are due, writes final states that are not stored yet
   /// and deletes finished jobs after FinishedJobRetention.
   void tick();
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -153,15 +153,22 @@
          ///< rank after all others.
 };
 
+/// Jobs of an owned shard that have not started.
+struct ShardWaitingJobs {
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+  std::map<std::string, int> Jobs; ///< Number of jobs by queue.
+};
+
 struct ExchangeReply {
   /// ADDRESS/INCARNATION, as a later process may use the same address.
   std::string Member;
   std::vector<HeldShard> Held;
   std::vector<WorkerLoad> Workers;
-  std::vector<RunReport> Runs;        ///< Runs of the sender's jobs.
-  std::map<std::string, int> Waiting; ///< Number of jobs not started, by queue.
-  bool WaitingKnown =
-      false; ///< True if the journals of all held shards are read.
+  std::vector<RunReport> Runs; ///< Runs of the sender's jobs.
+  /// The owned shards whose journals have been read; empty if the process runs
+  /// an earlier release.
+  std::vector<ShardWaitingJobs> WaitingJobs;
   std::vector<ClaimReport> Claims;
   /// Those of the sender's shards that have a later owner.
   std::vector<ShardEpoch> Outdated;
@@ -257,11 +264,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Member, Held,
                                    Demands, Leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardWaitingJobs, Shard, Epoch, Jobs)
 // Fields that earlier releases do not send have defaults.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
-                                                Workers, Runs, Waiting,
-                                                WaitingKnown, Claims, Outdated,
-                                                FailureDomain)
+                                                Workers, Runs, WaitingJobs,
+                                                Claims, Outdated, FailureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsRequest, From, WaitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
