Refuse the number of waiting jobs when a report is over 2 s old

The latest report of an owner counted for as long as the owner was listed, however long it had left exchanges unanswered. Conclusion: an owner that does not answer makes the number unknown instead of wrong.

--- a/Source/Cell/WaitingJobsView.cpp
+++ b/Source/Cell/WaitingJobsView.cpp
@@ -22,7 +22,7 @@
       Sum += It->second;
   }
   Count.MissingShards = Shards_ - static_cast<int>(Entries_.size());
-  if (Count.MissingShards == 0)
+  if (Count.MissingShards == 0 && Count.OldestReport <= MaximumAge)
     Count.Jobs = Sum;
   return Count;
 }
--- a/Tests/Cell/WaitingJobsViewTest.cpp
+++ b/Tests/Cell/WaitingJobsViewTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(WaitingJobsViewTest);
   CPPUNIT_TEST(testMissingShardLeavesTheNumberUnknown);
   CPPUNIT_TEST(testReportOfAFormerOwnerDoesNotReplaceThatOfTheNext);
+  CPPUNIT_TEST(testOldReportLeavesTheNumberUnknown);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,16 @@
     View.apply(reportOf(0, 1, 1), Start + 100ms);
     CPPUNIT_ASSERT_EQUAL(5, View.count("queue", Start + 100ms).Jobs.value());
   }
+
+  // Guards against an old number that is answered as if it were new.
+  void testOldReportLeavesTheNumberUnknown() {
+    WaitingJobsView View(2);
+    View.apply(reportOf(0, 1, 3), Start);
+    View.apply(reportOf(1, 1, 4), Start + 1s);
+    const auto Latest = Start + WaitingJobsView::MaximumAge;
+    CPPUNIT_ASSERT_EQUAL(7, View.count("queue", Latest).Jobs.value());
+    CPPUNIT_ASSERT(!View.count("queue", Latest + 1ms).Jobs);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WaitingJobsViewTest);
