Count a job as started only when a worker has executed a start

A job left the number when an order for one of its tasks was sent: exchanges reported runs whose start nobody had confirmed as running, and a run that ended as stopped or lost counted as one that had begun. Ruled out: that the missing shards explain all: the test has one owner that answers, and each shard has its report. Change: a holder says of each run whether its worker is known to have executed the start (Begun; earlier releases: true); stopped, lost and rejected runs prove no start. Conclusion: the number covers what the platform means by waiting. A job may now be shown as pending again until its run is confirmed.

--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -527,15 +527,15 @@
                 Job->Progress.markEnded(Run, runOutcomeFromName(Report.How),
                                         Report.Checkpoint, Timers_.now()));
   else if (Job)
-    adopt(Job, Run, Report.Checkpoint);
+    adopt(Job, Run, Report);
   else if (Report.How.empty() && StopRuns_)
     StopRuns_({Run});
 }
 
 void JobOwner::adopt(const JobPointer &Job, const RunId &Run,
-                     const std::string &Checkpoint) {
-  const ProgressEffect Effect =
-      Job->Progress.markRunning(Run, Checkpoint, Timers_.now());
+                     const RunReport &Report) {
+  const ProgressEffect Effect = Job->Progress.markRunning(
+      Run, Report.Checkpoint, Timers_.now(), Report.Begun);
   if (Effect.Applied || !Effect.Stop.empty())
     Events_.emit("jobs", Effect.Applied ? "run_adopted" : "run_refused",
                  {{"task", Run.Task.toString()},
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -237,8 +237,7 @@
   JobPointer applyEnd(const EndReport &End);
   void applyRunReport(const RunReport &Report);
   /// Adopts a run that is executing on a worker, or stops it.
-  void adopt(const JobPointer &Job, const RunId &Run,
-             const std::string &Checkpoint);
+  void adopt(const JobPointer &Job, const RunId &Run, const RunReport &Report);
   /// Ends the runs as lost that the reply should contain and does not.
   void
   markAbsentRunsLost(const ExchangeReply &Reply, Clock::time_point SentAt,
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -100,8 +100,9 @@
   std::string Worker;
   std::string Checkpoint;
   bool DemandKnown = true;
-  std::string How; ///< Outcome of an ended run whose end is not accepted yet;
-                   ///< else empty.
+  std::string How;   ///< Outcome of an ended run whose end is not accepted yet;
+                     ///< else empty.
+  bool Begun = true; ///< The worker is known to have executed the start.
 };
 
 struct RunDemand {
@@ -253,8 +254,6 @@
                                    Checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted, Owners)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReport, Task, Run, Worker, Checkpoint,
-                                   DemandKnown, How)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand,
                                    Priority, Preemptible)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptionNeed, Worker, Demand, Priority)
@@ -266,6 +265,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardWaitingJobs, Shard, Epoch, Jobs)
 // Fields that earlier releases do not send have defaults.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, Task, Run, Worker,
+                                                Checkpoint, DemandKnown, How,
+                                                Begun)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
                                                 Workers, Runs, WaitingJobs,
                                                 Claims, Outdated, FailureDomain)
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -274,6 +274,7 @@
   }
   TrackedRun &Tracked = It->second;
   Tracked.NeverOrdered = false;
+  Tracked.Begun = true;
   Tracked.Checkpoint = std::max(Tracked.Checkpoint, Row.Checkpoint);
   if (Tracked.State == Phase::Ended && Tracked.EndNumber == 0) {
     // The run was assumed to have ended, which may already be reported, so it
@@ -296,6 +297,7 @@
   HighestEndNumber_ = std::max(HighestEndNumber_, Row.Number);
   TrackedRun &Tracked = Runs_[RunKey(Row.Task, Row.Run)];
   Tracked.NeverOrdered = false;
+  Tracked.Begun = true;
   Tracked.Checkpoint = std::max(Tracked.Checkpoint, Row.Checkpoint);
   const RunOutcome Outcome = runOutcomeFromName(Row.Outcome);
   if (Outcome == RunOutcome::Done || Outcome == RunOutcome::Failed)
@@ -512,6 +514,7 @@
                              std::chrono::milliseconds(Order.ExpectedMs),
                              Timers_.now());
       It->second.State = Phase::Running;
+      It->second.Begun = true;
       It->second.Confirmed = true;
       It->second.ConfirmedAt = Timers_.now();
       Events_.emit("workers", "started",
@@ -656,7 +659,8 @@
          .Worker = Entry_.Id,
          .Checkpoint = Tracked.Checkpoint,
          .DemandKnown = Tracked.DemandKnown,
-         .How = Tracked.State == Phase::Ended ? nameOf(Tracked.Outcome) : ""});
+         .How = Tracked.State == Phase::Ended ? nameOf(Tracked.Outcome) : "",
+         .Begun = Tracked.Begun});
   }
 }
 
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -129,6 +129,7 @@
     int Priority = 0;
     bool Preemptible = false;
     bool NeverOrdered = false; ///< Stopped before its placement arrived.
+    bool Begun = false;        ///< The worker has executed the start.
   };
   using RunKey = std::pair<std::string, int>;
 
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -23,6 +23,13 @@
   return Phase == TaskPhase::Placing || Phase == TaskPhase::Running;
 }
 
+/// Returns true if only a run that has begun can have this outcome. A worker
+/// may never have executed the start of a lost, stopped or rejected run.
+bool provesStart(RunOutcome Outcome) {
+  return Outcome != RunOutcome::Lost && Outcome != RunOutcome::Stopped &&
+         Outcome != RunOutcome::Rejected;
+}
+
 } // namespace
 
 const char *nameOf(RunOutcome Outcome) {
@@ -208,7 +215,7 @@
 
 ProgressEffect JobProgress::markRunning(const RunId &Run,
                                         const std::string &Checkpoint,
-                                        Clock::time_point Now) {
+                                        Clock::time_point Now, bool Begun) {
   ProgressEffect Effect;
   addOccurrencesUpTo(Run.Task);
   StepProgress *Step = stepOf(Run.Task);
@@ -231,7 +238,7 @@
   Task.Worker = Run.Worker;
   Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
   Step->LastRun = std::max(Step->LastRun, Run.Run);
-  if (State_ == JobState::Pending)
+  if (Begun && State_ == JobState::Pending)
     State_ = JobState::Running;
   if (Step->GangStopping)
     Effect.Stop.push_back(Run);
@@ -308,7 +315,7 @@
     return Effect;
   Step->LastRun = std::max(Step->LastRun, Run.Run);
   Task.Checkpoint = std::max(Task.Checkpoint, Checkpoint);
-  if (Outcome != RunOutcome::Rejected && State_ == JobState::Pending)
+  if (provesStart(Outcome) && State_ == JobState::Pending)
     State_ = JobState::Running;
   // The outcome of an earlier run is recorded too, because the worker will not
   // report it again once it is acknowledged: a task that is done must not start
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -95,8 +95,8 @@
   [[nodiscard]] bool isFinished() const {
     return State_ != JobState::Pending && State_ != JobState::Running;
   }
-  /// True once a task has been confirmed as running or ended, and also for a
-  /// job that was cancelled while pending.
+  /// True once a task is known to have begun, and also for a job that was
+  /// cancelled while pending.
   [[nodiscard]] bool hasStarted() const { return State_ != JobState::Pending; }
   [[nodiscard]] const std::vector<Occurrence> &occurrences() const {
     return Occurrences_;
@@ -124,9 +124,9 @@
   /// no longer apply to it.
   void restartPhaseTimer(const RunId &Run, Clock::time_point Now);
   /// Records that a run was confirmed, including one that a previous owner
-  /// started.
+  /// started. Begun: the worker is known to have executed the start.
   ProgressEffect markRunning(const RunId &Run, const std::string &Checkpoint,
-                             Clock::time_point Now);
+                             Clock::time_point Now, bool Begun = true);
   ProgressEffect markEnded(const RunId &Run, RunOutcome Outcome,
                            const std::string &Checkpoint,
                            Clock::time_point Now);
