Test waiting jobs for answers as well as for wrong numbers; list a fourth way to report too few

Change: tests only: the numbers of answers are checked, JobProgressTest covers each outcome, and the random simulations of CellNodePropertyTest ask all processes for the number after each step.

--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -439,6 +439,19 @@
     }
   }
 
+  /// Asks all processes for the number of waiting jobs and records a violation
+  /// if one reports too few. Jobs that have waited for less than WaitingDelay
+  /// need not be reported.
+  void checkWaitingJobs() {
+    static constexpr std::chrono::seconds WaitingDelay{5};
+    const std::string &Queue = Environment.Configuration.Queues.front().Name;
+    for (TestCellNode *Node : members())
+      if (const auto Reported = Node->gateway().waitingJobs(Queue).Waiting)
+        Environment.History.checkWaitingJobs(Node->address(), *Reported,
+                                             Environment.Timers.now() -
+                                                 WaitingDelay);
+  }
+
   /// Returns the job's state from the first live process that does not answer
   /// 503, or the HTTP status if there is no state. It may be out of date, as
   /// JobOwner::state() does not confirm the ownership.
@@ -501,7 +514,8 @@
       if (At->alive()) {
         const GatewayAnswer Answer = co_await At->gateway().submit(Job);
         if (At->alive())
-          Environment.History.answered(Job.Id, Answer.Status);
+          Environment.History.answered(Job.Id, Answer.Status,
+                                       Environment.Timers.now());
         else
           Environment.History.answered(Job.Id, 504);
         if (Answer.Status == 200 || Answer.Status == 503)
--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -60,6 +60,7 @@
     while (Bench_.Environment.Timers.now() < End) {
       performRandomAction();
       Bench_.run(std::chrono::milliseconds(number(20, 500)));
+      Bench_.checkWaitingJobs();
     }
     clearFaults();
     while (static_cast<int>(Bench_.members().size()) < 3)
--- a/Tests/Cell/RunHistory.h
+++ b/Tests/Cell/RunHistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/TimerService.h"
 #include "Work/JobSpec.h"
 
 #include <algorithm>
@@ -23,7 +24,8 @@
 ///            end of the test.
 ///   LOST     An accepted job that was not cancelled has neither completed nor
 ///            failed because a task failed in all attempts.
-///   MIXED    A job is reported as completed although a step is not done.
+///   MIXED    A job is reported as completed although a step is not done, or
+///            under half of the jobs that wait are reported.
 ///   REFUSED  Tasks of a job were started although each attempt to submit the
 ///            job was refused.
 class RunHistory {
@@ -40,8 +42,11 @@
 
   void submitted(const JobSpec &Job) { Jobs_.try_emplace(Job.Id, Job); }
   /// Records the reply to one of the client's attempts.
-  void answered(const std::string &Job, int Status) {
+  void answered(const std::string &Job, int Status,
+                Clock::time_point Now = {}) {
     Client &Record = Clients_[Job];
+    if (Status == 200 && !Record.Accepted)
+      Record.AcceptedAt = Now;
     Record.Accepted = Record.Accepted || Status == 200;
     Record.Refused = Record.Refused || Status == 503;
     Record.OnlyRefused = Record.OnlyRefused && Status == 503;
@@ -52,6 +57,24 @@
     return It != Clients_.end() && It->second.Accepted;
   }
 
+  /// Checks the number of waiting jobs that a process has reported. Counts the
+  /// jobs without repetitions that were accepted by AcceptedBy and of which no
+  /// task has started.
+  void checkWaitingJobs(const std::string &Process, int Reported,
+                        Clock::time_point AcceptedBy) {
+    const auto Waiting =
+        std::ranges::count_if(Clients_, [&](const auto &IdAndClient) {
+          const auto &[Id, Record] = IdAndClient;
+          return Record.Accepted && Record.AcceptedAt <= AcceptedBy &&
+                 !Record.Cancelled && !StartedJobs_.contains(Id) &&
+                 Jobs_.at(Id).Repetitions == 0;
+        });
+    if (2 * Reported < Waiting)
+      Violations_.push_back(
+          fmt::format("MIXED {}: {} jobs are reported to wait, of {}", Process,
+                      Reported, Waiting));
+  }
+
   void workerUp(const std::string &Worker, const Resources &Capacity) {
     Workers_[Worker] = {.Capacity = Capacity};
   }
@@ -161,6 +184,7 @@
 
   struct Client {
     bool Accepted = false;
+    Clock::time_point AcceptedAt{};
     bool Refused = false;
     bool OnlyRefused =
         true; ///< False once a reply was not a refusal; true without replies.
--- a/Tests/Cell/WaitingJobsTest.cpp
+++ b/Tests/Cell/WaitingJobsTest.cpp
@@ -28,17 +28,14 @@
   static std::optional<int> reportedBy(TestCellNode &Node) {
     return Node.gateway().waitingJobs("queue").Waiting;
   }
-  /// Lets the time pass and checks that no process but the excluded one reports
-  /// another number than Jobs. Returns how many times one was reported.
-  int countReports(std::chrono::milliseconds Duration,
-                   const TestCellNode *Excluded = nullptr) {
+  /// Lets the time pass and checks that no process reports another number than
+  /// Jobs. Returns how many times it was reported.
+  int countReports(std::chrono::milliseconds Duration) {
     int Reports = 0;
     for (std::chrono::milliseconds Passed{0}; Passed < Duration;
          Passed += Step) {
       run(Step);
       for (TestCellNode *Node : alive()) {
-        if (Node == Excluded)
-          continue;
         const std::optional<int> Reported = reportedBy(*Node);
         Reports += Reported ? 1 : 0;
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
@@ -58,9 +55,11 @@
   CPPUNIT_TEST_SUITE(WaitingJobsTest);
   CPPUNIT_TEST(testAllProcessesReportAllWaitingJobs);
   CPPUNIT_TEST(testSilentOwnerIsNotReportedByOldCounts);
+  CPPUNIT_TEST(testFormerOwnerIsNotBelievedOnceTheStoreListsTheNext);
   CPPUNIT_TEST(testJobsOfAMovingShardAreNotLeftOut);
   CPPUNIT_TEST(testJobsOfAKilledOwnerAreNotLeftOut);
   CPPUNIT_TEST(testRunThatNeverBeganLeavesItsJobWaiting);
+  CPPUNIT_TEST(testStartedJobsAreNotReported);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +82,25 @@
     };
     Bench.submitUpTo(WaitingJobsBench::Jobs);
     Bench.run(3s);
+    // All processes but a:1 know the number.
+    CPPUNIT_ASSERT_EQUAL(3 * 100, Bench.countReports(2s));
+  }
+
+  // Guards against the count of a process that has lost the shard without
+  // noticing, if the next owner can't be asked.
+  void testFormerOwnerIsNotBelievedOnceTheStoreListsTheNext() {
+    WaitingJobsBench Bench(1);
+    Bench.BlockedLinks = {{"a:1", "b:1"}, {"p:1", "b:1"}, {"o:1", "b:1"}};
+    Bench.loseJoinsOf(*Bench.FirstOwner);
+    Bench.Environment.Store.assignOwners({{1, Bench.SecondHolder.member()}});
+    Bench.run(2s);
+    for (; Bench.Accepted < WaitingJobsBench::Jobs; ++Bench.Accepted) {
+      const std::string Id = Bench.idIn(1, Bench.Accepted);
+      Bench.submit(Bench.SecondHolder,
+                   Bench.jobOf(Id, {WaitingJobsBench::step(1)}));
+      Bench.run(200ms);
+      CPPUNIT_ASSERT(Bench.Environment.History.accepted(Id));
+    }
     Bench.countReports(2s);
   }
 
@@ -92,7 +110,9 @@
     // The next owner can't read the journal for a while.
     Bench.LostStoreCalls.insert({"o:1", "newest"});
     Bench.moveJob();
-    Bench.countReports(3s);
+    // The former owner's number still counts at processes with shards.
+    CPPUNIT_ASSERT(Bench.countReports(1s) >= 3 * 50);
+    Bench.countReports(2s);
     Bench.LostStoreCalls.clear();
     Bench.countReports(4s);
     CPPUNIT_ASSERT_EQUAL(4 * 50, Bench.countReports(1s));
@@ -102,7 +122,8 @@
   void testJobsOfAKilledOwnerAreNotLeftOut() {
     WaitingJobsBench Bench;
     Bench.FirstOwner->kill();
-    Bench.countReports(3s);
+    CPPUNIT_ASSERT(Bench.countReports(1s) >= 2 * 50);
+    Bench.countReports(2s);
     Bench.moveJob();
     Bench.countReports(4s);
     CPPUNIT_ASSERT_EQUAL(3 * 50, Bench.countReports(1s));
@@ -120,7 +141,18 @@
     Bench.release();
     Bench.run(6s);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Bench.Environment.History.starts());
-    Bench.countReports(2s);
+    CPPUNIT_ASSERT_EQUAL(4 * 100, Bench.countReports(2s));
+  }
+
+  // Guards against jobs that are reported to wait after they have begun.
+  void testStartedJobsAreNotReported() {
+    WaitingJobsBench Bench;
+    Bench.release();
+    Bench.run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(WaitingJobsBench::Jobs),
+                         Bench.Environment.History.starts());
+    for (TestCellNode *Node : Bench.alive())
+      CPPUNIT_ASSERT_EQUAL(0, WaitingJobsBench::reportedBy(*Node).value_or(-1));
   }
 };
 
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(testRepeatedFailureReportCountsOnce);
   CPPUNIT_TEST(testFailureOfEarlierRunCounts);
   CPPUNIT_TEST(testRejectedStartIsNotCountedAsAttempt);
+  CPPUNIT_TEST(testOnlyExecutedStartsBeginAJob);
   CPPUNIT_TEST(testGangStartsOnlyWithAllMembers);
   CPPUNIT_TEST(testFailedGangStopsAllMembersBeforeRestart);
   CPPUNIT_TEST(testRunningMemberOfFailedGangIsStoppedAgain);
@@ -133,6 +134,30 @@
     CPPUNIT_ASSERT_EQUAL(2, Job.nextRun(0, 0));
   }
 
+  // Guards against a job that counts as started although no worker has executed
+  // a start, and the reverse.
+  void testOnlyExecutedStartsBeginAJob() {
+    const auto HasStarted = [](RunOutcome Outcome) {
+      JobProgress Job(jobWith({{.Count = 1}}));
+      Job.markPlacing(runOf(0, 0, 1, "w"), Now);
+      Job.markEnded(runOf(0, 0, 1, "w"), Outcome, {}, Now);
+      return Job.hasStarted();
+    };
+    for (const RunOutcome Outcome :
+         {RunOutcome::Lost, RunOutcome::Stopped, RunOutcome::Rejected})
+      CPPUNIT_ASSERT_MESSAGE(nameOf(Outcome), !HasStarted(Outcome));
+    for (const RunOutcome Outcome :
+         {RunOutcome::Done, RunOutcome::Failed, RunOutcome::LeaseExpired,
+          RunOutcome::GangAborted, RunOutcome::GangIncomplete})
+      CPPUNIT_ASSERT_MESSAGE(nameOf(Outcome), HasStarted(Outcome));
+    JobProgress Job(jobWith({{.Count = 1}}));
+    Job.markPlacing(runOf(0, 0, 1, "w"), Now);
+    Job.markRunning(runOf(0, 0, 1, "w"), {}, Now, false);
+    CPPUNIT_ASSERT(!Job.hasStarted());
+    Job.markRunning(runOf(0, 0, 1, "w"), {}, Now, true);
+    CPPUNIT_ASSERT(Job.hasStarted());
+  }
+
   void testGangStartsOnlyWithAllMembers() {
     JobProgress Job(jobWith({gangOf(3)}));
     startRun(Job, runOf(0, 1, 1, "a"));
