Ignore numbers of waiting jobs from a process that the store no longer lists

Evidence: testFormerOwnerIsNotBelievedOnceTheStoreListsTheNext failed with 1 of 8 before this change. Change: a number counts only if no later term of its shard is known and no later holder list names another process.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -99,7 +99,7 @@
   View_.applyLoads(Reply->Workers);
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   FailureDomains_[Address] = Reply->FailureDomain;
-  applyWaitingJobs(Address, *Reply, SentAt);
+  applyWaitingJobs(*Reply, SentAt);
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
@@ -108,16 +108,14 @@
   Dispatcher_.wake();
 }
 
-void CellNode::applyWaitingJobs(const std::string &Address,
-                                const ExchangeReply &Reply,
+void CellNode::applyWaitingJobs(const ExchangeReply &Reply,
                                 Clock::time_point SentAt) {
-  for (const ShardWaitingJobs &Report : Reply.WaitingJobs) {
-    const auto Holder = Shards_.holderOf(Report.Shard);
+  for (const ShardWaitingJobs &Report : Reply.WaitingJobs)
     // A process that has not noticed that it has lost the shard does not know
     // the jobs that the next owner has accepted.
-    if (!Holder || *Holder == Address)
+    if (Report.Epoch >= Shards_.latestTerm(Report.Shard).Epoch &&
+        Shards_.termKnownSince(Report.Shard))
       WaitingJobs_.apply(Report, SentAt);
-  }
 }
 
 void CellNode::dropOutdatedShards(ExchangeReply &Reply) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -102,10 +102,9 @@
   asio::awaitable<bool> requestRemoval(std::string Member,
                                        Clock::duration FailingFor);
   asio::awaitable<void> exchangeWith(std::string Address);
-  /// Applies the reported numbers of waiting jobs, except those of shards whose
-  /// holder is known to be another process.
-  void applyWaitingJobs(const std::string &Address, const ExchangeReply &Reply,
-                        Clock::time_point SentAt);
+  /// Applies the reported numbers of waiting jobs, except those of shards with
+  /// a later holder, as reported by that holder or listed by the store.
+  void applyWaitingJobs(const ExchangeReply &Reply, Clock::time_point SentAt);
   /// Drops what the sender reports about shards that have a later holder.
   void dropOutdatedShards(ExchangeReply &Reply);
   asio::awaitable<void> endDeliveryLoop();
