Forget that an address did not answer once its process has left the group

Cause: callers get 503 for jobs of a process that has just started at the address of a killed one, until the first exchange with it: the time since which the address has not answered was kept. Change: the entry goes with the address, as that of the failure domain does. Conclusion: a later process at the address is judged by its own answers.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -53,6 +53,8 @@
       return !Addresses.contains(AddressAndValue.first);
     };
     std::erase_if(FailureDomains_, HasLeft);
+    // A later process may use the address.
+    std::erase_if(UnansweredSince_, HasLeft);
     Jobs_.tick();
     Dispatcher_.wake();
     const auto Period = Shards_.heldShards().empty()
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -258,7 +258,7 @@
   [[nodiscard]] const std::string &address() const { return Address_; }
   [[nodiscard]] const std::string &member() const { return Member_; }
   [[nodiscard]] CellGateway &gateway() { return Gateway_; }
-  [[nodiscard]] CellHandler &handler() { return Node_; }
+  [[nodiscard]] CellNode &node() { return Node_; }
   [[nodiscard]] JobOwner &jobs() { return Jobs_; }
   [[nodiscard]] ShardMembership &shards() { return Shards_; }
   [[nodiscard]] EventLog &events() { return Events_; }
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(testJobAndWorkerMoveAtOnce);
   CPPUNIT_TEST(testJobMovesBeforeTheWorker);
   CPPUNIT_TEST(testWorkerMovesBeforeTheJob);
+  CPPUNIT_TEST(testRestartedProcessIsReachableAtOnce);
   CPPUNIT_TEST(testRunOfAScheduledJobOutlivesItsOwner);
   CPPUNIT_TEST(testEndsOfANewIncarnationAreReadBeforeTheyAreAcknowledged);
   CPPUNIT_TEST(testPlacementInTransitIsStoppedBeforeItCountsAsAbsent);
@@ -229,6 +230,24 @@
     Bench.endFaults();
   }
 
+  // Guards against a process that counts as unreachable because its predecessor
+  // at the same address did not answer.
+  void testRestartedProcessIsReachableAtOnce() {
+    FourNodeBench Bench;
+    TestCellNode &Observer = *Bench.alive().front();
+    Bench.alive().back()->kill();
+    Bench.run(4s);
+    CPPUNIT_ASSERT(!Observer.shards().peers().contains("d:1"));
+    Bench.startNode("d:1");
+    for (int I = 0; I < 3000; ++I) {
+      Bench.run(1ms);
+      if (Observer.shards().peers().contains("d:1"))
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("after {} ms", I),
+                               Observer.node().isReachable("d:1"));
+    }
+    CPPUNIT_ASSERT(Observer.shards().peers().contains("d:1"));
+  }
+
   // Guards against an owner that takes over a scheduled job and starts a task
   // again that the former owner has started and that is still running.
   void testRunOfAScheduledJobOutlivesItsOwner() {
--- a/Tests/Cell/RunHistory.h
+++ b/Tests/Cell/RunHistory.h
@@ -69,7 +69,7 @@
                  !Record.Cancelled && !StartedJobs_.contains(Id) &&
                  Jobs_.at(Id).Repetitions == 0;
         });
-    if (2 * Reported < Waiting)
+    if (std::ptrdiff_t{2} * Reported < Waiting)
       Violations_.push_back(
           fmt::format("MIXED {}: {} jobs are reported to wait, of {}", Process,
                       Reported, Waiting));
