Log which runs a crashed worker ended, and a replaced worker only once

Change: event workers/crashed; replaced is written at the first reply of the other worker. Measured: WorkerAgentTest passes. Conclusion: no decision changes.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -26,6 +26,9 @@
 /// More than a few, since a worker runs many small tasks at the same time.
 constexpr std::size_t MaximumVictims = 8;
 
+/// Time after its start in which a run is suspected of a crash of its worker.
+constexpr std::chrono::milliseconds CrashWindow{500};
+
 /// Converts a priority, of which 0 is the most urgent, to that of
 /// chooseVictims(), which is higher for more urgent work.
 std::uint32_t preemptionUrgency(int Priority) {
@@ -118,7 +121,7 @@
     if (Stopping_)
       co_return;
     if (!Reply) {
-      markUnreachable();
+      markUnreachable(Reply.error().Code);
       co_await handleLeaseExpiry(Reply.error().Code ==
                                  ErrorCode::ConnectionRefused);
       co_await Timers_.sleepFor(RetryDelay);
@@ -133,7 +136,13 @@
     if (Reply->Status == OrderStatus::WrongWorker) {
       // Another worker answers at the address, so that this one no longer
       // exists.
-      Events_.emit("workers", "replaced", {{"worker", Entry_.Id}});
+      if (!Replaced_) {
+        Events_.emit("workers", "replaced", {{"worker", Entry_.Id}});
+        if (Reachable_)
+          AliveUntil_ = LastContactAt_;
+        logCrash();
+      }
+      Replaced_ = true;
       endAllRuns(RunOutcome::Lost);
       Resolved_ = true;
       Reachable_ = false;
@@ -142,7 +151,7 @@
       continue;
     }
     if (Reply->Status != OrderStatus::Ok) {
-      markUnreachable();
+      markUnreachable(ErrorCode::Unavailable);
       co_await handleLeaseExpiry(false);
       co_await Timers_.sleepFor(RetryDelay);
       continue;
@@ -162,13 +171,35 @@
   return Patient ? Options_.AnswerTime : Options_.ProbeAnswerTime;
 }
 
-void WorkerAgent::markUnreachable() {
+void WorkerAgent::markUnreachable(ErrorCode Cause) {
   ++UnansweredHeartbeats_;
-  if (Reachable_)
+  if (Reachable_) {
     Events_.emit("workers", "lost_contact", {{"worker", Entry_.Id}});
+    // A connection breaks at once when its worker crashes. Without an answer,
+    // the worker may have crashed at any time since the latest one.
+    AliveUntil_ = Cause == ErrorCode::Timeout ? LastContactAt_ : Timers_.now();
+  }
   Reachable_ = false;
 }
 
+void WorkerAgent::logCrash() const {
+  if (Entry_.Draining)
+    return;
+  nlohmann::json Recent = nlohmann::json::array();
+  int Active = 0;
+  for (const auto &[Key, Tracked] : Runs_) {
+    if (Tracked.State == Phase::Reserved || Tracked.State == Phase::Ended)
+      continue;
+    ++Active;
+    if (Tracked.OrderedAt >= AliveUntil_ - CrashWindow)
+      Recent.push_back(Key.first);
+  }
+  Events_.emit("workers", "crashed",
+               {{"worker", Entry_.Id},
+                {"runs", Active},
+                {"just_started", std::move(Recent)}});
+}
+
 asio::awaitable<void> WorkerAgent::handleLeaseExpiry(bool Refused) {
   const bool HasLeft = Refused && Entry_.Draining && !Listed_;
   if (!hasLeaseExpired() && !HasLeft)
@@ -206,6 +237,8 @@
                   {"ended", Reply.Ended.size()}});
   StartedAtMs_ = Reply.StartedAtMs;
   UnansweredHeartbeats_ = 0;
+  LastContactAt_ = Timers_.now();
+  Replaced_ = false;
   Reachable_ = true;
   AcceptsOrders_ = true;
   setWorkerClock(Reply.ClockNow);
@@ -239,6 +272,9 @@
                                       Clock::time_point SentAt) {
   Events_.emit("workers", "reborn",
                {{"worker", Entry_.Id}, {"born", StartedAtMs}});
+  if (Reachable_)
+    AliveUntil_ = LastContactAt_;
+  logCrash();
   // Orders for the previous incarnation must be fenced by this one.
   ++IncarnationsSeen_;
   HighestEndNumber_ = 0;
@@ -487,7 +523,8 @@
                           .DemandKnown = true,
                           .Checkpoint = Order.Checkpoint,
                           .Priority = Order.Priority,
-                          .Preemptible = Order.Preemptible};
+                          .Preemptible = Order.Preemptible,
+                          .OrderedAt = Timers_.now()};
   bool MayBeRunning = false;
   for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
     StartOrder Start{.Task = Order.Task,
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -128,8 +128,9 @@
     std::int64_t EndNumber = 0; ///< 0 if the worker does not list this end.
     int Priority = 0;
     bool Preemptible = false;
-    bool NeverOrdered = false; ///< Stopped before its placement arrived.
-    bool Begun = false;        ///< The worker has executed the start.
+    bool NeverOrdered = false;     ///< Stopped before its placement arrived.
+    bool Begun = false;            ///< The worker has executed the start.
+    Clock::time_point OrderedAt{}; ///< When its start was first sent.
   };
   using RunKey = std::pair<std::string, int>;
 
@@ -152,7 +153,10 @@
   void handleWorkerRestart(std::int64_t StartedAtMs, Clock::time_point SentAt);
   void endAllRuns(RunOutcome Outcome);
   void endRun(TrackedRun &Tracked, RunOutcome Outcome, std::int64_t Number);
-  void markUnreachable();
+  void markUnreachable(ErrorCode Cause);
+  /// Logs the runs that may have been executing when contact was lost with an
+  /// incarnation that is known to have ended.
+  void logCrash() const;
   /// Returns the time to wait for the answer to the next heartbeat.
   [[nodiscard]] std::chrono::milliseconds answerTime() const;
   /// Reports the worker's runs as lost in either of two cases: the lease has
@@ -193,6 +197,10 @@
   WorkerHealth RunHealth_;
   Notifier AllEndsAccepted_;
   int UnansweredHeartbeats_ = 0; ///< Since the latest contact.
+  Clock::time_point LastContactAt_{};
+  /// The latest known incarnation has not ended before this time.
+  Clock::time_point AliveUntil_{};
+  bool Replaced_ = false; ///< Another worker answers at the address.
   bool WorkerClockKnown_ = false;
   bool Resolved_ = false;
   bool Reachable_ = false;
