--- a/Tests/Cell/FakeWorkers.h
+++ b/Tests/Cell/FakeWorkers.h
@@ -15,7 +15,7 @@
 /// Duration and outcome of a run.
 struct RunPlan {
   std::chrono::milliseconds Duration{300};
-  std::string Outcome = "done";
+  std::string Outcome = "done"; ///< "crash": the run crashes its worker.
 };
 
 /// Workers that check fencing tokens, leases and whether a run was stopped or
@@ -53,6 +53,14 @@
     Workers_[Id].Entry.StartedAtMs = ++LastStartedAtMs_;
     History_.workerUp(Id, Entry.Capacity);
   }
+  /// Ends the worker's incarnation. The next one starts after DownTime.
+  void crash(const std::string &Id) {
+    restart(Id);
+    Workers_[Id].DownUntil = Timers_.now() + DownTime;
+  }
+  [[nodiscard]] bool isDown(const std::string &Id) const {
+    return Timers_.now() < Workers_.at(Id).DownUntil;
+  }
   [[nodiscard]] std::size_t running(const std::string &Id) const {
     return Workers_.at(Id).Running.size();
   }
@@ -69,11 +77,15 @@
   void tick() {
     for (auto &[Id, Target] : Workers_)
       tick(Target);
+    for (const std::string &Id : crashingWorkers())
+      crash(Id);
   }
 
   [[nodiscard]] CallFault faultFor(const std::string &Process,
                                    const std::string &Id,
                                    const std::string &Call) const {
+    if (isDown(Id))
+      return {.Type = CallFault::Kind::Refused};
     return ChooseFault ? ChooseFault(Process, Id, Call) : CallFault{};
   }
 
@@ -153,6 +165,7 @@
 private:
   using Key = std::pair<std::string, int>;
   static constexpr std::chrono::milliseconds GangTimeout{3000};
+  static constexpr std::chrono::milliseconds DownTime{3000};
   static constexpr std::chrono::milliseconds MaximumLease{10000};
 
   struct Run {
@@ -168,6 +181,7 @@
   struct Worker {
     WorkerEntry Entry;
     Clock::time_point StartedAt{};
+    Clock::time_point DownUntil{};
     std::int64_t HighestToken = 0;
     std::int64_t LastEnd = 0;
     std::chrono::milliseconds LeaseEnd{0};
@@ -212,6 +226,20 @@
       endGang(Name, Outcome == "done" ? "done" : "broken");
   }
 
+  /// Returns the workers with a run that crashes them now.
+  [[nodiscard]] std::vector<std::string> crashingWorkers() {
+    std::vector<std::string> Crashing;
+    for (const auto &[Id, Target] : Workers_)
+      for (const auto &[Name, RunState] : Target.Running)
+        if (RunState.Plan.Outcome == "crash" &&
+            Timers_.now() >= RunState.EndsAt) {
+          History_.crashed(Name.first);
+          Crashing.push_back(Id);
+          break;
+        }
+    return Crashing;
+  }
+
   void tick(Worker &Target) {
     if (clock(Target) >= Target.LeaseEnd) {
       for (ListedEnd &End : Target.Ended)
@@ -221,7 +249,7 @@
     }
     std::vector<std::pair<Key, std::string>> Due;
     for (const auto &[Name, RunState] : Target.Running)
-      if (Timers_.now() >= RunState.EndsAt)
+      if (Timers_.now() >= RunState.EndsAt && RunState.Plan.Outcome != "crash")
         Due.emplace_back(Name, RunState.GangIncomplete ? "alone"
                                                        : RunState.Plan.Outcome);
     for (const auto &[Name, Outcome] : Due)
--- a/Tests/Cell/RunHistory.h
+++ b/Tests/Cell/RunHistory.h
@@ -17,7 +17,8 @@
 /// platform's rules. Each line of the report begins with the name of the rule:
 ///   TWICE    A task was started while it ran, or again after an end as done
 ///            that is acknowledged.
-///   BUDGET   A task was started again after its last permitted attempt failed.
+///   BUDGET   A task was started again after its last permitted attempt failed,
+///            or three times more after three workers had crashed under it.
 ///   LIMIT    The runs on a worker exceed its capacity.
 ///   ORDER    A step was started before a step that it depends on was done.
 ///   UNASKED  A task of no submitted job was started, or a run goes on at the
@@ -91,6 +92,14 @@
     }
   }
 
+  /// The task has crashed its worker.
+  void crashed(const std::string &Task) { ++EndsByTask_[Task].Crashes; }
+  /// Returns how many workers the task has crashed.
+  [[nodiscard]] int crashesOf(const std::string &Task) const {
+    const auto It = EndsByTask_.find(Task);
+    return It == EndsByTask_.end() ? 0 : It->second.Crashes;
+  }
+
   void started(const std::string &Worker, const std::string &Task, int Run) {
     const auto Name = TaskName::parse(Task);
     const auto Job = Name ? Jobs_.find(Name->Job) : Jobs_.end();
@@ -112,6 +121,10 @@
     const int Attempts = Job->second.Queue.MaximumAttempts;
     if (Record.Failed.size() >= static_cast<std::size_t>(Attempts))
       Record.StartedAfterFailures.push_back(Record.Failed);
+    if (Record.Crashes >= CrashesBeforeLimit &&
+        ++Record.StartsAfterCrashes == ForbiddenStartAfterCrashes)
+      addViolation("BUDGET", Worker, Task, Run,
+                   fmt::format("{} workers have crashed", Record.Crashes));
     checkBudget(Worker, Task, Run, Attempts);
     checkOrder(Worker, *Name, Run, Job->second);
     Workers_[Worker].Running.emplace(Task, Run);
@@ -162,7 +175,7 @@
       if (!Record.Accepted || Record.Cancelled)
         continue;
       const std::string State = StateOf(Id);
-      if (State == "failed" && hasFailedTask(Id))
+      if (State == "failed" && (hasFailedTask(Id) || hasCrashingTask(Id)))
         continue;
       if (State != "completed")
         Violations_.push_back("LOST " + Id + ": its state is " + State);
@@ -181,6 +194,10 @@
 
 private:
   using WorkerAndRun = std::pair<std::string, int>; ///< Worker and run number.
+  static constexpr int CrashesBeforeLimit = 3;
+  static constexpr int ForbiddenStartAfterCrashes = 3;
+  /// A task that has crashed this many workers may be given up.
+  static constexpr int CrashesBeforeGivingUp = 2;
 
   struct Client {
     bool Accepted = false;
@@ -201,6 +218,8 @@
     /// Ends that preceded another start. It is a violation if one of them
     /// is acknowledged.
     std::set<WorkerAndRun> StartedAfterDone;
+    int Crashes = 0; ///< Workers that the task has crashed.
+    int StartsAfterCrashes = 0;
     std::set<WorkerAndRun> Failed;
     std::set<WorkerAndRun> FailedAcknowledged;
     /// The failed runs at each start after the last permitted attempt.
@@ -278,6 +297,13 @@
     });
   }
 
+  [[nodiscard]] bool hasCrashingTask(const std::string &Id) const {
+    return std::ranges::any_of(EndsByTask_, [&Id](const auto &Item) {
+      return Item.second.Crashes >= CrashesBeforeGivingUp &&
+             TaskName::jobOf(Item.first) == Id;
+    });
+  }
+
   void checkCapacity(const std::string &Id, const std::string &Task, int Run) {
     const Worker &Target = Workers_[Id];
     Resources Sum;
