Break the connections of a crashed worker in the fakes of the cell tests

A delayed start that had been sent to a worker before it crashed was executed by its next incarnation, even while the worker was down. No connection outlives its process. Change: tests only: a call fails if the worker crashes before it receives the call. Restarts without a crash are as before: calls still reach the next incarnation.

--- a/Tests/Cell/CallFault.h
+++ b/Tests/Cell/CallFault.h
@@ -48,17 +48,19 @@
 template <typename T>
 asio::awaitable<void> executeLater(TimerService &Timers,
                                    std::chrono::milliseconds Delay,
-                                   std::function<T()> Effect) {
+                                   std::function<Result<T>()> Effect) {
   co_await Timers.sleepFor(Delay);
   Effect();
 }
 
-/// Runs the effect of a call with the given fault.
+/// Runs the effect of a call with the given fault. The effect returns an error
+/// if the receiver is gone.
 template <typename T>
-asio::awaitable<Result<T>>
-executeWithFault(TimerService &Timers, CallFault Fault,
-                 std::chrono::milliseconds Latency,
-                 std::chrono::milliseconds Timeout, std::function<T()> Effect) {
+asio::awaitable<Result<T>> executeWithFault(TimerService &Timers,
+                                            CallFault Fault,
+                                            std::chrono::milliseconds Latency,
+                                            std::chrono::milliseconds Timeout,
+                                            std::function<Result<T>()> Effect) {
   using Kind = CallFault::Kind;
   const auto Executor = co_await asio::this_coro::executor;
   if (Fault.Type == Kind::Delayed || Fault.Type == Kind::Duplicated)
@@ -71,7 +73,7 @@
   co_await Timers.sleepFor(Latency);
   if (Fault.Type == Kind::Refused)
     co_return fail(ErrorCode::NotSent, "refused");
-  T Answer = Effect();
+  Result<T> Answer = Effect();
   if (Fault.Type == Kind::LostReply) {
     co_await Timers.sleepFor(Timeout);
     co_return fail(ErrorCode::Timeout, "no answer");
--- a/Tests/Cell/FakeWorkers.h
+++ b/Tests/Cell/FakeWorkers.h
@@ -56,7 +56,15 @@
   /// Ends the worker's incarnation. The next one starts after DownTime.
   void crash(const std::string &Id) {
     restart(Id);
-    Workers_[Id].DownUntil = Timers_.now() + DownTime;
+    Worker &Next = Workers_[Id];
+    Next.DownUntil = Timers_.now() + DownTime;
+    Next.OldestReachedMs = Next.Entry.StartedAtMs;
+  }
+  /// Returns false for a call to the incarnation that started at StartedAtMs if
+  /// the worker has crashed since: its connections are broken.
+  [[nodiscard]] bool isReached(const std::string &Id,
+                               std::int64_t StartedAtMs) const {
+    return StartedAtMs >= Workers_.at(Id).OldestReachedMs;
   }
   [[nodiscard]] bool isDown(const std::string &Id) const {
     return Timers_.now() < Workers_.at(Id).DownUntil;
@@ -182,6 +190,9 @@
     WorkerEntry Entry;
     Clock::time_point StartedAt{};
     Clock::time_point DownUntil{};
+    /// Start of the oldest incarnation to which a call may have been sent that
+    /// still reaches this one.
+    std::int64_t OldestReachedMs = 0;
     std::int64_t HighestToken = 0;
     std::int64_t LastEnd = 0;
     std::chrono::milliseconds LeaseEnd{0};
@@ -340,10 +351,24 @@
                                            const char *Name,
                                            std::chrono::milliseconds Timeout,
                                            std::function<OrderReply()> Effect) {
-    return callFromProcess(Timers_, Alive_,
-                           executeWithFault<OrderReply>(
-                               Timers_, Workers_.faultFor(Process_, Id, Name),
-                               Latency, Timeout, std::move(Effect)));
+    return callFromProcess(
+        Timers_, Alive_,
+        executeWithFault<OrderReply>(
+            Timers_, Workers_.faultFor(Process_, Id, Name), Latency, Timeout,
+            unlessCrashed<OrderReply>(Id, std::move(Effect))));
+  }
+
+  /// Returns the effect of a call that is sent now. It fails if the worker
+  /// crashes before it receives the call.
+  template <typename T>
+  std::function<Result<T>()> unlessCrashed(const std::string &Id,
+                                           std::function<T()> Effect) {
+    return [this, Id, Effect = std::move(Effect),
+            SentTo = Workers_.entry(Id).StartedAtMs]() -> Result<T> {
+      if (!Workers_.isReached(Id, SentTo))
+        return fail(ErrorCode::Unavailable, "connection reset");
+      return Effect();
+    };
   }
 
   asio::awaitable<Result<HeartbeatReply>> waitForEnds(std::string Id,
@@ -355,7 +380,7 @@
     };
     auto Reply = co_await executeWithFault<HeartbeatReply>(
         Timers_, Fault, Latency, Order.Wait + Order.AnswerTime,
-        std::move(Effect));
+        unlessCrashed<HeartbeatReply>(Id, std::move(Effect)));
     if (!Reply || Reply->Status != OrderStatus::Ok)
       co_return Reply;
     const Clock::time_point End = Timers_.now() + Order.Wait;
