Count failures of runs with the same number on different workers

An owner skips 16 run numbers after a takeover, and stores none when it starts a run. Two owners in succession that have stored nothing in between use the same numbers, and the failures of both runs counted as one attempt: the task could be started once more than its queue permits. Change: a failed run is identified by its number and its worker; the failures of a gang by the number only, as before. Conclusion: two gang runs with the same number still count once.

--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -1,14 +1,11 @@
 #include "Work/JobProgress.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace hickory {
 
 namespace {
 
-using nlohmann::json;
-
 /// Starts are not stored, so a new owner skips this many run numbers, which the
 /// previous owner may have used.
 constexpr int RunGapAfterTakeover = 16;
@@ -45,6 +42,18 @@
          Outcome != RunOutcome::Rejected && !isCrash(Outcome);
 }
 
+/// Returns true if the run was not in the list, as an outcome may be reported
+/// more than once.
+bool addFailedRun(std::vector<FailedRun> &Runs, FailedRun New) {
+  const bool Known = std::ranges::any_of(Runs, [&New](const FailedRun &Each) {
+    return Each.Run == New.Run && (Each.Worker.empty() || New.Worker.empty() ||
+                                   Each.Worker == New.Worker);
+  });
+  if (!Known)
+    Runs.push_back(std::move(New));
+  return !Known;
+}
+
 /// Returns a name of the run that is unique among those of the task. The runs
 /// of a gang's members have the same name, since they are one attempt.
 std::string attemptName(const RunId &Run, bool Gang) {
@@ -351,12 +360,12 @@
   // The outcome of an earlier run is recorded too, because the worker will not
   // report it again once it is acknowledged: a task that is done must not start
   // again, and each failure counts as an attempt.
-  std::vector<int> &FailedRuns = Spec.Gang ? Step->FailedRuns : Task.FailedRuns;
-  if (Outcome == RunOutcome::Failed &&
-      std::ranges::count(FailedRuns, Run.Run) == 0) {
-    FailedRuns.push_back(Run.Run);
-    Effect.MustPersist = true;
-  }
+  std::vector<FailedRun> &FailedRuns =
+      Spec.Gang ? Step->FailedRuns : Task.FailedRuns;
+  if (Outcome == RunOutcome::Failed)
+    Effect.MustPersist |= addFailedRun(
+        FailedRuns,
+        {.Run = Run.Run, .Worker = Spec.Gang ? std::string() : Run.Worker});
   const bool Current =
       isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
   CrashRecord &Crashes = Spec.Gang ? Step->Crashes : Task.Crashes;
@@ -478,72 +487,4 @@
   return Runs;
 }
 
-json JobProgress::durableState() const {
-  json All = json::array();
-  for (const Occurrence &Entry : Occurrences_)
-    for (const StepProgress &Step : Entry.Steps) {
-      std::string Done;
-      json Failures = json::object();
-      json Crashes = json::object();
-      for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
-        Done.push_back(Step.Tasks[I].Phase == TaskPhase::Done ? '1' : '0');
-        if (!Step.Tasks[I].FailedRuns.empty())
-          Failures[std::to_string(I)] = Step.Tasks[I].FailedRuns;
-        if (!Step.Tasks[I].Crashes.empty())
-          Crashes[std::to_string(I)] = Step.Tasks[I].Crashes.toJson();
-      }
-      All.push_back(
-          json::array({Done, Step.LastRun, Step.FailedRuns, std::move(Failures),
-                       Step.Crashes.toJson(), std::move(Crashes)}));
-    }
-  return json{{"state", nameOf(State_)},
-              {"occurrences", Occurrences_.size()},
-              {"steps", std::move(All)}};
-}
-
-void JobProgress::restore(const json &Durable) {
-  const auto Count = Durable.at("occurrences").get<std::size_t>();
-  const json &All = Durable.at("steps");
-  while (
-      Occurrences_.size() < Count &&
-      addDueOccurrences(Spec_.FirstRun + static_cast<int>(Occurrences_.size()) *
-                                             Spec_.Interval)) {
-  }
-  const auto Name = Durable.at("state").get<std::string>();
-  for (const JobState State :
-       {JobState::Pending, JobState::Running, JobState::Completed,
-        JobState::Failed, JobState::Cancelled})
-    if (Name == nameOf(State))
-      State_ = State;
-  std::size_t Next = 0;
-  for (Occurrence &Entry : Occurrences_)
-    for (StepProgress &Step : Entry.Steps) {
-      if (Next >= All.size())
-        return;
-      const json &Stored = All[Next++];
-      const auto Done = Stored.at(0).get<std::string>();
-      Step.LastRun = Stored.at(1).get<int>();
-      Step.FailedRuns = Stored.at(2).get<std::vector<int>>();
-      for (std::size_t I = 0; I < Step.Tasks.size() && I < Done.size(); ++I)
-        if (Done[I] == '1') {
-          Step.Tasks[I].Phase = TaskPhase::Done;
-          ++Step.DoneTasks;
-        }
-      const json &Failures = Stored.at(3);
-      for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
-        if (const auto It = Failures.find(std::to_string(I));
-            It != Failures.end())
-          Step.Tasks[I].FailedRuns = It->get<std::vector<int>>();
-      // Earlier releases do not store crashes.
-      if (Stored.size() <= 4)
-        continue;
-      Step.Crashes = CrashRecord::fromJson(Stored.at(4));
-      const json &Crashes = Stored.at(5);
-      for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
-        if (const auto It = Crashes.find(std::to_string(I));
-            It != Crashes.end())
-          Step.Tasks[I].Crashes = CrashRecord::fromJson(*It);
-    }
-}
-
 } // namespace hickory
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -48,11 +48,17 @@
   std::string Worker;
 };
 
+/// A run that failed. The number alone does not identify a run, as successive
+/// owners of a job may use the same one.
+struct FailedRun {
+  int Run = 0;
+  std::string Worker; ///< Empty for a gang, and if it was not stored.
+};
+
 struct TaskProgress {
   TaskPhase Phase = TaskPhase::Waiting;
-  int Run = 0; ///< Number of the latest run.
-  /// Numbers of the failed runs; an outcome may be reported more than once.
-  std::vector<int> FailedRuns;
+  int Run = 0;                       ///< Number of the latest run.
+  std::vector<FailedRun> FailedRuns; ///< Each run once.
   CrashRecord Crashes;
   std::string Worker;
   std::string Checkpoint;
@@ -61,9 +67,9 @@
 
 struct StepProgress {
   std::vector<TaskProgress> Tasks;
-  int LastRun = 0;             ///< Highest run number of any task.
-  std::vector<int> FailedRuns; ///< Failed runs of a gang as a whole.
-  CrashRecord Crashes;         ///< Crashes under a gang as a whole.
+  int LastRun = 0;                   ///< Highest run number of any task.
+  std::vector<FailedRun> FailedRuns; ///< Failed runs of a gang as a whole.
+  CrashRecord Crashes;               ///< Crashes under a gang as a whole.
   int DoneTasks = 0;
   bool GangStopping = false; ///< Members of the latest run are being stopped.
 };
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(testDoneOutcomeOfEarlierRunStopsLaterRun);
   CPPUNIT_TEST(testRepeatedFailureReportCountsOnce);
   CPPUNIT_TEST(testFailureOfEarlierRunCounts);
+  CPPUNIT_TEST(testFailuresOfRunsWithTheSameNumberCount);
+  CPPUNIT_TEST(testFailuresStoredByAnEarlierReleaseCountOnce);
   CPPUNIT_TEST(testRejectedStartIsNotCountedAsAttempt);
   CPPUNIT_TEST(testOnlyExecutedStartsBeginAJob);
   CPPUNIT_TEST(testGangStartsOnlyWithAllMembers);
@@ -125,6 +127,37 @@
     CPPUNIT_ASSERT(Job.state() == JobState::Failed);
   }
 
+  // Guards against a task that is started once more than its queue permits, as
+  // two owners in succession gave its runs the same number.
+  void testFailuresOfRunsWithTheSameNumberCount() {
+    JobProgress Before(jobWith({{.Count = 1}}, 3));
+    startRun(Before, runOf(0, 0, 17, "a"));
+    for (const char *Worker : {"b", "a", "b"})
+      Before.markEnded(runOf(0, 0, 17, Worker), RunOutcome::Failed, {}, Now);
+    JobProgress After(Before.spec());
+    After.restore(Before.durableState());
+    After.markUnfinishedTasksUnknown();
+    for (const char *Worker : {"a", "b"})
+      After.markEnded(runOf(0, 0, 17, Worker), RunOutcome::Failed, {}, Now);
+    CPPUNIT_ASSERT(!After.isFinished());
+    After.markEnded(runOf(0, 0, 33, "a"), RunOutcome::Failed, {}, Now);
+    CPPUNIT_ASSERT(After.state() == JobState::Failed);
+  }
+
+  // Guards against a failure that is counted twice, as an earlier release
+  // stores no worker.
+  void testFailuresStoredByAnEarlierReleaseCountOnce() {
+    JobProgress Job(jobWith({{.Count = 1}}, 2));
+    Job.restore({{"state", "running"},
+                 {"occurrences", 1},
+                 {"steps", {{"0", 3, nlohmann::json::array(), {{"0", {3}}}}}}});
+    Job.markUnfinishedTasksUnknown();
+    Job.markEnded(runOf(0, 0, 3, "a"), RunOutcome::Failed, {}, Now);
+    CPPUNIT_ASSERT(!Job.isFinished());
+    Job.markEnded(runOf(0, 0, 4, "a"), RunOutcome::Failed, {}, Now);
+    CPPUNIT_ASSERT(Job.state() == JobState::Failed);
+  }
+
   // An acknowledged failure counts as an attempt even if another run is
   // current.
   void testFailureOfEarlierRunCounts() {
