--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST(testLatePlacementDoesNotReachTheNextIncarnation);
   CPPUNIT_TEST(testRepeatedReservationIsKept);
   CPPUNIT_TEST(testOnlyTheEndThatWasAcceptedIsAcknowledged);
+  CPPUNIT_TEST(testCapacityThatShrinksLimitsTheNextStarts);
   CPPUNIT_TEST(testRunThatJustStartedIsBlamedForACrash);
   CPPUNIT_TEST(testRunsOfDrainingWorkerAreNotBlamed);
   CPPUNIT_TEST(testRunsOfSilentWorkerAreOnlySuspected);
@@ -571,6 +572,27 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1), Bench.Worker.Acknowledged);
   }
 
+  // Guards against starts beyond the capacity of a worker that has shrunk, and
+  // against capacity that stays unused once it has grown again.
+  void testCapacityThatShrinksLimitsTheNextStarts() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "a.0.0.0", 3000);
+    Bench.run(50ms);
+    WorkerEntry Shrunken = AgentBench::entry();
+    Shrunken.Capacity.CpusMilli = 2000;
+    Agent->update(Shrunken);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Agent->load().Free.CpusMilli);
+    const auto Beyond = Bench.start(Agent, "b.0.0.0", 500);
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Beyond).Status == PlaceStatus::Rejected);
+    CPPUNIT_ASSERT(Bench.Worker.Running.contains({"a.0.0.0", 1}));
+    Agent->update(AgentBench::entry());
+    const auto Later = Bench.start(Agent, "c.0.0.0", 500);
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Later).Status == PlaceStatus::Started);
+  }
+
   // Guards against a task that crashes worker after worker and whose runs only
   // count as lost.
   void testRunThatJustStartedIsBlamedForACrash() {
