--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -75,6 +75,13 @@
     CPPUNIT_ASSERT(Repeated->has_value());
     return (**Repeated).Status;
   }
+  /// Starts runs of two jobs, one 1 s before the other.
+  void startEarlyAndLateRun(const std::shared_ptr<WorkerAgent> &Agent) {
+    start(Agent, "early.0.0.0");
+    run(1s);
+    start(Agent, "late.0.0.0");
+    run(10ms);
+  }
   /// Returns the undelivered ends, each as "TASK OUTCOME ".
   static std::string endsOf(const WorkerAgent &Agent) {
     std::string Text;
@@ -612,10 +619,7 @@
   void testRunThatJustStartedIsBlamedForACrash() {
     AgentBench Bench;
     const auto Agent = Bench.startAgent();
-    Bench.start(Agent, "early.0.0.0");
-    Bench.run(1s);
-    Bench.start(Agent, "late.0.0.0");
-    Bench.run(10ms);
+    Bench.startEarlyAndLateRun(Agent);
     Bench.Worker.restart();
     Bench.run(200ms);
     CPPUNIT_ASSERT_EQUAL(std::string("early.0.0.0 lost late.0.0.0 crashed "),
@@ -627,10 +631,7 @@
   void testRunIsBlamedIfAnotherWorkerAnswersAtTheAddress() {
     AgentBench Bench;
     const auto Agent = Bench.startAgent();
-    Bench.start(Agent, "early.0.0.0");
-    Bench.run(1s);
-    Bench.start(Agent, "late.0.0.0");
-    Bench.run(10ms);
+    Bench.startEarlyAndLateRun(Agent);
     Bench.Worker.IsAnotherWorker = true;
     Bench.run(1s);
     CPPUNIT_ASSERT_EQUAL(std::string("early.0.0.0 lost late.0.0.0 crashed "),
@@ -657,10 +658,7 @@
   void testRunsOfSilentWorkerAreNotBlamed() {
     AgentBench Bench;
     const auto Agent = Bench.startAgent();
-    Bench.start(Agent, "early.0.0.0");
-    Bench.run(1s);
-    Bench.start(Agent, "late.0.0.0");
-    Bench.run(50ms);
+    Bench.startEarlyAndLateRun(Agent);
     Bench.Worker.Reachable = false;
     Bench.run(12s);
     CPPUNIT_ASSERT_EQUAL(
