Emulate tasks that crash the executors that start them

Ruled out: The fault `restart-worker` is no such crash: it breaks no connection, the executor is not away, keeps its id, and no task causes it. Change: A kind of job has `crash-share` and `crash-after-ms`: the first task of that share of its jobs crashes each executor that starts it. The executor's connections break, its runs end without a report (`crashed` with task and run, then `dropped` for each run), and after `platform.crash-down-ms` it is back without its former state, after every second crash in the pool under a new id at the same address. The discovery can express that: the former entry is removed, a new one is added. Delayed orders from before the crash are not executed. `emulate` prints how many of the jobs crash executors and fails if none did although such jobs were sent. An id that was in use is never used by another executor; not emulated is a crash that only the discovery's expiry shows, as records do not expire.

--- a/Tests/Emulator/EmulatedWorkerPool.cpp
+++ b/Tests/Emulator/EmulatedWorkerPool.cpp
@@ -29,7 +29,7 @@
 EmulatedWorker::EmulatedWorker(EmulatedWorkerPool &Pool, std::string Id,
                                int Index)
     : Pool_(Pool), Id_(std::move(Id)), Index_(Index) {
-  restart();
+  startProcess();
 }
 
 milliseconds EmulatedWorker::workerClock() const {
@@ -138,6 +138,9 @@
                {"cpus_milli", Run.Plan.CpusMilli},
                {"memory_mb", Run.Plan.MemoryMb},
                {"accelerators", Run.Plan.Accelerators}});
+  if (Run.Plan.CrashDelay)
+    Run.CrashTimer =
+        Pool_.Timers_.after(*Run.Plan.CrashDelay, [this, Key] { crash(Key); });
   if (Run.Plan.Gang)
     Pool_.joinGang(*this, Key);
   else
@@ -239,8 +242,8 @@
   co_return Reply;
 }
 
-void EmulatedWorker::restart() {
-  const auto DroppedRuns = std::exchange(Runs_, {});
+std::map<std::string, EmulatedWorker::ActiveRun> EmulatedWorker::endProcess() {
+  auto DroppedRuns = std::exchange(Runs_, {});
   for (const auto &[Key, Run] : DroppedRuns)
     recordEvent({{"event", "dropped"},
                  {"task", Run.Task},
@@ -255,17 +258,53 @@
   HighestEndedRun_.clear();
   FinishedRuns_.clear();
   LastFinishedSequence_ = 0;
+  for (const auto &[Key, Run] : DroppedRuns)
+    if (Run.Plan.Gang)
+      Pool_.leaveGang(*this, Key, Run.Plan, Run.RunNumber);
+  HoldWaiters_.wakeAll();
+  return DroppedRuns;
+}
+
+void EmulatedWorker::startProcess() {
   ClockStart_ = Pool_.Timers_.now();
   // The boot time identifies the worker's process, so that it must differ from
   // the previous one.
   BootTimeMs_ = std::max(BootTimeMs_ + 1, wallMicroseconds() / 1000);
   recordEvent({{"event", "born"}});
-  for (const auto &[Key, Run] : DroppedRuns)
-    if (Run.Plan.Gang)
-      Pool_.leaveGang(*this, Key, Run.Plan, Run.RunNumber);
   if (!Address.empty())
     Pool_.Register_(Id_, registryEntry());
-  HoldWaiters_.wakeAll();
+}
+
+void EmulatedWorker::restart() {
+  if (IsDown_)
+    return;
+  const auto DroppedRuns = endProcess();
+  startProcess();
+}
+
+void EmulatedWorker::crash(const std::string &Key) {
+  const ActiveRun &Run = Runs_.at(Key);
+  recordEvent(
+      {{"event", "crashed"}, {"task", Run.Task}, {"run", Run.RunNumber}});
+  const auto DroppedRuns = endProcess();
+  IsDown_ = true;
+  ++CrashCount_;
+  const bool HasNewId = ++Pool_.CrashCount_ % 2 == 0;
+  if (SetListening)
+    SetListening(false);
+  ReturnTimer_ = Pool_.Timers_.after(Pool_.Settings_.CrashDowntime,
+                                     [this, HasNewId] { comeBack(HasNewId); });
+}
+
+void EmulatedWorker::comeBack(bool HasNewId) {
+  if (HasNewId) {
+    Pool_.Register_(Id_, nullptr);
+    Id_ = fmt::format("w{:03}-{}", Index_, ++IdCount_);
+  }
+  IsDown_ = false;
+  startProcess();
+  if (SetListening)
+    SetListening(true);
 }
 
 json EmulatedWorker::registryEntry() const {
--- a/Tests/Emulator/EmulatedWorkerPool.h
+++ b/Tests/Emulator/EmulatedWorkerPool.h
@@ -40,15 +40,20 @@
   asio::awaitable<CallReply> hold(json Body, std::string ExpectedWorker);
 
   /// Restarts the worker under the same id: drops all runs and loses its lease,
-  /// its fencing token and its finished runs.
+  /// its fencing token and its finished runs. Has no effect on a worker that
+  /// has crashed and is not back yet.
   void restart();
   /// The worker's entry in the platform's registry.
   [[nodiscard]] json registryEntry() const;
   [[nodiscard]] const std::string &id() const { return Id_; }
   [[nodiscard]] std::int64_t bootTimeMs() const { return BootTimeMs_; }
   [[nodiscard]] std::size_t runningCount() const { return Runs_.size(); }
+  [[nodiscard]] int crashCount() const { return CrashCount_; }
 
   std::string Address;
+  /// Called with false when the worker crashes, which breaks its connections,
+  /// and with true when it is back.
+  std::function<void(bool IsUp)> SetListening;
 
 private:
   friend class EmulatedWorkerPool;
@@ -60,6 +65,7 @@
     bool IsWorking = false;
     bool IsStopping = false;
     Subscription Timer;
+    Subscription CrashTimer;
   };
   struct FinishedRun {
     std::int64_t Sequence = 0;
@@ -84,11 +90,24 @@
   void startRun(const std::string &Key, const json &Body, RunPlan Plan);
   void startWork(const std::string &Key);
   void finishRun(const std::string &Key, const std::string &Outcome);
+  /// Ends the worker's process with all its runs and state. Returns the runs,
+  /// because this call may be made from the callback of one of their timers.
+  std::map<std::string, ActiveRun> endProcess();
+  void startProcess();
+  /// Crashes the worker under a run; it is back after
+  /// EmulatorSettings::CrashDowntime, after every second crash in the pool
+  /// under a new id.
+  void crash(const std::string &Key);
+  void comeBack(bool HasNewId);
   void recordEvent(json Event) const;
 
   EmulatedWorkerPool &Pool_;
   std::string Id_;
   int Index_;
+  int IdCount_ = 1; ///< Ids that the worker has had.
+  int CrashCount_ = 0;
+  bool IsDown_ = false; ///< It has crashed and is not back yet.
+  Subscription ReturnTimer_;
   std::int64_t BootTimeMs_ = 0; ///< Unix milliseconds.
   Clock::time_point ClockStart_{};
   std::int64_t FencingToken_ = 0;
@@ -106,6 +125,7 @@
 class EmulatedWorkerPool {
 public:
   using EventRecorder = std::function<void(json)>;
+  /// Puts a worker's entry into the registry; null removes it.
   using Registrar = std::function<void(const std::string &, const json &)>;
 
   EmulatedWorkerPool(TimerService &Timers, const EmulatorSettings &Settings,
@@ -119,6 +139,7 @@
   /// Whether the adviser lets a worker run a step.
   [[nodiscard]] bool isApproved(const std::string &Step,
                                 const std::string &Worker) const;
+  [[nodiscard]] int crashCount() const { return CrashCount_; }
   /// Issues a ticket that lets a worker run a step until the ticket expires.
   std::string issueTicket(const std::string &Step,
                           const EmulatedWorker &Worker);
@@ -156,6 +177,7 @@
   std::vector<std::unique_ptr<EmulatedWorker>> Workers_;
   std::map<std::string, Gang> Gangs_;
   std::map<std::string, Clock::time_point> Tickets_; ///< Expiry times.
+  int CrashCount_ = 0; ///< Crashes of all workers.
 };
 
 } // namespace hickory::emulator
--- a/Tests/Emulator/EmulatedWorkerPoolTest.cpp
+++ b/Tests/Emulator/EmulatedWorkerPoolTest.cpp
@@ -67,10 +67,13 @@
   FakeTimerService Timers;
   EmulatorSettings Settings = settings();
   std::vector<json> History;
+  std::map<std::string, json> Registry;
   EmulatedWorkerPool Pool{
       Timers, Settings, 1,
       [this](json Event) { History.push_back(std::move(Event)); },
-      [](const std::string &, const json &) {}};
+      [this](const std::string &Id, const json &Entry) {
+        Registry[Id] = Entry;
+      }};
 };
 
 void assertRejected(const char *Reason, const CallReply &Reply) {
@@ -97,6 +100,11 @@
   CPPUNIT_TEST(testRepeatedStartRunsOnce);
   CPPUNIT_TEST(testFinishedRunsAreReturnedUntilAcknowledged);
   CPPUNIT_TEST(testRestartLosesFencingTokenAndRuns);
+  CPPUNIT_TEST(testDeadlyTaskCrashesItsWorker);
+  CPPUNIT_TEST(testOnlyTheFirstTaskOfADeadlyJobCrashesWorkers);
+  CPPUNIT_TEST(testCrashedWorkerIsBackUnderItsIdOrANewOne);
+  CPPUNIT_TEST(testRestartDoesNotReviveACrashedWorker);
+  CPPUNIT_TEST(testCrashBreaksTheGangsOfTheWorker);
   CPPUNIT_TEST(testTicketIsRequiredAndExpires);
   CPPUNIT_TEST(testEachStepHasAnApprovedWorker);
   CPPUNIT_TEST(testRunsOfAGangEndTogether);
@@ -196,6 +204,100 @@
     CPPUNIT_ASSERT(Fixture.hold(1).Body["finished"].empty());
   }
 
+  // Without the crash, or if a run survived it, the rules on tasks that crash
+  // workers would never be checked.
+  void testDeadlyTaskCrashesItsWorker() {
+    WorkerPoolFixture Fixture;
+    Fixture.Settings.AdmissionCheck = false;
+    Fixture.start(SecondTask, 1, 9);
+    Fixture.Spec["crash-after-ms"] = 5;
+    Fixture.start(FirstTask, 3, 9);
+    std::vector<bool> ListeningCalls;
+    Fixture.worker().SetListening = [&](bool IsUp) {
+      ListeningCalls.push_back(IsUp);
+    };
+    const std::int64_t FirstBootTimeMs = Fixture.worker().bootTimeMs();
+    Fixture.Timers.advance(4ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Fixture.worker().runningCount());
+    Fixture.History.clear();
+    Fixture.Timers.advance(1ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Fixture.worker().runningCount());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Fixture.History.size());
+    const json Crash = Fixture.History.front();
+    CPPUNIT_ASSERT_EQUAL(std::string("crashed"),
+                         Crash["event"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("w000"),
+                         Crash["worker"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(FirstBootTimeMs, Crash["born"].get<std::int64_t>());
+    CPPUNIT_ASSERT_EQUAL(std::string(FirstTask),
+                         Crash["task"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(3, Crash["run"].get<int>());
+    for (const std::size_t Index : {1, 2})
+      CPPUNIT_ASSERT_EQUAL(std::string("dropped"),
+                           Fixture.History[Index]["event"].get<std::string>());
+    Fixture.Timers.advance(2999ms);
+    CPPUNIT_ASSERT(std::vector<bool>{false} == ListeningCalls);
+    Fixture.Timers.advance(1ms);
+    CPPUNIT_ASSERT((std::vector<bool>{false, true}) == ListeningCalls);
+    CPPUNIT_ASSERT(Fixture.worker().bootTimeMs() > FirstBootTimeMs);
+    // It knows nothing of its former fencing token, runs and ends.
+    const json Reply = Fixture.hold(1).Body;
+    CPPUNIT_ASSERT(Reply["running"].empty());
+    CPPUNIT_ASSERT(Reply["finished"].empty());
+    CPPUNIT_ASSERT_EQUAL(200, Fixture.start(SecondTask, 1, 1).Status);
+  }
+
+  void testOnlyTheFirstTaskOfADeadlyJobCrashesWorkers() {
+    WorkerPoolFixture Fixture;
+    Fixture.Spec["crash-after-ms"] = 5;
+    Fixture.Spec["steps"].push_back({{"cpu", 100}, {"ms", 2000}});
+    Fixture.start(SecondTask, 1, 1);
+    Fixture.start("00000000000000a1.0.1.0", 1, 1);
+    Fixture.Timers.advance(100ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Fixture.worker().runningCount());
+  }
+
+  void testCrashedWorkerIsBackUnderItsIdOrANewOne() {
+    WorkerPoolFixture Fixture;
+    Fixture.Spec["crash-after-ms"] = 5;
+    Fixture.worker().Address = "127.0.0.1:1";
+    Fixture.start(FirstTask, 1, 1);
+    Fixture.Timers.advance(4s);
+    CPPUNIT_ASSERT_EQUAL(std::string("w000"), Fixture.worker().id());
+    Fixture.start(FirstTask, 2, 1);
+    Fixture.Timers.advance(5ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("w000"), Fixture.worker().id());
+    Fixture.Timers.advance(4s);
+    CPPUNIT_ASSERT_EQUAL(std::string("w000-2"), Fixture.worker().id());
+    CPPUNIT_ASSERT(Fixture.Registry.at("w000").is_null());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("127.0.0.1:1"),
+        Fixture.Registry.at("w000-2")["address"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(421,
+                         Fixture.worker().start(json::object(), "w000").Status);
+  }
+
+  // A restart would end the time in which the worker is down.
+  void testRestartDoesNotReviveACrashedWorker() {
+    WorkerPoolFixture Fixture;
+    Fixture.Spec["crash-after-ms"] = 5;
+    Fixture.start(FirstTask, 1, 1);
+    Fixture.Timers.advance(5ms);
+    const std::size_t EventCount = Fixture.History.size();
+    Fixture.worker().restart();
+    CPPUNIT_ASSERT_EQUAL(EventCount, Fixture.History.size());
+  }
+
+  void testCrashBreaksTheGangsOfTheWorker() {
+    WorkerPoolFixture Fixture;
+    Fixture.Spec["steps"][0].update({{"gang", true}, {"count", 2}});
+    Fixture.Spec["crash-after-ms"] = 5;
+    Fixture.start(FirstTask, 1, 1);
+    Fixture.start(SecondTask, 1, 1, 60s, 1);
+    Fixture.Timers.advance(5ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("broken"), Fixture.onlyFinishedOutcome(1));
+  }
+
   void testTicketIsRequiredAndExpires() {
     WorkerPoolFixture Fixture;
     Fixture.Spec["queue"] = "a";
--- a/Tests/Emulator/EmulatorSettings.h
+++ b/Tests/Emulator/EmulatorSettings.h
@@ -35,6 +35,8 @@
   milliseconds StopDuration{100};
   milliseconds GangTimeout{3000};
   double FailedRunShare = 0; ///< Share of the runs that end as `failed`.
+  /// Time after which a crashed worker is back.
+  milliseconds CrashDowntime{3000};
   std::vector<RouteSettings> Routes;
 };
 
@@ -74,6 +76,8 @@
   Settings.GangTimeout =
       milliseconds(Table.integer("gang-timeout-ms", 3000, 1, 600000));
   Settings.FailedRunShare = Table.number("fail-share", 0, 0, 1);
+  Settings.CrashDowntime =
+      milliseconds(Table.integer("crash-down-ms", 3000, 1, 600000));
   for (const CheckedTable &Route : Table.tables("routes"))
     Settings.Routes.push_back(readRoute(Route));
   if (Settings.Routes.empty())
--- a/Tests/Emulator/LoadClients.cpp
+++ b/Tests/Emulator/LoadClients.cpp
@@ -72,8 +72,11 @@
 asio::awaitable<void> LoadClients::runJob(const JobKind &Kind) {
   const std::string Id = fmt::format("{:016x}", Random_.next());
   const bool ShouldCancel = Random_.unit() < Kind.CancelShare;
+  // Draws no number for other kinds, so that their seeds give the same jobs.
+  const bool CrashesWorkers =
+      Kind.CrashShare > 0 && Random_.unit() < Kind.CrashShare;
   const auto SubmittedAt = Timers_.now();
-  if (co_await submit(Kind, Id)) {
+  if (co_await submit(Kind, Id, CrashesWorkers)) {
     Results_[Kind.Name].AcceptLatenciesMs.push_back(
         millisecondsBetween(SubmittedAt, Timers_.now()));
     if (ShouldCancel)
@@ -106,15 +109,19 @@
   co_return Result;
 }
 
-asio::awaitable<bool> LoadClients::submit(const JobKind &Kind, std::string Id) {
+asio::awaitable<bool> LoadClients::submit(const JobKind &Kind, std::string Id,
+                                          bool CrashesWorkers) {
   JobKindResult &Totals = Results_[Kind.Name];
   ++Totals.Submitted;
+  Totals.Crashing += CrashesWorkers ? 1 : 0;
   recordEvent({{"event", "submit"},
                {"job", Id},
                {"queue", Kind.Queue},
-               {"steps", Kind.Steps}});
-  const std::string Body =
-      json{{"spec", Kind.Spec}, {"steps", Kind.Steps}}.dump();
+               {"steps", Kind.Steps},
+               {"crashing", CrashesWorkers}});
+  const std::string Body = json{
+      {"spec", CrashesWorkers ? Kind.CrashingSpec : Kind.Spec},
+      {"steps", Kind.Steps}}.dump();
   for (int Try = 0; Try < MaximumTries; ++Try) {
     const CallResult Result = co_await sendCall("POST", Kind, Id, Body);
     recordEvent("submitted", Id, Result);
--- a/Tests/Emulator/LoadClients.h
+++ b/Tests/Emulator/LoadClients.h
@@ -14,6 +14,7 @@
 /// Counts and latencies of the jobs of one kind, as the clients saw them.
 struct JobKindResult {
   std::uint64_t Submitted = 0;
+  std::uint64_t Crashing = 0; ///< Submitted, see JobKind::CrashShare.
   std::uint64_t Accepted = 0;
   std::uint64_t Rejected = 0;
   std::uint64_t Unanswered = 0;
@@ -59,7 +60,8 @@
   asio::awaitable<void> runJob(const JobKind &Kind);
   /// Submits a job, repeatedly while there is no answer. Returns whether it was
   /// accepted.
-  asio::awaitable<bool> submit(const JobKind &Kind, std::string Id);
+  asio::awaitable<bool> submit(const JobKind &Kind, std::string Id,
+                               bool CrashesWorkers);
   asio::awaitable<void> pollUntilEnded(const JobKind &Kind, std::string Id,
                                        Clock::time_point SubmittedAt);
   /// Cancels a job after a random delay.
--- a/Tests/Emulator/LoadSettings.h
+++ b/Tests/Emulator/LoadSettings.h
@@ -12,6 +12,9 @@
   double CancelShare = 0;
   json Steps = json::array(); ///< The steps in the format of a submission.
   std::string Spec;           ///< JSON text that parseRunPlan() reads.
+  /// Share of the jobs whose first task crashes each worker that starts it.
+  double CrashShare = 0;
+  std::string CrashingSpec; ///< Spec of these jobs.
 };
 
 /// A fault to inject during a run: a command for the emulator's control address
@@ -65,6 +68,25 @@
   Kind.Steps.push_back(std::move(Request));
 }
 
+/// Sets the specs of the kind's jobs. Plan holds the plans of the steps' runs.
+inline void setSpecs(JobKind &Kind, const json &Plan, int CrashDelayMs) {
+  constexpr std::size_t MaximumSpecBytes = 4000;
+  json Spec = {{"queue", Kind.Queue}, {"steps", Plan}};
+  Kind.Spec = Spec.dump();
+  Spec["crash-after-ms"] = CrashDelayMs;
+  Kind.CrashingSpec = Spec.dump();
+  if (Kind.CrashingSpec.size() > MaximumSpecBytes)
+    throw SettingsError(Kind.Name +
+                        ": too many steps for a spec of 4000 bytes");
+  // A run that fails ends after half of its time.
+  const int EarliestEndMs = Plan.front().at("ms").get<int>() / 2;
+  if (Kind.CrashShare > 0 && CrashDelayMs >= EarliestEndMs)
+    throw SettingsError(
+        fmt::format("{}: crash-after-ms must be less than half of the first "
+                    "step's ms, {}, not {}",
+                    Kind.Name, EarliestEndMs, CrashDelayMs));
+}
+
 inline JobKind readKind(CheckedTable Table, const EmulatorSettings &Platform) {
   JobKind Kind;
   Kind.Name = Table.text("name", "");
@@ -79,17 +101,15 @@
         Kind.Name, Kind.Queue));
   Kind.PerSecond = Table.number("per-second", 1, 0.001, 10000);
   Kind.CancelShare = Table.number("cancel-share", 0, 0, 1);
+  Kind.CrashShare = Table.number("crash-share", 0, 0, 1);
+  const int CrashDelayMs = Table.integer("crash-after-ms", 5, 0, 600000);
   json Plan = json::array();
   for (const CheckedTable &Step : Table.tables("steps"))
     readStep(Step, Kind, Plan);
   Table.rejectUnknownKeys();
   if (Kind.Steps.empty())
     throw SettingsError(Kind.Name + ": a kind must have at least one step");
-  constexpr std::size_t MaximumSpecBytes = 4000;
-  Kind.Spec = json{{"queue", Kind.Queue}, {"steps", Plan}}.dump();
-  if (Kind.Spec.size() > MaximumSpecBytes)
-    throw SettingsError(Kind.Name +
-                        ": too many steps for a spec of 4000 bytes");
+  setSpecs(Kind, Plan, CrashDelayMs);
   return Kind;
 }
 
--- a/Tests/Emulator/RunPlan.h
+++ b/Tests/Emulator/RunPlan.h
@@ -23,6 +23,9 @@
   std::int64_t Accelerators = 0;
   std::chrono::milliseconds WorkTime{100};
   bool Gang = false;
+  /// Time after the start of the run at which it crashes its worker; nothing if
+  /// it crashes none.
+  std::optional<std::chrono::milliseconds> CrashDelay;
 };
 
 /// Returns the plan for the task JOB.OCCURRENCE.STEP.INDEX; nothing if Spec was
@@ -46,6 +49,11 @@
     Plan.Accelerators = Step.value("gpu", std::int64_t{0});
     Plan.WorkTime = std::chrono::milliseconds(Step.value("ms", 100));
     Plan.Gang = Step.value("gang", false);
+    // Only the first task of a job crashes its workers.
+    if (StepIndex == 0 && Task.substr(IndexDot) == ".0" &&
+        Parsed.contains("crash-after-ms"))
+      Plan.CrashDelay = std::chrono::milliseconds(
+          Parsed.at("crash-after-ms").get<std::int64_t>());
   } catch (const std::exception &) {
     return std::nullopt;
   }
--- a/Tests/Emulator/SettingsTest.cpp
+++ b/Tests/Emulator/SettingsTest.cpp
@@ -101,6 +101,20 @@
     assertError(settingsWithReplacement("queue = \"q\"",
                                         "queue = \"q\"\nper-second = -4"),
                 "per-second");
+    assertError(settingsWithReplacement("workers = 2",
+                                        "workers = 2\ncrash-down-ms = 0"),
+                "platform.crash-down-ms");
+    assertError(settingsWithReplacement("queue = \"q\"",
+                                        "queue = \"q\"\ncrash-share = 1.5"),
+                "load.kinds[0].crash-share");
+    assertError(settingsWithReplacement("queue = \"q\"",
+                                        "queue = \"q\"\ncrash-after-ms = -1"),
+                "load.kinds[0].crash-after-ms");
+    // Its first task would end before it crashes a worker.
+    assertError(settingsWithReplacement("queue = \"q\"",
+                                        "queue = \"q\"\ncrash-share = 0.5\n"
+                                        "crash-after-ms = 50"),
+                "crash-after-ms must be less");
     assertError(std::string(ValidSettings) +
                     "[[load.troubles]]\nkind = \"quake\"\n",
                 "quake");
--- a/Tests/Emulator/emulate.cpp
+++ b/Tests/Emulator/emulate.cpp
@@ -14,6 +14,7 @@
 #include <asio/ip/tcp.hpp>
 #include <filesystem>
 #include <iostream>
+#include <set>
 
 namespace hickory::emulator {
 
@@ -319,19 +320,23 @@
   void printLoadResults(const LoadClients &Clients) {
     for (const auto &[Name, Totals] : Clients.results()) {
       std::cout << fmt::format(
-          "{}: {} sent, {} accepted, {} refused, {} without an answer, {} "
-          "cancelled, {} completed, {} failed\n  accepted after {}\n  "
-          "completed after {}\n",
-          Name, Totals.Submitted, Totals.Accepted, Totals.Rejected,
-          Totals.Unanswered, Totals.Cancelled, Totals.Completed, Totals.Failed,
+          "{}: {} sent ({} crash workers), {} accepted, {} refused, {} without "
+          "an answer, {} cancelled, {} completed, {} failed\n  accepted after "
+          "{}\n  completed after {}\n",
+          Name, Totals.Submitted, Totals.Crashing, Totals.Accepted,
+          Totals.Rejected, Totals.Unanswered, Totals.Cancelled,
+          Totals.Completed, Totals.Failed,
           percentiles(Totals.AcceptLatenciesMs),
           percentiles(Totals.CompletionLatenciesMs));
       Completed_ += Totals.Completed;
+      CrashingSent_ += Totals.Crashing;
     }
   }
 
   void printProcesses(const json &Stats) {
     std::cout << "emulator: " << Stats.dump() << "\n";
+    if (Stats.is_object())
+      CrashCount_ = Stats.value("crashes", 0);
     for (const Instance &Cell : Instances_) {
       const std::string Folder = fmt::format("/proc/{}/", Cell.Process->id());
       std::ifstream Stat(Folder + "stat");
@@ -371,6 +376,9 @@
       reportFailure("the emulator did not exit in time");
     if (Completed_ == 0)
       reportFailure("no job was completed");
+    if (CrashingSent_ > 0 && CrashCount_ == 0)
+      reportFailure("no worker crashed, although jobs that crash workers were "
+                    "sent");
     return Succeeded_;
   }
 
@@ -380,9 +388,14 @@
     for (std::string Line; std::getline(File, Line);)
       History.Workers.push_back(json::parse(Line));
     History.Capacity = {{"instances", json::array()}};
-    for (int Number = 0; Number < Platform_.Workers; ++Number)
+    // A worker that is back after a crash may have a new id.
+    std::set<std::string> Workers;
+    for (const json &Event : History.Workers)
+      if (Event.value("event", std::string()) == "born")
+        Workers.insert(Event.at("worker").get<std::string>());
+    for (const std::string &Worker : Workers)
       History.Capacity["instances"].push_back(
-          {{"name", fmt::format("w{:03}", Number)},
+          {{"name", Worker},
            {"cpus_milli", Platform_.CpusMilli},
            {"memory_mb", Platform_.MemoryMb},
            {"accelerators", Platform_.Accelerators}});
@@ -414,6 +427,8 @@
   std::unique_ptr<ChildProcess> Emulator_;
   std::vector<Instance> Instances_;
   std::uint64_t Completed_ = 0;
+  std::uint64_t CrashingSent_ = 0; ///< Submitted jobs that crash workers.
+  int CrashCount_ = 0;             ///< Crashes of workers.
   std::size_t PendingFaults_ = 0;
   bool Succeeded_ = true; ///< No failure was reported.
 };
--- a/Tests/Emulator/platform-emulator.cpp
+++ b/Tests/Emulator/platform-emulator.cpp
@@ -119,7 +119,8 @@
             History_.append(Event);
           },
           [this](const std::string &Id, const json &Entry) {
-            Store_.putRecord("keyed.servers", Id, Entry.dump());
+            Store_.putRecord("keyed.servers", Id,
+                             Entry.is_null() ? std::string() : Entry.dump());
           }) {}
 
 StandInServer &Emulator::listen(std::uint16_t Port,
@@ -170,10 +171,17 @@
   Store_.putRecord("keyed.op", "config", configuration().dump());
   for (const auto &Worker : Pool_.workers()) {
     EmulatedWorker &ServedWorker = *Worker;
-    ServedWorker.Address =
+    StandInServer &Server =
         listen(0, [this, &ServedWorker](StandInServer::Request Incoming) {
           return answerWorker(ServedWorker, std::move(Incoming));
-        }).address();
+        });
+    ServedWorker.Address = Server.address();
+    ServedWorker.SetListening = [&Server](bool IsUp) {
+      if (IsUp)
+        Server.open();
+      else
+        Server.close();
+    };
     Store_.putRecord("keyed.servers", ServedWorker.id(),
                      ServedWorker.registryEntry().dump());
   }
@@ -215,9 +223,12 @@
 asio::awaitable<void>
 Emulator::executeCommandLater(EmulatedWorker &Worker,
                               StandInServer::Request Incoming) {
+  const int CrashCount = Worker.crashCount();
   co_await Timers_.sleepFor(
       milliseconds(MinimumCommandDelayMs + Random_.below(CommandDelayRangeMs)));
-  executeCommand(Worker, Incoming);
+  // A crash has broken the connection on which the command was sent.
+  if (Worker.crashCount() == CrashCount)
+    executeCommand(Worker, Incoming);
 }
 
 asio::awaitable<Answer>
@@ -338,6 +349,7 @@
     for (const auto &Worker : Pool_.workers())
       Running += Worker->runningCount();
     Stats["running"] = Running;
+    Stats["crashes"] = Pool_.crashCount();
     co_return answerFrom({.Status = 200, .Body = std::move(Stats)});
   }
   const json Body = json::parse(Incoming.Body, nullptr, false);
