Check BUDGET in the histories of the emulated platform

Cause: The checker had no check BUDGET, and LOST accepted a job as `failed` only after failed attempts, so that each job that is rightly given up because of crashes would have been a violation. Ruled out: To count all crashes under a task for BUDGET: a task beside the cause may be started again. To require the cause for LOST: which task is the cause can't always be seen, and the users permit to give up a task under which two executors have crashed. Both are as in RunHistory of the simulations. Change: BUDGET: no third start after a task has crashed three executors; one violation a task. LOST: a job may be `failed` if a task of it has used up its attempts or was running on two executors when they ended without notice; crashes under different tasks, also of one gang, are not added up.

--- a/Tests/Emulator/PlatformHistoryCheckerTest.cpp
+++ b/Tests/Emulator/PlatformHistoryCheckerTest.cpp
@@ -48,6 +48,17 @@
           {"born", 1}};
 }
 
+/// The worker crashes under the task, which ends as dropped.
+void addCrash(RunHistory::Events &Events, std::int64_t Time,
+              const std::string &Task, int Run,
+              const std::string &Worker = "w1") {
+  json Event = started(Time, Task, Run, Worker);
+  for (const char *Name : {"crashed", "dropped"}) {
+    Event["event"] = Name;
+    Events.push_back(Event);
+  }
+}
+
 json client(std::int64_t Time, const std::string &Event, int Status,
             const std::string &State = "") {
   return {{"wall_us", Time}, {"sent_us", Time},  {"event", Event},
@@ -83,6 +94,22 @@
   return History;
 }
 
+/// Before the tasks of the valid history start, its first task is started and
+/// crashes its worker as many times as given; the last start is the last run.
+PlatformHistory historyWithCrashes(int Crashes) {
+  PlatformHistory History = validHistory();
+  RunHistory::Events Events;
+  std::int64_t Time = SecondUs;
+  int Run = 1;
+  for (; Run <= Crashes; ++Run) {
+    Events.push_back(started(++Time, task(0, 0), Run));
+    addCrash(Events, ++Time, task(0, 0), Run);
+  }
+  History.Workers.front()["run"] = Run;
+  History.Workers.insert(History.Workers.begin(), Events.begin(), Events.end());
+  return History;
+}
+
 std::uint64_t violations(PlatformHistory History, const std::string &Rule) {
   return PlatformHistoryChecker(std::move(History)).check()[Rule].Violations;
 }
@@ -104,6 +131,10 @@
   CPPUNIT_TEST(testAcceptedJobUnknownLaterIsReported);
   CPPUNIT_TEST(testAcceptedJobThatNeverEndsIsReported);
   CPPUNIT_TEST(testFailedJobWithoutEnoughFailuresIsReported);
+  CPPUNIT_TEST(testThirdStartAfterThreeCrashesIsReported);
+  CPPUNIT_TEST(testCrashesCountForTheTaskThatCausedThem);
+  CPPUNIT_TEST(testFailedJobWithOneCrashIsReported);
+  CPPUNIT_TEST(testCrashesUnderDifferentTasksAreNotAddedUp);
   CPPUNIT_TEST(testCancelledJobWithoutCancelIsReported);
   CPPUNIT_TEST(testCompletedJobWithUnfinishedTasksIsReported);
   CPPUNIT_TEST(testStartOfARejectedJobIsReported);
@@ -196,6 +227,50 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, violations(History, "LOST"));
   }
 
+  void testThirdStartAfterThreeCrashesIsReported() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         violations(historyWithCrashes(4), "BUDGET"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         violations(historyWithCrashes(5), "BUDGET"));
+    // A task that goes on like this is one violation.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         violations(historyWithCrashes(20), "BUDGET"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20},
+                         PlatformHistoryChecker(historyWithCrashes(20))
+                             .check()["BUDGET"]
+                             .Checked);
+  }
+
+  // Guards against a check that reports tasks that were beside the cause of
+  // the crashes, which may be started again without limit.
+  void testCrashesCountForTheTaskThatCausedThem() {
+    auto History = historyWithCrashes(5);
+    for (json &Event : History.Workers)
+      if (Event["event"] == "crashed")
+        Event["task"] = task(0, 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, violations(History, "BUDGET"));
+  }
+
+  void testFailedJobWithOneCrashIsReported() {
+    for (const int Crashes : {1, 2}) {
+      auto History = historyWithCrashes(Crashes);
+      History.Clients.back()["state"] = "failed";
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{Crashes == 1 ? 1U : 0U},
+                           violations(History, "LOST"));
+    }
+  }
+
+  // Guards against a check that accepts a failed job because several workers
+  // have crashed, although only one under each of its tasks.
+  void testCrashesUnderDifferentTasksAreNotAddedUp() {
+    auto History = historyWithCrashes(2);
+    History.Clients.back()["state"] = "failed";
+    for (json &Event : History.Workers)
+      if (Event["run"] == 2)
+        Event["task"] = task(0, 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, violations(History, "LOST"));
+  }
+
   void testCancelledJobWithoutCancelIsReported() {
     auto History = validHistory();
     History.Clients.push_back(client(8 * SecondUs, "state", 200, "cancelled"));
