Let only a worker's holder confirm a stop

Cause: with scheduled jobs, TWICE. A placement from n3 to n2 (epoch 12) was delayed from 12,010 to 15,385 ms. Its call timed out at 14,611 ms, and n3 sent the stops to n1, which it still knew as the worker's holder. n1 had lost the worker at 14,297 ms, so it did nothing and answered 200. n3 took that for the confirmation, read at 14,714 ms from n2 (epoch 22 by now) that the run was absent, and started run 2. Then the placement arrived at n2 and started run 1. A process that has not noticed the loss of the worker did answer too, and reported the run as stopped. A holder that forgot the stop: an event added for the trace showed that no holder had received one (a trial, not kept). That is possible too and has another fix. Change: a stop carries the latest term of the worker's shard that the caller knows. The receiver names in its answer the workers that it does not hold in that term or a later one; their runs stay as they were and the stop is repeated, with the event stop_not_confirmed. An answer of an earlier release counts as before. Conclusion: an answer to a stop is a confirmation only from a process that would know of the run. Not covered by this commit: a placement that arrives in a later term of the process to which it was sent.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -206,9 +206,12 @@
   co_return std::move(*Reply);
 }
 
-void CellNode::stop(const StopRequest &Request) {
+StopReply CellNode::stop(const StopRequest &Request) {
+  StopReply Reply;
   for (const RunReference &Run : Request.Runs)
-    Pool_.stopRun(Run);
+    if (!Pool_.stopRun(Run))
+      Reply.NotHeld.push_back(Run.Worker);
+  return Reply;
 }
 
 PreemptReply CellNode::preempt(const PreemptRequest &Request) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -55,7 +55,7 @@
   void requestEndDelivery() { EndsDue_.notify(); }
 
   asio::awaitable<PlaceReply> place(PlaceRequest Request) override;
-  void stop(const StopRequest &Request) override;
+  StopReply stop(const StopRequest &Request) override;
   PreemptReply preempt(const PreemptRequest &Request) override;
   asio::awaitable<EndsReply> reportEnds(EndsRequest Request) override;
   ExchangeReply exchange(const ExchangeRequest &Request) override;
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -14,7 +14,7 @@
 public:
   virtual ~CellHandler() = default;
   virtual asio::awaitable<PlaceReply> place(PlaceRequest Request) = 0;
-  virtual void stop(const StopRequest &Request) = 0;
+  virtual StopReply stop(const StopRequest &Request) = 0;
   /// Stops preemptible runs of lower priority to free capacity.
   virtual PreemptReply preempt(const PreemptRequest &Request) = 0;
   virtual asio::awaitable<EndsReply> reportEnds(EndsRequest Request) = 0;
@@ -42,8 +42,8 @@
   virtual ~CellPeer() = default;
   virtual asio::awaitable<Result<PlaceReply>> place(std::string Address,
                                                     PlaceRequest Request) = 0;
-  virtual asio::awaitable<Result<void>> stop(std::string Address,
-                                             StopRequest Request) = 0;
+  virtual asio::awaitable<Result<StopReply>> stop(std::string Address,
+                                                  StopRequest Request) = 0;
   virtual asio::awaitable<Result<PreemptReply>>
   preempt(std::string Address, PreemptRequest Request) = 0;
   virtual asio::awaitable<Result<EndsReply>>
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -88,16 +88,11 @@
   co_return co_await send<PlaceReply>(std::move(Address), Place, json(Request));
 }
 
-asio::awaitable<Result<void>> HttpCellPeer::stop(std::string Address,
-                                                 StopRequest Request) {
-  if (Address == OwnAddress_) {
-    Local_->stop(Request);
-    co_return Result<void>{};
-  }
-  const auto Body = co_await call(Address, Stop, json(Request).dump());
-  if (!Body)
-    co_return tl::unexpected<Error>(Body.error());
-  co_return Result<void>{};
+asio::awaitable<Result<StopReply>> HttpCellPeer::stop(std::string Address,
+                                                      StopRequest Request) {
+  if (Address == OwnAddress_)
+    co_return Local_->stop(Request);
+  co_return co_await send<StopReply>(std::move(Address), Stop, json(Request));
 }
 
 asio::awaitable<Result<PreemptReply>>
@@ -196,10 +191,8 @@
     co_return co_await Handler.state(Body.get<JobReference>());
   if (Name == "cancel")
     co_return co_await Handler.cancel(Body.get<JobReference>());
-  if (Name == "stop") {
-    Handler.stop(Body.get<StopRequest>());
-    co_return json::object();
-  }
+  if (Name == "stop")
+    co_return Handler.stop(Body.get<StopRequest>());
   co_return json();
 }
 
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -18,8 +18,8 @@
 
   asio::awaitable<Result<PlaceReply>> place(std::string Address,
                                             PlaceRequest Request) override;
-  asio::awaitable<Result<void>> stop(std::string Address,
-                                     StopRequest Request) override;
+  asio::awaitable<Result<StopReply>> stop(std::string Address,
+                                          StopRequest Request) override;
   asio::awaitable<Result<PreemptReply>>
   preempt(std::string Address, PreemptRequest Request) override;
   asio::awaitable<Result<EndsReply>> reportEnds(std::string Address,
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -70,12 +70,20 @@
   std::string Task;
   int Run = 0;
   std::string Worker;
+  /// Latest term of the worker's shard that the sender knows.
+  std::uint64_t HolderEpoch = 0;
 };
 
 struct StopRequest {
   std::vector<RunReference> Runs;
 };
 
+struct StopReply {
+  /// Workers that the receiver does not hold in the given term or a later one.
+  /// Their runs may still start. Empty if the receiver runs an earlier release.
+  std::vector<std::string> NotHeld;
+};
+
 struct EndReport {
   std::string Task;
   int Run = 0;
@@ -254,8 +262,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
                                    Suspect)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReference, Task, Run, Worker,
+                                                HolderEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopRequest, Runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StopReply, NotHeld)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndReport, Task, Run, Worker, How,
                                    Checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsRequest, Ends, Loads)
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -190,9 +190,11 @@
         Reply->Results[I].Status == PlaceStatus::Rejected)
       Result = Reply->Results[I];
     else
-      Reserved.Runs.push_back({.Task = Placement.Order.Task,
-                               .Run = Placement.Run.Run,
-                               .Worker = Placement.Run.Worker});
+      Reserved.Runs.push_back(
+          {.Task = Placement.Order.Task,
+           .Run = Placement.Run.Run,
+           .Worker = Placement.Run.Worker,
+           .HolderEpoch = holderEpochOf(Placement.Run.Worker)});
     applyResult(Placement, Result);
   }
   if (Reply)
@@ -267,19 +269,23 @@
 
 bool RunOrderSender::hasPendingOrder(const RunId &Run) const {
   const std::string Key = keyOf(Run);
-  // A placement without an answer may still arrive until its stop order has
-  // been answered.
+  // A placement without an answer may still be executed until the holder of the
+  // worker has confirmed the stop.
   return PendingOrders_.contains(Key) || PendingStops_.contains(Key);
 }
 
 void RunOrderSender::stopRuns(std::vector<RunId> Runs) {
   for (RunId &Run : Runs)
     if (PendingStops_.insert(keyOf(Run)).second)
-      asio::co_spawn(Executor_, stopUntilAnswered(std::move(Run)),
+      asio::co_spawn(Executor_, stopUntilConfirmed(std::move(Run)),
                      asio::detached);
 }
 
-asio::awaitable<void> RunOrderSender::stopUntilAnswered(RunId Run) {
+std::uint64_t RunOrderSender::holderEpochOf(const std::string &Worker) const {
+  return Shards_.latestTerm(Map_.shardOf(Worker)).Epoch;
+}
+
+asio::awaitable<void> RunOrderSender::stopUntilConfirmed(RunId Run) {
   // If this process or the worker's holder loses its shard, the next owner or
   // holder finds the run in an exchange and stops it.
   while (!Stopped_ && Jobs_.epochOf(Map_.shardOf(Run.Task.Job))) {
@@ -290,10 +296,17 @@
         StopRequest Request;
         Request.Runs.push_back({.Task = Run.Task.toString(),
                                 .Run = Run.Run,
-                                .Worker = Run.Worker});
+                                .Worker = Run.Worker,
+                                .HolderEpoch = holderEpochOf(Run.Worker)});
         const auto Reply = co_await Peers_.stop(*Holder, std::move(Request));
-        if (Reply)
+        if (Reply && Reply->NotHeld.empty())
           break;
+        if (Reply)
+          Events_.emit("dispatch", "stop_not_confirmed",
+                       {{"task", Run.Task.toString()},
+                        {"run", Run.Run},
+                        {"worker", Run.Worker},
+                        {"holder", *Holder}});
       }
     }
     co_await Timers_.sleepFor(Options_.StopRetryDelay);
--- a/Source/Cell/RunOrderSender.h
+++ b/Source/Cell/RunOrderSender.h
@@ -39,8 +39,8 @@
   /// holder of the workers' shard. If only the confirmation of the ownership of
   /// the job's shard is missing, requests it and returns false.
   [[nodiscard]] bool canOrder(int JobShard, int WorkerShard);
-  /// Returns true while a placement or a stop call of the run has no definite
-  /// answer from the holder of its worker.
+  /// Returns true while a placement of the run has no answer, or its stop no
+  /// confirmation from the holder of its worker.
   [[nodiscard]] bool hasPendingOrder(const RunId &Run) const;
   void stop() { Stopped_ = true; }
 
@@ -79,7 +79,10 @@
                                             StopRequest Request);
   void applyResult(const PendingPlacement &Placement,
                    const PlaceResult &Result);
-  asio::awaitable<void> stopUntilAnswered(RunId Run);
+  asio::awaitable<void> stopUntilConfirmed(RunId Run);
+  /// Returns the latest term of the worker's shard that its holder has
+  /// reported.
+  [[nodiscard]] std::uint64_t holderEpochOf(const std::string &Worker) const;
 
   asio::any_io_executor Executor_;
   TimerService &Timers_;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -186,9 +186,12 @@
   co_return co_await Agent->start(std::move(Order));
 }
 
-void WorkerPool::stopRun(const RunReference &Run) {
-  if (const auto Agent = findAgent(Run.Worker))
-    Agent->stopRun(Run.Task, Run.Run);
+bool WorkerPool::stopRun(const RunReference &Run) {
+  const auto Agent = findAgent(Run.Worker);
+  if (!Agent || Shards_.at(Map_.shardOf(Run.Worker)).Epoch < Run.HolderEpoch)
+    return false;
+  Agent->stopRun(Run.Task, Run.Run);
+  return true;
 }
 
 void WorkerPool::setDemand(const RunDemand &Demand) {
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -59,7 +59,10 @@
   /// holder than the caller.
   asio::awaitable<PlaceResult> place(ShardEpoch JobShard, PlaceOrder Order);
   PlaceResult reserve(const ShardEpoch &JobShard, const PlaceOrder &Order);
-  void stopRun(const RunReference &Run);
+  /// Stops the run, or prevents it from starting. Returns false, without an
+  /// effect, if this process does not hold the worker in the given term or a
+  /// later one: the run may then be known to another holder.
+  [[nodiscard]] bool stopRun(const RunReference &Run);
   void setDemand(const RunDemand &Demand);
   /// Returns the number of runs that are being stopped.
   int preempt(const ShardEpoch &JobShard, const PreemptionNeed &Need);
--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -301,6 +301,11 @@
     // that had not read the journal yet: the others ignored its reports, and no
     // takeover was completed.
     CPPUNIT_ASSERT_EQUAL(std::string(), violationsOf(0, Extra::ScheduledJobs));
+    // A process that had lost the worker answered the stop of a run whose
+    // placement was still in transit to an earlier holder, which received the
+    // worker again.
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         violationsOf(36737544, Extra::ScheduledJobs));
     // Crashes were not counted as other processes took the workers over.
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          violationsOf(96910991, Extra::CrashingTasks));
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -56,6 +56,55 @@
       };
 }
 
+/// A job of one task. The call that places its first run on FirstWorker arrives
+/// at the worker's holder 4 s later, while the caller waits for 2.6 s; from
+/// then on the job's owner places on SecondWorker. The holder sees that
+/// FirstWorker accepts work all the time.
+struct LatePlacementBench : ShardMoveBench {
+  explicit LatePlacementBench(std::string HolderAddress)
+      : Holder(std::move(HolderAddress)) {
+    Environment.Store.put(TestCellNode::WorkersTopic, SecondWorker, "draining");
+    run(1s);
+    Environment.Network.ChooseFault =
+        [this, Others = Environment.Network.ChooseFault](
+            const std::string &From, const std::string &To,
+            const std::string &Call) {
+          if (Call == "place" && To == Holder)
+            return CallFault{.Type = Kind::Delayed, .Delay = 4000ms};
+          if (Call == "stop" && To != Holder)
+            ++StopsElsewhere;
+          return Others(From, To, Call);
+        };
+    // The members remain in the group, but do not learn of its changes.
+    Environment.Store.ChooseFault =
+        [this, Others = Environment.Store.ChooseFault](
+            const std::string &Process, const std::string &Call) {
+          if (Call == "join" && ProcessesWithoutJoinReplies.contains(Process))
+            return CallFault{.Type = Kind::LostReply};
+          return Others(Process, Call);
+        };
+  }
+  void submitLate() {
+    LostStoreCalls.insert({Holder, "tail"});
+    submitTo(jobOf(idIn(1), {step(1)}));
+    Environment.Store.put(TestCellNode::WorkersTopic, FirstWorker, "draining");
+    Environment.Store.put(TestCellNode::WorkersTopic, SecondWorker, "ready");
+  }
+  void returnWorker() {
+    Environment.Store.assignOwners({{0, FirstHolder.member()}});
+  }
+  void checkCompletion() {
+    CPPUNIT_ASSERT(StopsElsewhere > 0);
+    ProcessesWithoutJoinReplies.clear();
+    endFaults();
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), stateOf(idIn(1)));
+  }
+
+  std::string Holder;
+  std::set<std::string> ProcessesWithoutJoinReplies;
+  int StopsElsewhere = 0; ///< Number of stop calls to other processes.
+};
+
 } // namespace
 
 class CellNodeTest : public CppUnit::TestFixture {
@@ -71,6 +120,8 @@
   CPPUNIT_TEST(testRunOfAScheduledJobOutlivesItsOwner);
   CPPUNIT_TEST(testEndsOfANewIncarnationAreReadBeforeTheyAreAcknowledged);
   CPPUNIT_TEST(testPlacementInTransitIsStoppedBeforeItCountsAsAbsent);
+  CPPUNIT_TEST(testOnlyTheHolderOfAWorkerConfirmsAStop);
+  CPPUNIT_TEST(testHolderOfAnEarlierTermDoesNotConfirmAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -344,6 +395,57 @@
     Bench.endFaults();
   }
 
+  // Guards against an owner that takes the answer of a process which does not
+  // hold the worker for the confirmation that a run can't start any more. Here
+  // the store names SecondHolder for a while, which has not learned of that,
+  // and the placement arrives at FirstHolder after the stop was answered.
+  void testOnlyTheHolderOfAWorkerConfirmsAStop() {
+    LatePlacementBench Bench("a:1");
+    Bench.ProcessesWithoutJoinReplies = {"a:1", "b:1"};
+    Bench.submitLate();
+    Bench.run(1s);
+    Bench.BlockedLinks = {{"a:1", "p:1"}};
+    Bench.moveWorker();
+    Bench.run(1450ms);
+    Bench.BlockedLinks.clear();
+    Bench.returnWorker();
+    Bench.run(2s);
+    Bench.checkCompletion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Environment.History.starts());
+  }
+
+  // Guards against a stop that a holder of an earlier term confirms, while the
+  // placement is in transit to the holder of a later one. Here FirstHolder does
+  // not learn that SecondHolder holds the worker, which the store then assigns
+  // to FirstHolder again.
+  void testHolderOfAnEarlierTermDoesNotConfirmAStop() {
+    LatePlacementBench Bench("b:1");
+    Bench.ProcessesWithoutJoinReplies = {"a:1"};
+    Bench.ProcessWithoutWorkers = "a:1";
+    Bench.BlockedLinks = {{"a:1", "b:1"}};
+    // The replies would name the later term.
+    Bench.Environment.Network.ChooseFault =
+        [Others = Bench.Environment.Network.ChooseFault](
+            const std::string &From, const std::string &To,
+            const std::string &Call) {
+          if (Call == "exchange" && From == "a:1")
+            return CallFault{.Type = Kind::LostRequest};
+          return Others(From, To, Call);
+        };
+    Bench.moveWorker();
+    Bench.run(1500ms);
+    Bench.submitLate();
+    Bench.run(1s);
+    Bench.ProcessesWithoutJoinReplies = {"a:1", "b:1"};
+    Bench.BlockedLinks.insert({"b:1", "p:1"});
+    Bench.returnWorker();
+    Bench.run(3500ms);
+    Bench.checkRules();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Environment.History.starts());
+    Bench.Environment.Network.ChooseFault = nullptr;
+    Bench.checkCompletion();
+  }
+
 private:
   /// Calls that fail before, during or after their execution, and repeated
   /// calls.
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -59,7 +59,7 @@
                                             PlaceRequest) override {
     co_return notImplemented();
   }
-  asio::awaitable<Result<void>> stop(std::string, StopRequest) override {
+  asio::awaitable<Result<StopReply>> stop(std::string, StopRequest) override {
     co_return notImplemented();
   }
   asio::awaitable<Result<PreemptReply>> preempt(std::string,
