Reject a placement in another term of the worker's holder

The tombstones that keep a stopped run from starting belong to one term of the holder. A holds the worker, a placement to A is delayed, B receives the worker and confirms the stop, the owner starts run 2 elsewhere, A receives the worker again, and the delayed placement starts run 1 there: TWICE. That the fencing token of the worker rejects the start: A sends it with the token of its new term. Tombstones that outlive the term in the process: A never received the stop. Change: a placement or reservation carries the term of the worker's shard that its sender knew when it chose the worker; in any other term it is rejected as holder_epoch. A gang starts only if the terms are those of its reservations. Orders of an earlier release carry no term and are valid in all, as before. docs/platform.md: the proof of the fences assumed this. Conclusion: a delayed placement has an effect only in the term in which its stop would be remembered. The same held for owners: a holder that held nothing while the next owner of a job asked all holders did not learn of that owner; it rejects the former owner's delayed placement now by its own term. That case was not tested.

--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -32,6 +32,9 @@
   bool Preemptible = false;
   /// Workers have crashed under earlier runs of the task.
   bool CrashSuspect = false;
+  /// Term of the worker's shard in which the order is valid; 0 if the sender
+  /// runs an earlier release, whose orders are valid in all terms.
+  std::uint64_t HolderEpoch = 0;
 };
 
 struct PlaceRequest {
@@ -256,7 +259,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PlaceOrder, Task, Run, Worker,
                                                 Demand, Payload, Checkpoint,
                                                 Ticket, ExpectedMs, Priority,
-                                                Preemptible, CrashSuspect)
+                                                Preemptible, CrashSuspect,
+                                                HolderEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -57,7 +57,8 @@
           Job.Queue.Priority == 0 ? Step.EstimatedDuration.count() : 0,
       .Priority = Job.Queue.Priority,
       .Preemptible = isPreemptible(Step),
-      .CrashSuspect = Schedulable.Job->Progress.isCrashSuspect(Id.Task)};
+      .CrashSuspect = Schedulable.Job->Progress.isCrashSuspect(Id.Task),
+      .HolderEpoch = holderEpochOf(Id.Worker)};
   return {.Run = std::move(Id), .Order = std::move(Order)};
 }
 
@@ -170,6 +171,8 @@
     for (const PendingPlacement &Placement : Placements) {
       const int WorkerShard = Map_.shardOf(Placement.Run.Worker);
       if (Shards_.holderOf(WorkerShard) != Address ||
+          Shards_.latestTerm(WorkerShard).Epoch !=
+              Placement.Order.HolderEpoch ||
           !canOrder(Job.Shard, WorkerShard))
         return false;
     }
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -171,16 +171,31 @@
   return std::nullopt;
 }
 
+std::optional<PlaceResult> WorkerPool::findRefusal(const ShardEpoch &JobShard,
+                                                   const PlaceOrder &Order) {
+  if (auto Refusal = findRefusal(JobShard, Order.Worker))
+    return Refusal;
+  if (Order.HolderEpoch != 0 && Order.HolderEpoch != epochOf(Order.Worker))
+    return PlaceResult{.Status = PlaceStatus::Rejected,
+                       .Reason = "holder_epoch"};
+  return std::nullopt;
+}
+
+std::uint64_t WorkerPool::epochOf(const std::string &Worker) const {
+  const auto It = Shards_.find(Map_.shardOf(Worker));
+  return It == Shards_.end() ? 0 : It->second.Epoch;
+}
+
 PlaceResult WorkerPool::reserve(const ShardEpoch &JobShard,
                                 const PlaceOrder &Order) {
-  if (const auto Refusal = findRefusal(JobShard, Order.Worker))
+  if (const auto Refusal = findRefusal(JobShard, Order))
     return *Refusal;
   return findAgent(Order.Worker)->reserve(Order);
 }
 
 asio::awaitable<PlaceResult> WorkerPool::place(ShardEpoch JobShard,
                                                PlaceOrder Order) {
-  if (auto Refusal = findRefusal(JobShard, Order.Worker))
+  if (auto Refusal = findRefusal(JobShard, Order))
     co_return std::move(*Refusal);
   const auto Agent = findAgent(Order.Worker);
   co_return co_await Agent->start(std::move(Order));
@@ -188,7 +203,7 @@
 
 bool WorkerPool::stopRun(const RunReference &Run) {
   const auto Agent = findAgent(Run.Worker);
-  if (!Agent || Shards_.at(Map_.shardOf(Run.Worker)).Epoch < Run.HolderEpoch)
+  if (!Agent || epochOf(Run.Worker) < Run.HolderEpoch)
     return false;
   Agent->stopRun(Run.Task, Run.Run);
   return true;
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -56,7 +56,8 @@
   void updateWorkers(const std::map<std::string, WorkerEntry> &Workers);
 
   /// Starts a run. Rejects it if the job's shard is known to have a later
-  /// holder than the caller.
+  /// holder than the caller, or if the order is meant for another term of the
+  /// worker's shard: this term does not know whether the run was stopped.
   asio::awaitable<PlaceResult> place(ShardEpoch JobShard, PlaceOrder Order);
   PlaceResult reserve(const ShardEpoch &JobShard, const PlaceOrder &Order);
   /// Stops the run, or prevents it from starting. Returns false, without an
@@ -101,6 +102,10 @@
                                         const WorkerEntry &Entry);
   std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
                                          const std::string &Worker);
+  std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
+                                         const PlaceOrder &Order);
+  /// Returns the term in which this process holds the worker; 0 if it doesn't.
+  [[nodiscard]] std::uint64_t epochOf(const std::string &Worker) const;
   [[nodiscard]] std::shared_ptr<WorkerAgent>
   findAgent(const std::string &Worker) const;
 
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(testPlacementInTransitIsStoppedBeforeItCountsAsAbsent);
   CPPUNIT_TEST(testOnlyTheHolderOfAWorkerConfirmsAStop);
   CPPUNIT_TEST(testHolderOfAnEarlierTermDoesNotConfirmAStop);
+  CPPUNIT_TEST(testPlacementHasNoEffectInALaterTermOfTheHolder);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -446,6 +447,23 @@
     Bench.checkCompletion();
   }
 
+  // Guards against a holder that executes a placement which was sent to it in
+  // an earlier term. The owner has had the run stopped by the holder that came
+  // in between, and only that one remembers the stop.
+  void testPlacementHasNoEffectInALaterTermOfTheHolder() {
+    LatePlacementBench Bench("a:1");
+    Bench.submitLate();
+    Bench.run(1s);
+    Bench.moveWorker();
+    Bench.run(1600ms);
+    Bench.returnWorker();
+    Bench.run(900ms);
+    CPPUNIT_ASSERT(Bench.FirstHolder.shards().heldShards().contains(0));
+    Bench.run(1s);
+    Bench.checkCompletion();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Environment.History.starts());
+  }
+
 private:
   /// Calls that fail before, during or after their execution, and repeated
   /// calls.
