--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -32,6 +32,9 @@
   bool Preemptible = false;
   /// Workers have crashed under earlier runs of the task.
   bool CrashSuspect = false;
+  /// Term of the worker's shard in which the order is valid; 0 if the sender
+  /// runs an earlier release, whose orders are valid in all terms.
+  std::uint64_t HolderEpoch = 0;
 };
 
 struct PlaceRequest {
@@ -70,12 +73,20 @@
   std::string Task;
   int Run = 0;
   std::string Worker;
+  /// Latest term of the worker's shard that the sender knows.
+  std::uint64_t HolderEpoch = 0;
 };
 
 struct StopRequest {
   std::vector<RunReference> Runs;
 };
 
+struct StopReply {
+  /// Workers that the receiver does not hold in the given term or a later one.
+  /// Their runs may still start. Empty if the receiver runs an earlier release.
+  std::vector<std::string> NotHeld;
+};
+
 struct EndReport {
   std::string Task;
   int Run = 0;
@@ -250,14 +261,17 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PlaceOrder, Task, Run, Worker,
                                                 Demand, Payload, Checkpoint,
                                                 Ticket, ExpectedMs, Priority,
-                                                Preemptible, CrashSuspect)
+                                                Preemptible, CrashSuspect,
+                                                HolderEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
                                    Suspect)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunReference, Task, Run, Worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReference, Task, Run, Worker,
+                                                HolderEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StopRequest, Runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StopReply, NotHeld)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndReport, Task, Run, Worker, How,
                                    Checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndsRequest, Ends, Loads,
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -56,10 +56,14 @@
   void updateWorkers(const std::map<std::string, WorkerEntry> &Workers);
 
   /// Starts a run. Rejects it if the job's shard is known to have a later
-  /// holder than the caller.
+  /// holder than the caller, or if the order is meant for another term of the
+  /// worker's shard: this term does not know whether the run was stopped.
   asio::awaitable<PlaceResult> place(ShardEpoch JobShard, PlaceOrder Order);
   PlaceResult reserve(const ShardEpoch &JobShard, const PlaceOrder &Order);
-  void stopRun(const RunReference &Run);
+  /// Stops the run, or prevents it from starting. Returns false, without an
+  /// effect, if this process does not hold the worker in the given term or a
+  /// later one: the run may then be known to another holder.
+  [[nodiscard]] bool stopRun(const RunReference &Run);
   void setDemand(const RunDemand &Demand);
   /// Returns the number of runs that are being stopped.
   int preempt(const ShardEpoch &JobShard, const PreemptionNeed &Need);
@@ -100,6 +104,10 @@
                                         const WorkerEntry &Entry);
   std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
                                          const std::string &Worker);
+  std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
+                                         const PlaceOrder &Order);
+  /// Returns the term in which this process holds the worker; 0 if it doesn't.
+  [[nodiscard]] std::uint64_t epochOf(const std::string &Worker) const;
   [[nodiscard]] std::shared_ptr<WorkerAgent>
   findAgent(const std::string &Worker) const;
 
