Confirm stops on workers without an agent, and keep them for a later placement

Change: the pool keeps stops of such runs for the term, as an agent does, and rejects their placements.

--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -14,7 +14,9 @@
 
 void WorkerPool::assign(int ShardNumber, std::uint64_t Epoch) {
   revoke(ShardNumber);
-  Shards_[ShardNumber].Epoch = Epoch;
+  Shards_.emplace(ShardNumber, Shard{.Epoch = Epoch,
+                                     .StoppedOnUnlisted = RunTombstones(
+                                         Options_.TombstoneLifetime)});
   for (const auto &[Id, Entry] : Listed_)
     if (Map_.shardOf(Id) == ShardNumber)
       addAgent(ShardNumber, Entry);
@@ -178,6 +180,9 @@
   if (Order.HolderEpoch != 0 && Order.HolderEpoch != epochOf(Order.Worker))
     return PlaceResult{.Status = PlaceStatus::Rejected,
                        .Reason = "holder_epoch"};
+  if (Shards_.at(Map_.shardOf(Order.Worker))
+          .StoppedOnUnlisted.covers(Order.Task, Order.Run))
+    return PlaceResult{.Status = PlaceStatus::Rejected, .Reason = "stopped"};
   return std::nullopt;
 }
 
@@ -202,10 +207,13 @@
 }
 
 bool WorkerPool::stopRun(const RunReference &Run) {
-  const auto Agent = findAgent(Run.Worker);
-  if (!Agent || epochOf(Run.Worker) < Run.HolderEpoch)
+  const auto It = Shards_.find(Map_.shardOf(Run.Worker));
+  if (It == Shards_.end() || It->second.Epoch < Run.HolderEpoch)
     return false;
-  Agent->stopRun(Run.Task, Run.Run);
+  if (const auto Agent = findAgent(Run.Worker))
+    Agent->stopRun(Run.Task, Run.Run);
+  else
+    It->second.StoppedOnUnlisted.add(Run.Task, Run.Run, Timers_.now());
   return true;
 }
 
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -2,6 +2,7 @@
 
 #include "Base/EventLog.h"
 #include "Cell/PeerMessages.h"
+#include "Cell/RunTombstones.h"
 #include "Cell/ShardMap.h"
 #include "Cell/WorkerAgent.h"
 
@@ -62,7 +63,8 @@
   PlaceResult reserve(const ShardEpoch &JobShard, const PlaceOrder &Order);
   /// Stops the run, or prevents it from starting. Returns false, without an
   /// effect, if this process does not hold the worker in the given term or a
-  /// later one: the run may then be known to another holder.
+  /// later one: the run may then be known to another holder. A stop on a
+  /// worker of the shard that has no agent takes effect once it has one.
   [[nodiscard]] bool stopRun(const RunReference &Run);
   void setDemand(const RunDemand &Demand);
   /// Returns the number of runs that are being stopped.
@@ -97,6 +99,8 @@
     std::uint64_t Epoch = 0;
     bool Restored = false;
     std::map<std::string, std::shared_ptr<WorkerAgent>> Agents;
+    /// Stopped runs on workers that this process does not know, or not yet.
+    RunTombstones StoppedOnUnlisted;
   };
 
   asio::awaitable<bool> confirmOwnership(int ShardNumber, std::uint64_t Epoch);
--- /dev/null
+++ b/Tests/Cell/WorkerPoolTest.cpp
@@ -0,0 +1,89 @@
+#include "Cell/WorkerPool.h"
+
+#include "Cell/CellTestBench.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace hickory {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Epoch = 5;
+
+/// A pool that holds the only shard in term Epoch.
+struct PoolBench : CellTestBench {
+  PoolBench() {
+    Pool.onRecordWorker([this](int Shard, const WorkerEntry &Entry) {
+      Pool.markRecorded(Shard, Entry.Id);
+    });
+    Pool.assign(0, Epoch);
+    Pool.restore(0, {});
+  }
+  void listWorker() {
+    Pool.updateWorkers({{"w",
+                         {.Id = "w",
+                          .Service = "pool",
+                          .Address = "10.0.0.1:80",
+                          .Capacity = {.CpusMilli = 4000, .MemoryMb = 1000}}}});
+    run(100ms);
+  }
+  PlaceResult place(int Run) {
+    const auto Result = begin(
+        Pool.place({.Shard = 0, .Epoch = 1}, {.Task = "j.0.0.0",
+                                              .Run = Run,
+                                              .Worker = "w",
+                                              .Demand = {.CpusMilli = 1000},
+                                              .HolderEpoch = Epoch}));
+    run(50ms);
+    CPPUNIT_ASSERT(Result->has_value());
+    return **Result;
+  }
+  bool stop(std::uint64_t HolderEpoch) {
+    return Pool.stopRun({.Task = "j.0.0.0",
+                         .Run = 1,
+                         .Worker = "w",
+                         .HolderEpoch = HolderEpoch});
+  }
+
+  WorkerPool Pool{
+      Context.get_executor(), Timers, Worker, Events, ShardMap(1), {}};
+};
+
+} // namespace
+
+class WorkerPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkerPoolTest);
+  CPPUNIT_TEST(testStopOnAnUnlistedWorkerIsConfirmedAndKept);
+  CPPUNIT_TEST(testOnlyTheTermInForceConfirmsAStop);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a stop that is repeated without end because its worker is
+  // gone, and against a placement that arrives after the stop of its run was
+  // confirmed and the worker is listed.
+  void testStopOnAnUnlistedWorkerIsConfirmedAndKept() {
+    PoolBench Bench;
+    CPPUNIT_ASSERT(Bench.stop(Epoch));
+    Bench.listWorker();
+    CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Rejected);
+    CPPUNIT_ASSERT_EQUAL(0, Bench.Worker.Starts);
+    CPPUNIT_ASSERT(Bench.place(2).Status == PlaceStatus::Started);
+  }
+
+  // Guards against the confirmation of a process that does not hold the worker
+  // yet or any more.
+  void testOnlyTheTermInForceConfirmsAStop() {
+    PoolBench Bench;
+    CPPUNIT_ASSERT(!Bench.stop(Epoch + 1));
+    CPPUNIT_ASSERT(Bench.stop(Epoch - 1));
+    Bench.Pool.revoke(0);
+    CPPUNIT_ASSERT(!Bench.stop(Epoch));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerPoolTest);
+
+} // namespace hickory
