Place rejected members of a gang on other workers instead of giving up the gang

Owners place gangs on views of free capacity that are up to 0.85 s old. In a failed attempt, 16% of the members (median) were rejected, mostly by 1 to 4 workers, mostly because another run had started there within the last second (3,289 of 4,927 rejections). The whole attempt then failed, and the probability of that grows with the number of workers. The next attempt came 0.5 to 5 s later, as tickets expire after 2 s and calls for advice take 0.5 to 1 s. Ruled out: 1. Reservations of gangs that fail reject each other: only 415 of the 4,927 rejections were on a worker with such a reservation; a failed attempt holds its reservations for 30 ms (median). It does happen if processes act at the same moment: without the random delay below, three gangs in the strengthened CellNodeTest rejected each other for 20 s. 2. Gangs are not tried, for want of advice or by their view: the eight with the most attempts of those that never started had 7 to 11 of them, each rejected in part. What advice costs explains why there are so few. 3. A rule at the holder (an earlier gang's reservation precedes later ones) was weighed and not built: it answers the first, rare cause, and a holder that takes back a reservation which it has confirmed lets a gang start in part. A claim for gangs that have failed several times would leave capacity idle and not make views younger. Change: A gang keeps the members that were reserved; the rejected ones are placed on other workers for up to 0.4 s after the first reservation. If that does not suffice, all reservations are released, and the gang is placed again after a random time, whose bound doubles up to 0.64 s. A holder that rejects a reservation reports the loads of all its workers. A gang is not started later than 0.8 s after its first reservation, as they expire after 1 s, nor if its members are no longer being placed. Messages keep their form: PlaceReply::Loads has more entries. CellNodeTest::testFailedCallsViolateNoRule failed with "stop was never sent", as its gangs no longer conflict; it now has wide gangs that do, and a job that is cancelled while its tasks run at all holders. Conclusion: Gangs that fit start within a few round trips, as long as enough other workers with tickets have capacity.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/WaitForAll.h"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <fmt/format.h>
@@ -193,7 +194,12 @@
   if (Request.ReserveOnly) {
     for (std::size_t I = 0; I < Request.Orders.size(); ++I)
       Reply->Results[I] = Pool_.reserve(Request.Job, Request.Orders[I]);
-    addLoads(Workers, *Reply);
+    // The caller's view of these workers is out of date, and it looks for other
+    // workers for the rejected members at once.
+    if (std::ranges::any_of(Reply->Results, [](const PlaceResult &Result) {
+          return Result.Status == PlaceStatus::Rejected;
+        }))
+      Reply->Loads = Pool_.loads();
     co_return std::move(*Reply);
   }
   std::vector<asio::awaitable<void>> Starts;
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -34,7 +34,13 @@
       Orders_(Executor, Timers, Jobs, View, Peers, Shards, Events, Counters,
               Options.Orders),
       Gangs_(Executor, Timers, Jobs, View, Peers, Shards, Events, Counters,
-             Options.Gangs) {}
+             Options.Gangs) {
+  Orders_.setCandidateSource([this](const SchedulableStep &Schedulable) {
+    // Called between passes.
+    OrderableInPass_.clear();
+    return withTickets(Schedulable, candidatesFor(Schedulable));
+  });
+}
 
 asio::awaitable<void> Dispatcher::run() {
   while (!Stopped_) {
@@ -163,6 +169,20 @@
   return Found;
 }
 
+std::vector<Candidate>
+Dispatcher::withTickets(const SchedulableStep &Schedulable,
+                        const std::vector<Candidate> &Candidates) const {
+  if (!Schedulable.job().Queue.Advice)
+    return Candidates;
+  const StepAdvice &Advice = Schedulable.advice();
+  const Clock::time_point Until = Timers_.now() + Options_.Orders.TicketMargin;
+  std::vector<Candidate> Ticketed;
+  for (const Candidate &Each : Candidates)
+    if (Advice.ticketFor(Each.Worker->Id, Until) != nullptr)
+      Ticketed.push_back(Each);
+  return Ticketed;
+}
+
 void Dispatcher::dispatchStep(const SchedulableStep &Schedulable) {
   const JobSpec &Job = Schedulable.job();
   const PlacementNeed Need = Schedulable.need();
@@ -176,12 +196,7 @@
       Gangs_.claimWorkersFor(Schedulable, Candidates);
     return;
   }
-  const StepAdvice &Advice = Schedulable.advice();
-  std::vector<Candidate> Ticketed;
-  for (const Candidate &Each : Candidates)
-    if (Advice.ticketFor(Each.Worker->Id,
-                         Timers_.now() + Options_.TicketMargin) != nullptr)
-      Ticketed.push_back(Each);
+  const auto Ticketed = withTickets(Schedulable, Candidates);
   const auto Chosen = Schedulable.Job->Accepted ? placeStep(Need, Ticketed)
                                                 : std::vector<std::size_t>();
   Orders_.place(Schedulable, Ticketed, Chosen);
@@ -218,7 +233,7 @@
   const PlacementNeed Need{.Step = &Schedulable.step(), .Count = Count};
   auto Workers =
       chooseWorkersToAsk(Need, Candidates, Advice, goodShareOf(Job.Queue.Name),
-                         Now + Usual.Time + Options_.TicketMargin);
+                         Now + Usual.Time + Options_.Orders.TicketMargin);
   if (Workers.empty())
     return;
   Advice.CallPending = true;
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -20,9 +20,6 @@
 struct DispatcherOptions {
   GangClaimManagerOptions Gangs;
   RunOrderSenderOptions Orders;
-  /// Minimum remaining validity of a ticket, for the time until the placement
-  /// has reached the holder of the worker and its start order the worker.
-  std::chrono::milliseconds TicketMargin{150};
   /// Minimum time between passes over deferrable steps, as a pass over many
   /// steps and workers takes milliseconds.
   std::chrono::milliseconds DeferrableInterval{40};
@@ -65,6 +62,11 @@
   /// free capacity at present.
   [[nodiscard]] std::vector<Candidate>
   candidatesFor(const SchedulableStep &Schedulable);
+  /// Returns those of the candidates on which tasks of the step may start now:
+  /// those with a valid ticket if the queue needs advice, else all.
+  [[nodiscard]] std::vector<Candidate>
+  withTickets(const SchedulableStep &Schedulable,
+              const std::vector<Candidate> &Candidates) const;
   /// Returns RunOrderSender::canOrder() as of the first call in this pass, as
   /// many workers share a shard.
   [[nodiscard]] bool canOrderInPass(int JobShard, int WorkerShard);
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -523,6 +523,21 @@
   applyEffect(Job, endRun(*Job, Run, RunOutcome::Rejected, {}));
 }
 
+void JobOwner::markNotStarted(const std::vector<RunId> &Members,
+                              Clock::time_point NotBefore) {
+  const TaskName &Task = Members.front().Task;
+  const JobPointer Job = findJob(Task.Job);
+  if (!Job)
+    return;
+  Job->NotBefore[{Task.Occurrence, Task.Step}] = NotBefore;
+  const ProgressEffect Effect =
+      Job->Progress.markNotStarted(Members, Timers_.now());
+  if (Effect.Applied && RunEnded_)
+    for (std::size_t I = 0; I < Members.size(); ++I)
+      RunEnded_(RunOutcome::Rejected);
+  applyEffect(Job, Effect);
+}
+
 void JobOwner::applyRunReport(const RunReport &Report) {
   const auto Task = TaskName::parse(Report.Task);
   if (!Task || readyShard(Task->Job) == nullptr)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -50,6 +50,9 @@
   std::map<std::pair<int, int>, StepAdvice> Advice;
   /// Earliest time of the next attempt to place a step, by occurrence and step.
   std::map<std::pair<int, int>, Clock::time_point> NotBefore;
+  /// Number of successive attempts to reserve capacity for a gang that have
+  /// failed, by occurrence and step.
+  std::map<std::pair<int, int>, int> FailedReservations;
   /// Earliest time of the next preemption request, by occurrence and step.
   std::map<std::pair<int, int>, Clock::time_point> NextPreemptionAt;
 };
@@ -158,6 +161,11 @@
   /// Records that the run never started. Its step is not placed again before
   /// the given time.
   void markRejected(const RunId &Run, Clock::time_point NotBefore);
+  /// Records that the members of a gang, at least one, are not started, as
+  /// capacity was not reserved for all of them. Until NotBefore, the gang is
+  /// not placed again.
+  void markNotStarted(const std::vector<RunId> &Members,
+                      Clock::time_point NotBefore);
 
   /// Returns true if this process owns the job's shard and has read its
   /// journal.
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -62,8 +62,9 @@
 
 struct PlaceReply {
   std::vector<PlaceResult> Results; ///< In the order of the request.
-  std::vector<WorkerLoad>
-      Loads; ///< Loads of the workers that rejected an order.
+  /// Loads of the workers that rejected an order; for reservations those of all
+  /// workers of the holder, if one was rejected.
+  std::vector<WorkerLoad> Loads;
 };
 
 struct RunReference {
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -1,5 +1,6 @@
 #include "Cell/RunOrderSender.h"
 
+#include "Base/Hash.h"
 #include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
 
@@ -61,6 +62,14 @@
   return {.Run = std::move(Id), .Order = std::move(Order)};
 }
 
+std::string RunOrderSender::beginPlacement(const SchedulableStep &Schedulable,
+                                           const PendingPlacement &Placement) {
+  Schedulable.Job->Progress.markPlacing(Placement.Run, Timers_.now());
+  PendingOrders_.insert(keyOf(Placement.Run));
+  View_.reserveInFlight(Placement.Run.Worker, Placement.Order.Demand);
+  return Shards_.holderOf(Map_.shardOf(Placement.Run.Worker)).value_or("");
+}
+
 void RunOrderSender::place(const SchedulableStep &Schedulable,
                            const std::vector<Candidate> &Candidates,
                            const std::vector<std::size_t> &Chosen) {
@@ -70,15 +79,15 @@
   const auto Epoch = Jobs_.epochOf(Schedulable.Job->Shard);
   const int Run =
       Progress.nextRun(Schedulable.Step.Occurrence, Schedulable.Step.Step);
-  OrdersByAddress ByAddress;
+  std::vector<GangMember> Members;
+  Members.reserve(Chosen.size());
   for (std::size_t I = 0; I < Chosen.size(); ++I) {
-    PendingPlacement Placement = makePlacement(
-        Schedulable, Run, Schedulable.Step.Tasks[I], Candidates[Chosen[I]]);
-    Progress.markPlacing(Placement.Run, Timers_.now());
-    PendingOrders_.insert(keyOf(Placement.Run));
-    View_.reserveInFlight(Placement.Run.Worker, Placement.Order.Demand);
-    const auto Holder = Shards_.holderOf(Map_.shardOf(Placement.Run.Worker));
-    ByAddress[Holder.value_or("")].push_back(std::move(Placement));
+    GangMember Member{.Placement = makePlacement(Schedulable, Run,
+                                                 Schedulable.Step.Tasks[I],
+                                                 Candidates[Chosen[I]]),
+                      .Rack = Candidates[Chosen[I]].Worker->Rack};
+    Member.Address = beginPlacement(Schedulable, Member.Placement);
+    Members.push_back(std::move(Member));
   }
   Events_.emit("dispatch", "placing",
                {{"job", Schedulable.job().Id},
@@ -90,62 +99,159 @@
   const ShardEpoch Shard{.Shard = Schedulable.Job->Shard,
                          .Epoch = Epoch.value_or(0)};
   if (Schedulable.step().Gang) {
-    asio::co_spawn(Executor_, placeGang(Shard, std::move(ByAddress)),
+    asio::co_spawn(Executor_,
+                   placeGang({.Schedulable = Schedulable,
+                              .Job = Shard,
+                              .Members = std::move(Members)}),
                    asio::detached);
     return;
   }
+  OrdersByAddress ByAddress;
+  for (GangMember &Member : Members)
+    ByAddress[Member.Address].push_back(std::move(Member.Placement));
   for (auto &[Address, Orders] : ByAddress)
-    asio::co_spawn(Executor_, placeAt(Address, Shard, std::move(Orders)),
+    asio::co_spawn(Executor_, placeAt(Address, Shard, std::move(Orders), false),
                    asio::detached);
 }
 
 asio::awaitable<void>
 RunOrderSender::reserveAt(std::string Address, PlaceRequest Request,
-                          std::shared_ptr<ReservationReplies> Shared,
-                          std::size_t Index) {
-  (*Shared)[Index] =
-      co_await Peers_.place(std::move(Address), std::move(Request));
+                          std::shared_ptr<Result<PlaceReply>> Reply) {
+  *Reply = co_await Peers_.place(std::move(Address), std::move(Request));
 }
 
-asio::awaitable<RunOrderSender::ReservationReplies>
-RunOrderSender::reserveAll(ShardEpoch Job, const OrdersByAddress &Orders) {
-  auto Shared = std::make_shared<ReservationReplies>(
-      Orders.size(), fail(ErrorCode::NotSent, "the shard has no holder"));
+asio::awaitable<void> RunOrderSender::reserveMissing(GangPlacement &Gang) {
+  struct ReservationCall {
+    PlaceRequest Request;
+    std::vector<std::size_t> Members; ///< Indices, in the order of the request.
+    std::shared_ptr<Result<PlaceReply>> Reply =
+        std::make_shared<Result<PlaceReply>>(
+            fail(ErrorCode::NotSent, "the shard has no holder"));
+  };
+  std::map<std::string, ReservationCall> ByAddress;
+  for (std::size_t I = 0; I < Gang.Members.size(); ++I) {
+    const GangMember &Member = Gang.Members[I];
+    if (Member.Reserved)
+      continue;
+    ReservationCall &Call = ByAddress[Member.Address];
+    Call.Request.Job = Gang.Job;
+    Call.Request.ReserveOnly = true;
+    Call.Request.Orders.push_back(Member.Placement.Order);
+    Call.Request.Orders.back().Payload.clear();
+    Call.Members.push_back(I);
+  }
   std::vector<asio::awaitable<void>> Calls;
-  std::size_t Index = 0;
-  for (const auto &[Address, Placements] : Orders) {
-    PlaceRequest Request{.Job = Job, .ReserveOnly = true};
-    for (const PendingPlacement &Placement : Placements) {
-      PlaceOrder Order = Placement.Order;
-      Order.Payload.clear();
-      Request.Orders.push_back(std::move(Order));
-    }
+  for (auto &[Address, Call] : ByAddress)
     if (!Address.empty())
-      Calls.push_back(reserveAt(Address, std::move(Request), Shared, Index));
-    ++Index;
-  }
+      Calls.push_back(reserveAt(Address, std::move(Call.Request), Call.Reply));
   co_await waitForAll(Executor_, std::move(Calls));
-  co_return std::move(*Shared);
+  for (const auto &[Address, Call] : ByAddress) {
+    const Result<PlaceReply> &Reply = *Call.Reply;
+    StopRequest Unanswered;
+    for (std::size_t I = 0; I < Call.Members.size(); ++I) {
+      GangMember &Member = Gang.Members[Call.Members[I]];
+      if (Reply && I < Reply->Results.size()) {
+        applyReservation(Gang, Member, Reply->Results[I]);
+        continue;
+      }
+      Unanswered.Runs.push_back({.Task = Member.Placement.Order.Task,
+                                 .Run = Member.Placement.Run.Run,
+                                 .Worker = Member.Placement.Run.Worker});
+      applyReservation(Gang, Member,
+                       {.Status = PlaceStatus::Rejected,
+                        .Reason = Reply ? "no_result" : Reply.error().Message});
+    }
+    if (Reply)
+      View_.applyLoads(Reply->Loads);
+    if (!Address.empty() && !Unanswered.Runs.empty())
+      asio::co_spawn(Executor_,
+                     releaseReservations(Address, std::move(Unanswered)),
+                     asio::detached);
+  }
 }
 
-asio::awaitable<void> RunOrderSender::placeGang(ShardEpoch Job,
-                                                OrdersByAddress Orders) {
-  const auto Replies = co_await reserveAll(Job, Orders);
-  const bool Complete =
-      canStartGang(Job, Orders) &&
-      std::ranges::all_of(Replies, [](const Result<PlaceReply> &Reply) {
-        return Reply &&
-               std::ranges::all_of(Reply->Results, [](const auto &Result) {
-                 return Result.Status == PlaceStatus::Reserved;
-               });
-      });
-  std::size_t Index = 0;
-  for (auto &[Address, Placements] : Orders)
-    if (Complete)
-      asio::co_spawn(Executor_, placeAt(Address, Job, std::move(Placements)),
-                     asio::detached);
-    else
-      withdrawReservations(Address, Placements, Replies[Index++]);
+void RunOrderSender::applyReservation(GangPlacement &Gang, GangMember &Member,
+                                      const PlaceResult &Result) {
+  const PendingPlacement &Placement = Member.Placement;
+  View_.clearInFlight(Placement.Run.Worker, Placement.Order.Demand);
+  Member.Reserved = Result.Status == PlaceStatus::Reserved;
+  if (Member.Reserved)
+    return;
+  PendingOrders_.erase(keyOf(Placement.Run));
+  Gang.ExcludedWorkers.insert(Placement.Run.Worker);
+  View_.markUnusable(Placement.Run.Worker);
+  countRejection(Placement, Result.Reason);
+}
+
+bool RunOrderSender::replaceRejected(GangPlacement &Gang) {
+  const SchedulableStep &Schedulable = Gang.Schedulable;
+  if (!CandidateSource_)
+    return false;
+  std::vector<Candidate> Candidates = CandidateSource_(Schedulable);
+  std::erase_if(Candidates, [&Gang](const Candidate &Each) {
+    return Gang.ExcludedWorkers.contains(Each.Worker->Id);
+  });
+  const auto Missing =
+      std::ranges::count(Gang.Members, false, &GangMember::Reserved);
+  const PlacementNeed Need{.Step = &Schedulable.step(),
+                           .Count = static_cast<int>(Missing)};
+  const auto Kept =
+      std::ranges::find(Gang.Members, true, &GangMember::Reserved);
+  std::vector<std::size_t> Chosen;
+  if (Need.Step->SameRack && Kept != Gang.Members.end()) {
+    const std::string &Rack = Kept->Rack;
+    std::vector<Candidate> InRack = Candidates;
+    std::erase_if(InRack, [&Rack](const Candidate &Each) {
+      return Each.Worker->Rack != Rack;
+    });
+    Chosen = placeStep(Need, InRack);
+    if (std::ssize(Chosen) == Missing)
+      Candidates = std::move(InRack);
+  }
+  if (std::ssize(Chosen) < Missing)
+    Chosen = placeStep(Need, Candidates);
+  if (std::ssize(Chosen) < Missing)
+    return false;
+  std::size_t Next = 0;
+  for (GangMember &Member : Gang.Members) {
+    if (Member.Reserved)
+      continue;
+    const RunId &Rejected = Member.Placement.Run;
+    const Candidate &Replacement = Candidates[Chosen[Next++]];
+    Member.Placement = makePlacement(Schedulable, Rejected.Run,
+                                     Rejected.Task.Index, Replacement);
+    Member.Rack = Replacement.Worker->Rack;
+    Member.Address = beginPlacement(Schedulable, Member.Placement);
+  }
+  Events_.emit("dispatch", "replacing",
+               {{"job", Schedulable.job().Id},
+                {"step", Schedulable.Step.Step},
+                {"tasks", Missing}});
+  return true;
+}
+
+asio::awaitable<void> RunOrderSender::placeGang(GangPlacement Gang) {
+  const Clock::time_point Begin = Timers_.now();
+  co_await reserveMissing(Gang);
+  while (canStartGang(Gang) && !allReserved(Gang)) {
+    if (Timers_.now() - Begin > Options_.ReplacementTime ||
+        !hasValidTickets(Gang) || !replaceRejected(Gang))
+      break;
+    co_await reserveMissing(Gang);
+  }
+  if (!allReserved(Gang) || !canStartGang(Gang) ||
+      Timers_.now() - Begin > Options_.ReservationUseTime) {
+    withdrawGang(Gang);
+    co_return;
+  }
+  Gang.Schedulable.Job->FailedReservations.erase(Gang.Schedulable.key());
+  OrdersByAddress ByAddress;
+  for (GangMember &Member : Gang.Members)
+    ByAddress[Member.Address].push_back(std::move(Member.Placement));
+  for (auto &[Address, Orders] : ByAddress)
+    asio::co_spawn(Executor_,
+                   placeAt(Address, Gang.Job, std::move(Orders), true),
+                   asio::detached);
 }
 
 bool RunOrderSender::canOrder(int JobShard, int WorkerShard) {
@@ -162,43 +268,67 @@
   return false;
 }
 
-bool RunOrderSender::canStartGang(const ShardEpoch &Job,
-                                  const OrdersByAddress &Orders) {
-  if (Jobs_.epochOf(Job.Shard) != Job.Epoch)
+bool RunOrderSender::canStartGang(const GangPlacement &Gang) {
+  if (Jobs_.epochOf(Gang.Job.Shard) != Gang.Job.Epoch)
     return false;
-  for (const auto &[Address, Placements] : Orders)
-    for (const PendingPlacement &Placement : Placements) {
-      const int WorkerShard = Map_.shardOf(Placement.Run.Worker);
-      if (Shards_.holderOf(WorkerShard) != Address ||
-          !canOrder(Job.Shard, WorkerShard))
-        return false;
-    }
-  return true;
+  const JobProgress &Progress = Gang.Schedulable.Job->Progress;
+  return !Progress.isFinished() &&
+         std::ranges::all_of(Gang.Members, [&](const GangMember &Member) {
+           const RunId &Run = Member.Placement.Run;
+           const TaskProgress *Task = Progress.find(Run.Task);
+           const bool IsCurrent =
+               Task != nullptr && Task->Phase == TaskPhase::Placing &&
+               Task->Run == Run.Run && Task->Worker == Run.Worker;
+           const int WorkerShard = Map_.shardOf(Run.Worker);
+           return IsCurrent &&
+                  (!Member.Reserved ||
+                   (Shards_.holderOf(WorkerShard) == Member.Address &&
+                    canOrder(Gang.Job.Shard, WorkerShard)));
+         });
 }
 
-void RunOrderSender::withdrawReservations(
-    const std::string &Address, const std::vector<PendingPlacement> &Orders,
-    const Result<PlaceReply> &Reply) {
-  StopRequest Reserved;
-  for (std::size_t I = 0; I < Orders.size(); ++I) {
-    const PendingPlacement &Placement = Orders[I];
-    View_.clearInFlight(Placement.Run.Worker, Placement.Order.Demand);
+bool RunOrderSender::hasValidTickets(const GangPlacement &Gang) const {
+  const auto Until = Timers_.now() + Options_.TicketMargin;
+  return !Gang.Schedulable.job().Queue.Advice ||
+         std::ranges::all_of(Gang.Members, [&](const GangMember &Member) {
+           return !Member.Reserved ||
+                  Gang.Schedulable.advice().ticketFor(
+                      Member.Placement.Run.Worker, Until) != nullptr;
+         });
+}
+
+std::chrono::milliseconds
+RunOrderSender::gangRetryDelay(const GangPlacement &Gang) const {
+  const int Failed =
+      ++Gang.Schedulable.Job->FailedReservations[Gang.Schedulable.key()];
+  std::chrono::milliseconds Bound = Options_.RejectedRetryDelay;
+  for (int I = 0; I < Failed && Bound < Options_.MaximumGangRetryDelay; ++I)
+    Bound *= 2;
+  Bound = std::min(Bound, Options_.MaximumGangRetryDelay);
+  const RunId &First = Gang.Members.front().Placement.Run;
+  return Options_.RejectedRetryDelay +
+         std::chrono::milliseconds(stableHash(keyOf(First)) %
+                                   static_cast<std::uint64_t>(Bound.count()));
+}
+
+void RunOrderSender::withdrawGang(const GangPlacement &Gang) {
+  std::map<std::string, StopRequest> Reserved;
+  std::vector<RunId> Runs;
+  for (const GangMember &Member : Gang.Members) {
+    const PendingPlacement &Placement = Member.Placement;
+    Runs.push_back(Placement.Run);
+    if (!Member.Reserved)
+      continue;
     PendingOrders_.erase(keyOf(Placement.Run));
-    PlaceResult Result{.Status = PlaceStatus::Rejected,
-                       .Reason = IncompleteGang};
-    if (Reply && I < Reply->Results.size() &&
-        Reply->Results[I].Status == PlaceStatus::Rejected)
-      Result = Reply->Results[I];
-    else
-      Reserved.Runs.push_back({.Task = Placement.Order.Task,
-                               .Run = Placement.Run.Run,
-                               .Worker = Placement.Run.Worker});
-    applyResult(Placement, Result);
+    View_.release(Placement.Run.Worker, Placement.Order.Demand);
+    countRejection(Placement, IncompleteGang);
+    Reserved[Member.Address].Runs.push_back({.Task = Placement.Order.Task,
+                                             .Run = Placement.Run.Run,
+                                             .Worker = Placement.Run.Worker});
   }
-  if (Reply)
-    View_.applyLoads(Reply->Loads);
-  if (!Address.empty() && !Reserved.Runs.empty())
-    asio::co_spawn(Executor_, releaseReservations(Address, std::move(Reserved)),
+  Jobs_.markNotStarted(Runs, Timers_.now() + gangRetryDelay(Gang));
+  for (auto &[Address, Request] : Reserved)
+    asio::co_spawn(Executor_, releaseReservations(Address, std::move(Request)),
                    asio::detached);
 }
 
@@ -210,7 +340,8 @@
 
 asio::awaitable<void>
 RunOrderSender::placeAt(std::string Address, ShardEpoch Job,
-                        std::vector<PendingPlacement> Orders) {
+                        std::vector<PendingPlacement> Orders,
+                        bool AreReserved) {
   Result<PlaceReply> Reply =
       fail(ErrorCode::NotSent, "the shard has no holder");
   if (!Address.empty()) {
@@ -221,7 +352,8 @@
   }
   for (std::size_t I = 0; I < Orders.size(); ++I) {
     const PendingPlacement &Placement = Orders[I];
-    View_.clearInFlight(Placement.Run.Worker, Placement.Order.Demand);
+    if (!AreReserved)
+      View_.clearInFlight(Placement.Run.Worker, Placement.Order.Demand);
     PendingOrders_.erase(keyOf(Placement.Run));
     if (Reply && I < Reply->Results.size())
       applyResult(Placement, Reply->Results[I]);
@@ -248,21 +380,23 @@
     Jobs_.markOrdered(Placement.Run);
     return;
   }
+  countRejection(Placement, Result.Reason);
+  if (Result.Reason == nameOf(OrderStatus::BadTicket))
+    Jobs_.invalidateTicket(Placement.Run);
+  View_.markUnusable(Placement.Run.Worker);
+  Jobs_.markRejected(Placement.Run,
+                     Timers_.now() + Options_.RejectedRetryDelay);
+}
+
+void RunOrderSender::countRejection(const PendingPlacement &Placement,
+                                    const std::string &Reason) {
   Counters_.count("starts_rejected_total", 1,
-                  fmt::format("reason=\"{}\"", Result.Reason));
+                  fmt::format("reason=\"{}\"", Reason));
   Events_.emit("dispatch", "rejected",
                {{"task", Placement.Order.Task},
                 {"run", Placement.Run.Run},
                 {"worker", Placement.Run.Worker},
-                {"reason", Result.Reason}});
-  if (Result.Reason == nameOf(OrderStatus::BadTicket))
-    Jobs_.invalidateTicket(Placement.Run);
-  if (Result.Reason == IncompleteGang)
-    View_.release(Placement.Run.Worker, Placement.Order.Demand);
-  else
-    View_.markUnusable(Placement.Run.Worker);
-  Jobs_.markRejected(Placement.Run,
-                     Timers_.now() + Options_.RejectedRetryDelay);
+                {"reason", Reason}});
 }
 
 bool RunOrderSender::hasPendingOrder(const RunId &Run) const {
--- a/Source/Cell/RunOrderSender.h
+++ b/Source/Cell/RunOrderSender.h
@@ -7,6 +7,8 @@
 #include "Cell/SchedulableStep.h"
 #include "Cell/ShardMembership.h"
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -18,6 +20,20 @@
   std::chrono::milliseconds StopRetryDelay{250};
   /// Delay before a step is placed again after one of its tasks was rejected.
   std::chrono::milliseconds RejectedRetryDelay{20};
+  /// Bound of the jitter before a gang is placed again. Above the interval of
+  /// exchanges, so that processes which receive the same reports at the same
+  /// time do not all place their gangs then.
+  std::chrono::milliseconds MaximumGangRetryDelay{640};
+  /// Time after the first reservation of a gang during which rejected members
+  /// are replaced.
+  std::chrono::milliseconds ReplacementTime{400};
+  /// A gang is not started later than this after its first reservation. Below
+  /// WorkerAgentOptions::ReservationLifetime, so that the start orders arrive
+  /// before the reservations expire.
+  std::chrono::milliseconds ReservationUseTime{800};
+  /// Minimum remaining validity of a ticket, for the time until the placement
+  /// has reached the holder of the worker and its start order the worker.
+  std::chrono::milliseconds TicketMargin{150};
 };
 
 /// Sends placements and stop orders to the holders of workers, and records the
@@ -29,8 +45,16 @@
                  const ShardMembership &Shards, EventLog &Events,
                  Metrics &Counters, RunOrderSenderOptions Options);
 
+  /// Sets the function that returns the workers on which tasks of the step may
+  /// be placed at present.
+  void setCandidateSource(
+      std::function<std::vector<Candidate>(const SchedulableStep &)> Source) {
+    CandidateSource_ = std::move(Source);
+  }
   /// Starts the first tasks of the step on the chosen candidates. A gang is
-  /// started only after capacity has been reserved for all of its members.
+  /// started only after capacity has been reserved for all of its members:
+  /// those whose worker rejects them are placed on other workers, while the
+  /// others keep their reservations.
   void place(const SchedulableStep &Schedulable,
              const std::vector<Candidate> &Candidates,
              const std::vector<std::size_t> &Chosen);
@@ -50,33 +74,66 @@
     PlaceOrder Order;
   };
   using OrdersByAddress = std::map<std::string, std::vector<PendingPlacement>>;
-  /// Answers of the holders of a gang's workers, in the order of
-  /// OrdersByAddress.
-  using ReservationReplies = std::vector<Result<PlaceReply>>;
+  struct GangMember {
+    PendingPlacement Placement;
+    std::string Rack;
+    std::string Address; ///< Of the worker's holder; empty if there is none.
+    bool Reserved = false;
+  };
+  /// A gang for whose members capacity is being reserved.
+  struct GangPlacement {
+    SchedulableStep Schedulable;
+    ShardEpoch Job;
+    std::vector<GangMember> Members;
+    /// Workers that have rejected a member, or whose holder did not answer.
+    std::set<std::string> ExcludedWorkers;
+  };
 
   /// Returns the order that starts the task on the candidate.
   [[nodiscard]] PendingPlacement
   makePlacement(const SchedulableStep &Schedulable, int Run, int Index,
                 const Candidate &Chosen) const;
+  /// Records that the placement is about to be sent, and returns the address of
+  /// the worker's holder, which is empty if there is none.
+  std::string beginPlacement(const SchedulableStep &Schedulable,
+                             const PendingPlacement &Placement);
+  /// AreReserved: capacity is reserved for the orders, so that the view no
+  /// longer counts them as in flight.
   asio::awaitable<void> placeAt(std::string Address, ShardEpoch Job,
-                                std::vector<PendingPlacement> Orders);
-  asio::awaitable<void> placeGang(ShardEpoch Job, OrdersByAddress Orders);
-  /// Returns true if the gang may still be started on its reserved capacity.
-  [[nodiscard]] bool canStartGang(const ShardEpoch &Job,
-                                  const OrdersByAddress &Orders);
-  /// Sends the reservations of a gang and returns the answers.
-  asio::awaitable<ReservationReplies> reserveAll(ShardEpoch Job,
-                                                 const OrdersByAddress &Orders);
+                                std::vector<PendingPlacement> Orders,
+                                bool AreReserved);
+  asio::awaitable<void> placeGang(GangPlacement Gang);
+  [[nodiscard]] static bool allReserved(const GangPlacement &Gang) {
+    return std::ranges::all_of(Gang.Members, &GangMember::Reserved);
+  }
+  /// Returns true if the gang may still be started: its reservations are held
+  /// by the present holders, and nothing has ended it meanwhile.
+  [[nodiscard]] bool canStartGang(const GangPlacement &Gang);
+  /// Returns true if the tickets of the reserved members remain valid while
+  /// other members are replaced.
+  [[nodiscard]] bool hasValidTickets(const GangPlacement &Gang) const;
+  /// Asks the holders to reserve capacity for the members that have none. Those
+  /// that are rejected have no reservation afterwards.
+  asio::awaitable<void> reserveMissing(GangPlacement &Gang);
   asio::awaitable<void> reserveAt(std::string Address, PlaceRequest Request,
-                                  std::shared_ptr<ReservationReplies> Shared,
-                                  std::size_t Index);
-  /// Rejects the placements of a gang that is not started, and releases their
-  /// reservations.
-  void withdrawReservations(const std::string &Address,
-                            const std::vector<PendingPlacement> &Orders,
-                            const Result<PlaceReply> &Reply);
+                                  std::shared_ptr<Result<PlaceReply>> Reply);
+  void applyReservation(GangPlacement &Gang, GangMember &Member,
+                        const PlaceResult &Result);
+  /// Places the members without a reservation on other workers. Returns false
+  /// if there is not enough capacity for all of them.
+  bool replaceRejected(GangPlacement &Gang);
+  /// Returns the time until the next attempt to place the gang:
+  /// RejectedRetryDelay and a jitter whose bound doubles with each failed
+  /// attempt. Without it, processes that see the same capacity at the same time
+  /// reject each other's gangs again and again.
+  [[nodiscard]] std::chrono::milliseconds
+  gangRetryDelay(const GangPlacement &Gang) const;
+  /// Records that the gang is not started, and releases its reservations.
+  void withdrawGang(const GangPlacement &Gang);
   asio::awaitable<void> releaseReservations(std::string Address,
                                             StopRequest Request);
+  void countRejection(const PendingPlacement &Placement,
+                      const std::string &Reason);
   void applyResult(const PendingPlacement &Placement,
                    const PlaceResult &Result);
   asio::awaitable<void> stopUntilAnswered(RunId Run);
@@ -91,6 +148,8 @@
   EventLog &Events_;
   Metrics &Counters_;
   RunOrderSenderOptions Options_;
+  std::function<std::vector<Candidate>(const SchedulableStep &)>
+      CandidateSource_;
   std::set<std::string> PendingOrders_; ///< TASK#RUN@WORKER
   std::set<std::string> PendingStops_;  ///< TASK#RUN@WORKER
   bool Stopped_ = false;
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -410,6 +410,30 @@
   return Effect;
 }
 
+ProgressEffect JobProgress::markNotStarted(const std::vector<RunId> &Members,
+                                           Clock::time_point Now) {
+  ProgressEffect Effect;
+  if (isFinished())
+    return Effect;
+  for (const RunId &Run : Members) {
+    StepProgress *Step = stepOf(Run.Task);
+    if (Step == nullptr)
+      continue;
+    TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
+    if (Task.Phase != TaskPhase::Placing || Task.Run != Run.Run ||
+        Task.Worker != Run.Worker)
+      continue;
+    Task.Phase = phaseAfterEnd();
+    Task.PhaseSince = Now;
+    Effect.Applied = true;
+    if (std::ranges::none_of(Step->Tasks, [](const TaskProgress &Member) {
+          return isActive(Member.Phase);
+        }))
+      Step->GangStopping = false;
+  }
+  return Effect;
+}
+
 void JobProgress::finishIfComplete(ProgressEffect &Effect) {
   const auto Planned = static_cast<std::size_t>(std::max(1, Spec_.Repetitions));
   if (isFinished() || Occurrences_.size() < Planned)
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -147,6 +147,11 @@
   ProgressEffect markEnded(const RunId &Run, RunOutcome Outcome,
                            const std::string &Checkpoint,
                            Clock::time_point Now);
+  /// Records that the members of a gang are not started, as capacity was not
+  /// reserved for all of them. Unlike the end of a member, it stops no other
+  /// member.
+  ProgressEffect markNotStarted(const std::vector<RunId> &Members,
+                                Clock::time_point Now);
   ProgressEffect cancel(Clock::time_point Now);
 
   /// After a takeover: marks all tasks that are not done as possibly running.
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -61,6 +61,7 @@
   std::function<CallFault(const std::string &From, const std::string &To,
                           const std::string &Call)>
       ChooseFault;
+  std::chrono::milliseconds Latency{1}; ///< Of each request and each reply.
 
   void serve(const std::string &Address, Server Handler) {
     Servers_[Address] = std::make_shared<Server>(std::move(Handler));
@@ -111,8 +112,6 @@
   }
 
 private:
-  static constexpr std::chrono::milliseconds Latency{1};
-
   struct Pending {
     explicit Pending(const asio::any_io_executor &Executor) : Ready(Executor) {}
     std::optional<HttpServerResponse> Reply;
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -33,6 +33,26 @@
     }
   }
 
+  /// Submits one gang per shard, each of which needs most of the capacity, so
+  /// that processes that place them at the same time reject each other's gangs.
+  void submitWideGangs() {
+    for (int Shard = 0; Shard < Environment.Shards; ++Shard) {
+      StepSpec Gang = step(6, 3000);
+      Gang.Gang = true;
+      submit(*alive().front(), jobOf(idIn(Shard, 1), {Gang}));
+    }
+  }
+
+  /// Submits a job of one task per worker. The caller cancels it while they
+  /// run, which sends stop calls to all holders.
+  std::string submitJobToCancel() {
+    StepSpec Wide = step(6, 500);
+    Wide.MaximumPerWorker = 1;
+    const std::string Id = idIn(0, 2);
+    submit(*alive().front(), jobOf(Id, {Wide}));
+    return Id;
+  }
+
   void checkFinalRules(const std::string &Call = "",
                        const CallFault &Fault = {}) {
     finalViolations();
@@ -100,7 +120,11 @@
           return RunPlan{.Duration = 300ms,
                          .Outcome = Fails ? "failed" : "done"};
         };
+        const std::string Cancelled = Bench.submitJobToCancel();
         Bench.submitAll();
+        Bench.submitWideGangs();
+        Bench.run(200ms);
+        Bench.cancel(*Bench.alive().front(), Cancelled);
         Bench.run(6s);
         Bench.Environment.Network.ChooseFault = nullptr;
         Bench.run(20s);
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(testRejectedStartIsNotCountedAsAttempt);
   CPPUNIT_TEST(testOnlyExecutedStartsBeginAJob);
   CPPUNIT_TEST(testGangStartsOnlyWithAllMembers);
+  CPPUNIT_TEST(testGangThatIsNotStartedStopsNothing);
   CPPUNIT_TEST(testFailedGangStopsAllMembersBeforeRestart);
   CPPUNIT_TEST(testRunningMemberOfFailedGangIsStoppedAgain);
   CPPUNIT_TEST(testDoneMemberCompletesGang);
@@ -213,6 +214,27 @@
     CPPUNIT_ASSERT(Job.readySteps().empty());
   }
 
+  // Guards against a stop order for each member of a gang whose capacity could
+  // not be reserved, and against a run that such a report takes for not started
+  // although another attempt has placed it since.
+  void testGangThatIsNotStartedStopsNothing() {
+    JobProgress Job(jobWith({gangOf(2)}));
+    Job.markPlacing(runOf(0, 0, 1, "a"), Now);
+    Job.markPlacing(runOf(0, 1, 1, "b"), Now);
+    Job.markPlacing(runOf(0, 1, 1, "c"), Now);
+    const std::vector<RunId> Members = {runOf(0, 0, 1, "a"),
+                                        runOf(0, 1, 1, "c")};
+    const ProgressEffect Effect = Job.markNotStarted(Members, Now);
+    CPPUNIT_ASSERT(Effect.Applied);
+    CPPUNIT_ASSERT(!Effect.MustPersist);
+    CPPUNIT_ASSERT(Effect.Stop.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Job.readySteps().front().Tasks.size());
+    startRun(Job, runOf(0, 0, 2, "a"));
+    startRun(Job, runOf(0, 1, 2, "b"));
+    CPPUNIT_ASSERT(!Job.markNotStarted(Members, Now).Applied);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Job.activeRuns().size());
+  }
+
   void testFailedGangStopsAllMembersBeforeRestart() {
     JobProgress Job(jobWith({gangOf(2)}));
     startRun(Job, runOf(0, 0, 1, "a"));
