--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -163,6 +163,11 @@
   /// has begun, its worker may have crashed while another process took the
   /// worker over.
   [[nodiscard]] RunOutcome outcomeIfAbsent(const RunId &Run) const;
+  /// Records that the members of a gang are not started, as capacity was not
+  /// reserved for all of them. Unlike the end of a member, it stops no other
+  /// member.
+  ProgressEffect markNotStarted(const std::vector<RunId> &Members,
+                                Clock::time_point Now);
   ProgressEffect cancel(Clock::time_point Now);
 
   /// After a takeover: marks all tasks that are not done as possibly running.
