--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <fmt/format.h>
 
 namespace hickory {
 
@@ -85,6 +86,10 @@
   });
   Pool_.onEndsChanged([this] { Node_.requestEndDelivery(); });
   Jobs_.onFenced([this](int Shard) { Shards_.handleFenced(Shard); });
+  Jobs_.onRunEnded([this](RunOutcome Outcome) {
+    Metrics_.count("runs_ended_total", 1,
+                   fmt::format("how=\"{}\"", nameOf(Outcome)));
+  });
   Jobs_.onStepsReady([this] { Dispatcher_.wake(); });
   Jobs_.onShardOpened([this] {
     Node_.requestExchange();
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -418,14 +418,24 @@
                 {"outcome", nameOf(Outcome)}});
 }
 
+ProgressEffect JobOwner::endRun(OwnedJob &Job, const RunId &Run,
+                                RunOutcome Outcome,
+                                const std::string &Checkpoint) {
+  ProgressEffect Effect =
+      Job.Progress.markEnded(Run, Outcome, Checkpoint, Timers_.now());
+  if (Effect.Applied && RunEnded_)
+    RunEnded_(Outcome);
+  return Effect;
+}
+
 JobOwner::JobPointer JobOwner::applyEnd(const EndReport &End) {
   const auto Task = TaskName::parse(End.Task);
   const JobPointer Job = Task ? findJob(Task->Job) : nullptr;
   if (!Job)
     return nullptr;
   const RunId Run{.Task = *Task, .Run = End.Run, .Worker = End.Worker};
-  const ProgressEffect Effect = Job->Progress.markEnded(
-      Run, runOutcomeFromName(End.How), End.Checkpoint, Timers_.now());
+  const ProgressEffect Effect =
+      endRun(*Job, Run, runOutcomeFromName(End.How), End.Checkpoint);
   Events_.emit("jobs", "run_ended",
                {{"task", End.Task},
                 {"run", End.Run},
@@ -510,8 +520,7 @@
   if (!Job)
     return;
   Job->NotBefore[{Run.Task.Occurrence, Run.Task.Step}] = NotBefore;
-  applyEffect(Job, Job->Progress.markEnded(Run, RunOutcome::Rejected, {},
-                                           Timers_.now()));
+  applyEffect(Job, endRun(*Job, Run, RunOutcome::Rejected, {}));
 }
 
 void JobOwner::applyRunReport(const RunReport &Report) {
@@ -523,9 +532,8 @@
   if (Job && !Report.How.empty())
     // The end is accepted later, when it is delivered. It is applied here
     // already, so that a new owner does not start the task again before that.
-    applyEffect(Job,
-                Job->Progress.markEnded(Run, runOutcomeFromName(Report.How),
-                                        Report.Checkpoint, Timers_.now()));
+    applyEffect(Job, endRun(*Job, Run, runOutcomeFromName(Report.How),
+                            Report.Checkpoint));
   else if (Job)
     adopt(Job, Run, Report);
   else if (Report.How.empty() && StopRuns_)
@@ -542,6 +550,14 @@
                   {"run", Run.Run},
                   {"worker", Run.Worker}});
   applyEffect(Job, Effect);
+  if (!Job->Progress.setCrashSuspected(Run, Report.CrashSuspected))
+    return;
+  ++Job->Version;
+  storeProgress(Job);
+}
+
+void JobOwner::storeProgress(const JobPointer &Job) {
+  asio::co_spawn(Executor_, writeProgress(Job->Journal, {Job}), asio::detached);
 }
 
 void JobOwner::applyExchange(
@@ -588,11 +604,10 @@
       // took the worker over.
       const bool HasBegun =
           Job->Progress.find(Run.Task)->Phase == TaskPhase::Running;
-      applyEffect(Job,
-                  Job->Progress.markEnded(Run,
-                                          HasBegun ? RunOutcome::CrashSuspected
-                                                   : RunOutcome::Lost,
-                                          {}, Timers_.now()));
+      applyEffect(
+          Job,
+          endRun(*Job, Run,
+                 HasBegun ? RunOutcome::CrashSuspected : RunOutcome::Lost, {}));
     }
 }
 
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -72,6 +72,11 @@
   void onFenced(std::function<void(int Shard)> Callback) {
     Fenced_ = std::move(Callback);
   }
+  /// Sets the callback for a run that has ended, or that its worker rejected.
+  /// It is called once for each run that this process took for running.
+  void onRunEnded(std::function<void(RunOutcome)> Callback) {
+    RunEnded_ = std::move(Callback);
+  }
   /// Sets the callback for steps that may have become ready.
   void onStepsReady(std::function<void()> Callback) {
     StepsReady_ = std::move(Callback);
@@ -233,8 +238,14 @@
   /// owner can start a task of the job any more.
   [[nodiscard]] bool isEndSettled(const OwnedJob &Job) const;
   void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
+  /// Records the end of a run. The caller applies the effect.
+  [[nodiscard]] ProgressEffect endRun(OwnedJob &Job, const RunId &Run,
+                                      RunOutcome Outcome,
+                                      const std::string &Checkpoint);
   /// Applies the end of a run and returns its job; null if the job is unknown.
   JobPointer applyEnd(const EndReport &End);
+  /// Stores the job's progress soon, without waiting for the end of a run.
+  void storeProgress(const JobPointer &Job);
   void applyRunReport(const RunReport &Report);
   /// Adopts a run that is executing on a worker, or stops it.
   void adopt(const JobPointer &Job, const RunId &Run, const RunReport &Report);
@@ -262,6 +273,7 @@
   ShardMap Map_;
   JobOwnerOptions Options_;
   std::function<void(int)> Fenced_;
+  std::function<void(RunOutcome)> RunEnded_;
   std::function<void()> StepsReady_;
   std::function<void()> ShardOpened_;
   std::function<void(int, std::vector<WorkerEntry>)> WorkersRead_;
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -105,6 +105,8 @@
   std::string How;   ///< Outcome of an ended run whose end is not accepted yet;
                      ///< else empty.
   bool Begun = true; ///< The worker is known to have executed the start.
+  /// The worker does not answer, and may have crashed under the run.
+  bool CrashSuspected = false;
 };
 
 struct RunDemand {
@@ -270,7 +272,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardWaitingJobs, Shard, Epoch, Jobs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, Task, Run, Worker,
                                                 Checkpoint, DemandKnown, How,
-                                                Begun)
+                                                Begun, CrashSuspected)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
                                                 Workers, Runs, WaitingJobs,
                                                 Claims, Outdated, FailureDomain)
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -181,8 +181,11 @@
 }
 
 void WorkerAgent::recordLostContact(Clock::time_point AliveUntil) {
-  if (Reachable_)
-    LostAt_ = {.AliveUntil = AliveUntil, .GoneBy = Timers_.now()};
+  if (!Reachable_)
+    return;
+  LostAt_ = {.AliveUntil = AliveUntil, .GoneBy = Timers_.now()};
+  // Job owners learn this at once, so that it is not lost with this process.
+  suspectRuns(false);
 }
 
 StartedRun WorkerAgent::startedRun(const RunKey &Key,
@@ -193,30 +196,49 @@
           .Suspect = Tracked.CrashSuspect};
 }
 
-void WorkerAgent::blameRunsForCrash(bool IsCertain) {
+std::vector<SuspectRun> WorkerAgent::suspectRuns(bool IsCertain) {
   std::vector<StartedRun> Active;
   for (const auto &[Key, Tracked] : Runs_)
     if (Tracked.State != Phase::Ended && Tracked.State != Phase::Reserved)
       Active.push_back(startedRun(Key, Tracked));
   const bool WasKnown = LostAt_.GoneBy != Clock::time_point();
-  if (Entry_.Draining || !WasKnown || Active.empty())
+  if (Entry_.Draining || !WasKnown)
+    return {};
+  std::vector<SuspectRun> Suspects = findCrashSuspects(Active, LostAt_);
+  for (SuspectRun &Suspect : Suspects) {
+    if (!IsCertain)
+      Suspect.Outcome = RunOutcome::CrashSuspected;
+    Runs_[RunKey(Suspect.Task, Suspect.Run)].CrashOutcome = Suspect.Outcome;
+  }
+  return Suspects;
+}
+
+void WorkerAgent::blameRunsForCrash(bool IsCertain) {
+  const auto Active = std::ranges::count_if(Runs_, [](const auto &KeyAndRun) {
+    return KeyAndRun.second.State != Phase::Ended &&
+           KeyAndRun.second.State != Phase::Reserved;
+  });
+  const std::vector<SuspectRun> Found = suspectRuns(IsCertain);
+  if (Entry_.Draining || Active == 0)
     return;
   nlohmann::json Suspects = nlohmann::json::array();
-  bool Blamed = false;
-  for (const SuspectRun &Suspect : findCrashSuspects(Active, LostAt_)) {
-    const RunOutcome Outcome =
-        IsCertain ? Suspect.Outcome : RunOutcome::CrashSuspected;
-    Runs_[RunKey(Suspect.Task, Suspect.Run)].CrashOutcome = Outcome;
+  for (const SuspectRun &Suspect : Found)
     Suspects.push_back(Suspect.Task);
-    Blamed = Blamed || Outcome == RunOutcome::Crashed;
-  }
+  const bool Blamed =
+      std::ranges::count(Found, RunOutcome::Crashed, &SuspectRun::Outcome) > 0;
   Events_.emit("workers", "crashed",
                {{"worker", Entry_.Id},
-                {"runs", Active.size()},
+                {"runs", Active},
                 {"suspects", std::move(Suspects)},
                 {"blamed", Blamed}});
 }
 
+void WorkerAgent::clearSuspects() {
+  for (auto &[Key, Tracked] : Runs_)
+    if (Tracked.State != Phase::Ended)
+      Tracked.CrashOutcome.reset();
+}
+
 asio::awaitable<void> WorkerAgent::handleLeaseExpiry(bool Refused) {
   const bool HasLeft = Refused && Entry_.Draining && !Listed_;
   if (!hasLeaseExpired() && !HasLeft)
@@ -248,6 +270,8 @@
   if (StartedAtMs_ != 0 && Reply.StartedAtMs != 0 &&
       Reply.StartedAtMs != StartedAtMs_)
     handleWorkerRestart(Reply.StartedAtMs, SentAt);
+  else if (!Reachable_)
+    clearSuspects();
   if (!Reachable_)
     Events_.emit("workers", "contact",
                  {{"worker", Entry_.Id},
@@ -737,7 +761,8 @@
          .Checkpoint = Tracked.Checkpoint,
          .DemandKnown = Tracked.DemandKnown,
          .How = Tracked.State == Phase::Ended ? nameOf(Tracked.Outcome) : "",
-         .Begun = Tracked.Begun});
+         .Begun = Tracked.Begun,
+         .CrashSuspected = Tracked.CrashOutcome.has_value()});
   }
 }
 
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -161,10 +161,14 @@
   void markUnreachable(ErrorCode Cause);
   /// Records that the worker, which was reachable, does not answer or is gone.
   void recordLostContact(Clock::time_point AliveUntil);
-  /// Decides which runs may have crashed the worker. To be called before the
-  /// runs of an incarnation are ended that has not left as planned. IsCertain:
-  /// it is known to have ended.
+  /// Marks and returns the runs that may have crashed the worker since contact
+  /// was lost. IsCertain: its incarnation is known to have ended.
+  std::vector<SuspectRun> suspectRuns(bool IsCertain);
+  /// Marks and logs these runs. To be called before the runs of an incarnation
+  /// are ended that has not left as planned.
   void blameRunsForCrash(bool IsCertain);
+  /// To be called when the incarnation with which contact was lost answers.
+  void clearSuspects();
   [[nodiscard]] static StartedRun startedRun(const RunKey &Key,
                                              const TrackedRun &Tracked);
   /// Returns true if runs of other jobs than ExceptJob must not start here at
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -54,13 +54,6 @@
   return !Known;
 }
 
-/// Returns a name of the run that is unique among those of the task. The runs
-/// of a gang's members have the same name, since they are one attempt.
-std::string attemptName(const RunId &Run, bool Gang) {
-  return Gang ? std::to_string(Run.Run)
-              : std::to_string(Run.Run) + "@" + Run.Worker;
-}
-
 } // namespace
 
 const char *nameOf(RunOutcome Outcome) {
@@ -212,6 +205,24 @@
   return Latest;
 }
 
+bool JobProgress::setCrashSuspected(const RunId &Run, bool Suspected) {
+  StepProgress *Step = stepOf(Run.Task);
+  if (Step == nullptr || isFinished())
+    return false;
+  CrashRecord &Crashes = crashesOf(*Step, Run.Task);
+  if (Suspected)
+    return Crashes.add(Run.Run, Run.Worker, false);
+  Crashes.retract(Run.Run, Run.Worker);
+  return false;
+}
+
+CrashRecord &JobProgress::crashesOf(StepProgress &Step,
+                                    const TaskName &Task) const {
+  return Spec_.Steps[static_cast<std::size_t>(Task.Step)].Gang
+             ? Step.Crashes
+             : Step.Tasks[static_cast<std::size_t>(Task.Index)].Crashes;
+}
+
 bool JobProgress::isCrashSuspect(const TaskName &Task) const {
   const TaskProgress *Found = find(Task);
   return Found != nullptr &&
@@ -368,12 +379,15 @@
         {.Run = Run.Run, .Worker = Spec.Gang ? std::string() : Run.Worker});
   const bool Current =
       isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
-  CrashRecord &Crashes = Spec.Gang ? Step->Crashes : Task.Crashes;
+  CrashRecord &Crashes = crashesOf(*Step, Run.Task);
   if (isCrash(Outcome))
-    Effect.MustPersist |= Crashes.add(attemptName(Run, Spec.Gang),
-                                      Outcome == RunOutcome::Crashed);
-  else if (Current && Task.Phase == TaskPhase::Running &&
-           Now - Task.PhaseSince >= SoundRunTime)
+    Effect.MustPersist |=
+        Crashes.add(Run.Run, Run.Worker, Outcome == RunOutcome::Crashed);
+  else if (provesStart(Outcome))
+    // The worker has listed the end.
+    Crashes.retract(Run.Run, Run.Worker);
+  if (!isCrash(Outcome) && Current && Task.Phase == TaskPhase::Running &&
+      Now - Task.PhaseSince >= SoundRunTime)
     Crashes.clear();
   if (Outcome == RunOutcome::Done && !Spec.LongRunning) {
     completeTask(Run, *Step, Effect);
@@ -388,7 +402,8 @@
   const bool AttemptsUsed =
       !Spec.LongRunning &&
       static_cast<int>(FailedRuns.size()) >= Spec_.Queue.MaximumAttempts;
-  if ((AttemptsUsed || Crashes.isConclusive()) && Task.Phase != TaskPhase::Done)
+  if ((AttemptsUsed || Crashes.isConclusive(Spec.Gang)) &&
+      Task.Phase != TaskPhase::Done)
     finishAs(JobState::Failed, Effect);
   else
     finishIfComplete(Effect);
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -125,6 +125,10 @@
   /// Checkpoint to start a task from. For a gang, the latest checkpoint of any
   /// member. Empty if there is none.
   [[nodiscard]] std::string checkpointOf(const TaskName &Task) const;
+  /// Records whether the worker of a run that has not ended may have crashed
+  /// under it. Returns true if the state must be stored, so that the suspicion
+  /// outlives the job's owner and the worker's holder.
+  bool setCrashSuspected(const RunId &Run, bool Suspected);
   /// Returns true if workers have crashed under runs of the task or its gang.
   [[nodiscard]] bool isCrashSuspect(const TaskName &Task) const;
   /// Number of tasks of the step that are running on Worker or being placed
@@ -165,6 +169,8 @@
   void restore(const nlohmann::json &Durable);
 
 private:
+  /// Returns the crashes of the task, or of its gang.
+  CrashRecord &crashesOf(StepProgress &Step, const TaskName &Task) const;
   void addOccurrence();
   /// Adds the occurrences up to that of Task. A reported run proves that its
   /// occurrence is due, whatever the local clock says.
--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdlib>
 #include <iostream>
+#include <limits>
 #include <random>
 #include <rapidcheck.h>
 
@@ -50,13 +51,12 @@
                .WorkerRestarts = chance(0.3)};
     Faults_.ScheduledJobs = Included == Extra::ScheduledJobs;
     if (Included == Extra::CrashingTasks) {
-      // A crash is not counted if both the owner of the job and the holder of
-      // the worker are replaced before it is noticed. The permitted number of
-      // starts leaves room for two of these.
+      // A crash is not counted if the owner of the job and the holder of the
+      // worker are both replaced before the owner has stored the suspicion. The
+      // permitted number of starts leaves room for two of these.
       Faults_.CrashingTasks = true;
-      Faults_.Reassignments = false;
       Faults_.LostJoins = false;
-      EndsLeft_ = 2;
+      HandoversLeft_ = 4;
     }
   }
 
@@ -159,13 +159,13 @@
     const std::size_t MinimumProcesses = 2;
     switch (number(0, 9)) {
     case 0:
-      if (Faults_.Kills && Alive.size() > MinimumProcesses && EndsLeft_-- > 0)
+      if (Faults_.Kills && Alive.size() > MinimumProcesses && mayHandOver())
         Node.kill();
       else if (Faults_.Kills && Alive.size() < 5)
         Bench_.startNode(fmt::format("n{}:1", NextNode_++));
       return;
     case 1:
-      if (Faults_.Leaves && Alive.size() > MinimumProcesses && EndsLeft_-- > 0)
+      if (Faults_.Leaves && Alive.size() > MinimumProcesses && mayHandOver())
         asio::co_spawn(Bench_.Environment.Context, Node.drain(),
                        asio::detached);
       return;
@@ -174,7 +174,7 @@
         Bench_.startNode(fmt::format("n{}:1", NextNode_++));
       return;
     case 3:
-      if (Faults_.Reassignments)
+      if (Faults_.Reassignments && mayHandOver())
         Bench_.Environment.Store.rotateOwners(
             static_cast<std::size_t>(number(0, 9)));
       return;
@@ -207,6 +207,8 @@
     }
   }
 
+  bool mayHandOver() { return HandoversLeft_-- > 0; }
+
   [[nodiscard]] static std::string jobId(int Number) {
     return fmt::format("{:016x}", 0x1000 + Number);
   }
@@ -248,7 +250,7 @@
   FaultMix Faults_;
   int NextNode_ = 0;
   int Submitted_ = 0;
-  int EndsLeft_ = 1000; ///< Processes that may still be killed or leave.
+  int HandoversLeft_ = std::numeric_limits<int>::max(); ///< That may be caused.
   std::set<std::pair<std::string, std::string>> BlockedLinks_;
   std::set<std::string> ProcessesWithoutJoins_;
   std::set<std::string> CrashingTasks_; ///< Names of tasks.
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -122,6 +122,8 @@
   CPPUNIT_TEST(testOwnershipIsConfirmedOnlyByALaterAppend);
   CPPUNIT_TEST(testNewOwnerAppliesReportedEndsBeforeItRestartsTasks);
   CPPUNIT_TEST(testRunThatItsWorkerNoLongerHasIsRestarted);
+  CPPUNIT_TEST(testRunThatVanishedWithItsWorkerIsSuspected);
+  CPPUNIT_TEST(testEndOfARunIsReportedOnce);
   CPPUNIT_TEST(testPendingOrderIsNotEndedByAnOlderExchange);
   CPPUNIT_TEST(testRunOfUnknownJobIsStopped);
   CPPUNIT_TEST(testCancelIsStoredAndStopsRuns);
@@ -350,6 +352,43 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
   }
 
+  // Guards against a crash that is not counted, as another process took the
+  // worker over while it was down, and against suspecting a run that may never
+  // have begun.
+  void testRunThatVanishedWithItsWorkerIsSuspected() {
+    for (const bool Begun : {false, true}) {
+      OwnerBench Bench;
+      const auto Owner = Bench.owner(1);
+      Bench.submit(*Owner);
+      const auto &Job = Owner->activeJobs().begin()->second;
+      Bench.startFirstRun(*Owner);
+      if (!Begun)
+        Job->Progress.markPlacing(OwnerBench::firstRun(), Bench.Timers.now());
+      Bench.run(10ms);
+      Owner->applyExchange(Holder, Bench.report({}), Bench.Timers.now(),
+                           OwnerBench::noPendingOrder);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job->Progress.readySteps().size());
+      CPPUNIT_ASSERT_EQUAL(
+          Begun, Job->Progress.isCrashSuspect(OwnerBench::firstRun().Task));
+    }
+  }
+
+  // Guards against a count of ended runs that grows with each repeated report.
+  void testEndOfARunIsReportedOnce() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    std::vector<RunOutcome> Ended;
+    Owner->onRunEnded(
+        [&Ended](RunOutcome Outcome) { Ended.push_back(Outcome); });
+    Bench.submit(*Owner, 2);
+    Bench.startFirstRun(*Owner);
+    for (int Report = 0; Report < 2; ++Report) {
+      Bench.endFirstRun(*Owner, "crashed");
+      Bench.run(200ms);
+    }
+    CPPUNIT_ASSERT(std::vector<RunOutcome>{RunOutcome::Crashed} == Ended);
+  }
+
   // Guards against a task that runs twice: the reply to an exchange that was
   // sent before the start order arrived ended a run that was still executing.
   // Found with fleetbench trouble-2, seed 275423249159.
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(testRunThatJustStartedIsBlamedForACrash);
   CPPUNIT_TEST(testRunsOfDrainingWorkerAreNotBlamed);
   CPPUNIT_TEST(testRunsOfSilentWorkerAreOnlySuspected);
+  CPPUNIT_TEST(testRunsAreSuspectedWhileTheirWorkerDoesNotAnswer);
   CPPUNIT_TEST(testSuspectOfCrashesStartsApart);
   CPPUNIT_TEST(testReservedRunStartsBesideASuspect);
   CPPUNIT_TEST_SUITE_END();
@@ -615,6 +616,23 @@
         Bench.endsOf(*Agent));
   }
 
+  // Guards against a crash that nobody counts, as the holder is replaced before
+  // the crash is certain, and against suspecting runs that go on.
+  void testRunsAreSuspectedWhileTheirWorkerDoesNotAnswer() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(50ms);
+    CPPUNIT_ASSERT(!runsOf(*Agent).at(0).CrashSuspected);
+    Bench.Worker.Reachable = false;
+    Bench.run(4s);
+    CPPUNIT_ASSERT(runsOf(*Agent).at(0).CrashSuspected);
+    CPPUNIT_ASSERT(Agent->undeliveredEnds().empty());
+    Bench.Worker.Reachable = true;
+    Bench.run(2s);
+    CPPUNIT_ASSERT(!runsOf(*Agent).at(0).CrashSuspected);
+  }
+
   // Guards against a crash that either of two jobs could have caused.
   void testSuspectOfCrashesStartsApart() {
     AgentBench Bench;
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(testCrashesAreRestored);
   CPPUNIT_TEST(testStateOfAnEarlierReleaseHasNoCrashes);
   CPPUNIT_TEST(testLongRunForgetsEarlierCrashes);
+  CPPUNIT_TEST(testSuspicionOfARunIsStoredUntilItsWorkerAnswers);
   CPPUNIT_TEST(testCrashProvesNoStart);
   CPPUNIT_TEST(testTaskNamesAreFormattedAndParsed);
   CPPUNIT_TEST(propertyNoTaskRunsTwice);
@@ -411,6 +412,28 @@
     CPPUNIT_ASSERT(!crash(Job, 3, RunOutcome::Crashed).Finished);
   }
 
+  // Guards against a crash that is forgotten with the owner and the holder, who
+  // are replaced before it is certain, and against counting workers that only
+  // did not answer for a while.
+  void testSuspicionOfARunIsStoredUntilItsWorkerAnswers() {
+    JobProgress Job(jobWith({{.Count = 1}}));
+    const RunId Run = runOf(0, 0, 1, "w");
+    startRun(Job, Run);
+    CPPUNIT_ASSERT(Job.setCrashSuspected(Run, true));
+    CPPUNIT_ASSERT(!Job.setCrashSuspected(Run, true));
+    JobProgress Next(Job.spec());
+    Next.restore(Job.durableState());
+    CPPUNIT_ASSERT(Next.isCrashSuspect(Run.Task));
+    // The crash becomes certain, and counts once.
+    Next.markEnded(Run, RunOutcome::Crashed, {}, Now);
+    CPPUNIT_ASSERT(crash(Next, 17, RunOutcome::Crashed).Finished);
+    Job.setCrashSuspected(Run, false);
+    CPPUNIT_ASSERT(!Job.isCrashSuspect(Run.Task));
+    Job.setCrashSuspected(Run, true);
+    Job.markEnded(Run, RunOutcome::Failed, {}, Now);
+    CPPUNIT_ASSERT(!Job.isCrashSuspect(Run.Task));
+  }
+
   // Guards against a job that is not reported as waiting although no worker
   // has confirmed a start.
   void testCrashProvesNoStart() {
