--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -600,20 +600,24 @@
   std::set<std::string> Present;
   for (const RunReport &Report : Reply.Runs)
     Present.insert(Report.Task);
+  const auto IsAbsent = [&](const RunId &Run, Clock::time_point KnownSince) {
+    if (!Resolved.contains(Run.Worker) || KnownSince >= SentAt ||
+        HasPendingOrder(Run))
+      return false;
+    return !Present.contains(Run.Task.toString()) ||
+           std::ranges::none_of(Reply.Runs, [&](const RunReport &Report) {
+             return isSameRun(Report, Run);
+           });
+  };
   std::vector<RunId> Absent;
-  for (const auto &[Id, Job] : Active_)
-    for (RunId &Run : Job->Progress.activeRuns()) {
-      const TaskProgress *Task = Job->Progress.find(Run.Task);
-      if (!Resolved.contains(Run.Worker) || Task->PhaseSince >= SentAt ||
-          HasPendingOrder(Run))
-        continue;
-      if (Present.contains(Run.Task.toString()) &&
-          std::ranges::any_of(Reply.Runs, [&](const RunReport &Report) {
-            return isSameRun(Report, Run);
-          }))
-        continue;
-      Absent.push_back(std::move(Run));
-    }
+  for (const auto &[Id, Job] : Active_) {
+    for (RunId &Run : Job->Progress.activeRuns())
+      if (IsAbsent(Run, Job->Progress.find(Run.Task)->PhaseSince))
+        Absent.push_back(std::move(Run));
+    for (auto &[Run, Since] : Job->Progress.refusedRuns())
+      if (IsAbsent(Run, Since))
+        Absent.push_back(std::move(Run));
+  }
   for (const RunId &Run : Absent)
     if (const JobPointer Job = findJob(Run.Task.Job)) {
       Events_.emit("jobs", "run_absent",
@@ -621,7 +625,7 @@
                     {"run", Run.Run},
                     {"worker", Run.Worker}});
       const ProgressEffect Effect =
-          endRun(*Job, Run, Job->Progress.outcomeIfAbsent(Run.Task), {});
+          endRun(*Job, Run, Job->Progress.outcomeIfAbsent(Run), {});
       applyEffect(Job, Effect);
       if (Effect.MustPersist)
         storeProgress(Job);
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -182,7 +182,8 @@
         continue;
       ReadyStep Found{.Occurrence = Entry.Number, .Step = static_cast<int>(S)};
       for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
-        if (Step.Tasks[I].Phase == TaskPhase::Waiting)
+        if (Step.Tasks[I].Phase == TaskPhase::Waiting &&
+            Step.Tasks[I].RefusedRuns.empty())
           Found.Tasks.push_back(static_cast<int>(I));
       const bool AllWaiting = Found.Tasks.size() == Step.Tasks.size();
       if (!Found.Tasks.empty() && (AllWaiting || !Spec_.Steps[S].Gang))
@@ -285,6 +286,7 @@
   const bool Current =
       isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
   if (!Current && Task.Phase != TaskPhase::Unknown) {
+    refuse(*Step, Task, Run, Now);
     Effect.Stop.push_back(Run);
     return Effect;
   }
@@ -304,6 +306,18 @@
   return Effect;
 }
 
+void JobProgress::refuse(StepProgress &Step, TaskProgress &Task,
+                         const RunId &Run, Clock::time_point Now) {
+  Step.LastRun = std::max(Step.LastRun, Run.Run);
+  const bool Known =
+      std::ranges::any_of(Task.RefusedRuns, [&Run](const RefusedRun &Each) {
+        return Each.Run == Run.Run && Each.Worker == Run.Worker;
+      });
+  if (!Known && Task.Phase != TaskPhase::Done)
+    Task.RefusedRuns.push_back(
+        {.Run = Run.Run, .Worker = Run.Worker, .Since = Now});
+}
+
 void JobProgress::stopGang(const TaskName &Member, StepProgress &Step,
                            ProgressEffect &Effect) {
   Step.GangStopping = true;
@@ -376,10 +390,11 @@
   return provesStart(Outcome) && Task.Crashes.retract(Run.Run, Run.Worker);
 }
 
-RunOutcome JobProgress::outcomeIfAbsent(const TaskName &Task) const {
-  const TaskProgress *Found = find(Task);
-  const bool HasBegun =
-      Found != nullptr && Found->Phase == TaskPhase::Running && Found->Begun;
+RunOutcome JobProgress::outcomeIfAbsent(const RunId &Run) const {
+  const TaskProgress *Task = find(Run.Task);
+  const bool HasBegun = Task != nullptr && Task->Phase == TaskPhase::Running &&
+                        Task->Run == Run.Run && Task->Worker == Run.Worker &&
+                        Task->Begun;
   return HasBegun ? RunOutcome::CrashPossible : RunOutcome::Lost;
 }
 
@@ -410,6 +425,12 @@
         {.Run = Run.Run, .Worker = Spec.Gang ? std::string() : Run.Worker});
   const bool Current =
       isActive(Task.Phase) && Task.Run == Run.Run && Task.Worker == Run.Worker;
+  const bool WasRefused =
+      std::erase_if(Task.RefusedRuns, [&Run](const RefusedRun &Each) {
+        return Each.Run == Run.Run && Each.Worker == Run.Worker;
+      }) > 0;
+  // The step may have become ready.
+  Effect.Applied = WasRefused && Task.Phase == TaskPhase::Waiting;
   Effect.MustPersist |= recordCrash(Task, Run, Outcome, Now);
   if (Outcome == RunOutcome::Done && !Spec.LongRunning) {
     completeTask(Run, *Step, Effect);
@@ -535,4 +556,21 @@
   return Runs;
 }
 
+std::vector<std::pair<RunId, Clock::time_point>>
+JobProgress::refusedRuns() const {
+  std::vector<std::pair<RunId, Clock::time_point>> Runs;
+  for (const Occurrence &Entry : Occurrences_)
+    for (std::size_t S = 0; S < Entry.Steps.size(); ++S)
+      for (std::size_t I = 0; I < Entry.Steps[S].Tasks.size(); ++I)
+        for (const RefusedRun &Each : Entry.Steps[S].Tasks[I].RefusedRuns)
+          Runs.emplace_back(RunId{.Task = {.Job = Spec_.Id,
+                                           .Occurrence = Entry.Number,
+                                           .Step = static_cast<int>(S),
+                                           .Index = static_cast<int>(I)},
+                                  .Run = Each.Run,
+                                  .Worker = Each.Worker},
+                            Each.Since);
+  return Runs;
+}
+
 } // namespace hickory
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hickory {
@@ -56,6 +57,13 @@
   std::string Worker; ///< Empty for a gang, and if it was not stored.
 };
 
+/// A run that its worker's holder reports while the task has another run.
+struct RefusedRun {
+  int Run = 0;
+  std::string Worker;
+  Clock::time_point Since{}; ///< When it was first reported.
+};
+
 struct TaskProgress {
   TaskPhase Phase = TaskPhase::Waiting;
   int Run = 0;                       ///< Number of the latest run.
@@ -65,6 +73,8 @@
   std::string Checkpoint;
   bool Begun = false; ///< The worker is known to have executed the start.
   Clock::time_point PhaseSince{}; ///< Start of the phase.
+  /// They are being stopped. Until they have ended, the task is not started.
+  std::vector<RefusedRun> RefusedRuns;
 };
 
 struct StepProgress {
@@ -152,7 +162,7 @@
   /// Returns the outcome of a run that its worker's holder does not know. If it
   /// has begun, its worker may have crashed while another process took the
   /// worker over.
-  [[nodiscard]] RunOutcome outcomeIfAbsent(const TaskName &Task) const;
+  [[nodiscard]] RunOutcome outcomeIfAbsent(const RunId &Run) const;
   ProgressEffect cancel(Clock::time_point Now);
 
   /// After a takeover: marks all tasks that are not done as possibly running.
@@ -164,6 +174,9 @@
 
   /// All runs that are running or being placed.
   [[nodiscard]] std::vector<RunId> activeRuns() const;
+  /// Returns the refused runs, with the time since which each is known.
+  [[nodiscard]] std::vector<std::pair<RunId, Clock::time_point>>
+  refusedRuns() const;
 
   /// State that must survive the loss of the owner: an object with the state of
   /// the job, the number of occurrences and, per step, the done tasks, the last
@@ -196,6 +209,9 @@
                      ProgressEffect &Effect);
   void stopGang(const TaskName &Member, StepProgress &Step,
                 ProgressEffect &Effect);
+  /// Records a run that must be stopped, as the task has another one.
+  static void refuse(StepProgress &Step, TaskProgress &Task, const RunId &Run,
+                     Clock::time_point Now);
   void appendActiveRuns(const Occurrence &Entry,
                         std::vector<RunId> &Runs) const;
   void finishIfComplete(ProgressEffect &Effect);
--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -306,6 +306,10 @@
     // worker again.
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          violationsOf(36737544, Extra::ScheduledJobs));
+    // A new owner forgot a run that it had refused and stopped, and started the
+    // task again before the run had ended.
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         violationsOf(111178700, Extra::ScheduledJobs));
     // Crashes were not counted as other processes took the workers over.
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          violationsOf(96910991, Extra::CrashingTasks));
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -56,6 +56,7 @@
 class JobProgressTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobProgressTest);
   CPPUNIT_TEST(testStepWaitsForItsDependencies);
+  CPPUNIT_TEST(testTaskIsNotStartedBeforeItsRefusedRunsHaveEnded);
   CPPUNIT_TEST(testDoneTaskIsNotRestartedAfterTakeover);
   CPPUNIT_TEST(testDoneOutcomeOfEarlierRunStopsLaterRun);
   CPPUNIT_TEST(testRepeatedFailureReportCountsOnce);
@@ -111,6 +112,25 @@
     CPPUNIT_ASSERT(Job.state() == JobState::Completed);
   }
 
+  // Guards against a task that runs twice: a new owner adopted one run, refused
+  // another, and started the task again while the refused one was going on.
+  void testTaskIsNotStartedBeforeItsRefusedRunsHaveEnded() {
+    JobProgress Job(jobWith({{.Count = 1}}));
+    Job.markUnfinishedTasksUnknown();
+    Job.markRunning(runOf(0, 0, 1, "a"), {}, Now);
+    const auto Refused = Job.markRunning(runOf(0, 0, 18, "b"), {}, Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Refused.Stop.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job.refusedRuns().size());
+    Job.markEnded(runOf(0, 0, 1, "a"), RunOutcome::Stopped, {}, Now);
+    Job.resolveUnknownTasks(Now);
+    CPPUNIT_ASSERT(Job.readySteps().empty());
+    CPPUNIT_ASSERT_EQUAL(19, Job.nextRun(0, 0));
+    const auto Ended =
+        Job.markEnded(runOf(0, 0, 18, "b"), RunOutcome::Stopped, {}, Now);
+    CPPUNIT_ASSERT(Ended.Applied && Job.refusedRuns().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Job.readySteps().size());
+  }
+
   // Guards against a new owner that restarts tasks which are done, because the
   // owner of the worker has not yet delivered their outcomes. Seen in the
   // fleetbench run trouble-1.
@@ -518,7 +538,7 @@
       const RunId Run = runOf(0, 0, 1, "w");
       Job.markPlacing(Run, Now);
       Job.markRunning(Run, {}, Now, Begun);
-      CPPUNIT_ASSERT(Job.outcomeIfAbsent(Run.Task) ==
+      CPPUNIT_ASSERT(Job.outcomeIfAbsent(Run) ==
                      (Begun ? RunOutcome::CrashPossible : RunOutcome::Lost));
       Job.markEnded(Run, RunOutcome::CrashPossible, {},
                     Now + std::chrono::hours(1));
