--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -50,6 +50,7 @@
 asio::awaitable<GatewayAnswer> CellGateway::submit(JobSpec Job) {
   const std::string Id = Job.Id;
   const Clock::time_point GiveUpAt = Timers_.now() + SubmitRetryTime;
+  int Attempts = 0;
   while (true) {
     const auto Owner = ownerOf(Id);
     Result<SubmitReply> Reply =
@@ -64,6 +65,11 @@
         Owner && (Reply ? Reply->NotOwner : Reply.error().hadNoEffect());
     if (!OwnerMoved || Timers_.now() >= GiveUpAt || Node_.isIsolated())
       co_return makeAnswer(Id, "submit_failed", Reply);
+    if (Attempts++ == 0)
+      Events_.emit("gateway", "submit_repeated",
+                   {{"job", Id},
+                    {"owner", *Owner},
+                    {"error", Reply ? "" : Reply.error().Message}});
     co_await Timers_.sleepFor(SubmitRetryInterval);
   }
 }
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <fmt/format.h>
 #include <glog/logging.h>
+#include <map>
 #include <restinio/all.hpp>
 
 namespace hickory {
@@ -102,9 +103,27 @@
   }
 
   [[nodiscard]] std::uint16_t port() const { return Port_; }
-  [[nodiscard]] std::size_t requestsInFlight() const { return InFlight_; }
+  [[nodiscard]] std::size_t requestsInFlight() const {
+    return InFlight_.size();
+  }
+  [[nodiscard]] std::optional<HttpRequestInFlight> oldestRequest() const {
+    if (InFlight_.empty())
+      return std::nullopt;
+    const ReceivedRequest &Oldest = InFlight_.begin()->second;
+    return HttpRequestInFlight{
+        .Call = Oldest.Call,
+        .Age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            SteadyClock::now() - Oldest.ReceivedAt)};
+  }
 
 private:
+  using SteadyClock = std::chrono::steady_clock;
+
+  struct ReceivedRequest {
+    std::string Call;
+    SteadyClock::time_point ReceivedAt;
+  };
+
   /// Calls the handler. An exception is answered with 500, as the caller would
   /// otherwise wait until its timeout.
   asio::awaitable<HttpServerResponse> answer(HttpServerRequest Request) {
@@ -118,7 +137,7 @@
   }
 
   asio::awaitable<void> handle(restinio::request_handle_t Request) {
-    ++InFlight_;
+    const std::uint64_t Number = NextRequest_++;
     HttpServerRequest Incoming{
         .Method = Request->header().method().c_str(),
         .Path = std::string(Request->header().path()),
@@ -126,6 +145,8 @@
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
 
         .Body = Request->body()};
+    InFlight_[Number] = {.Call = Incoming.Method + " " + Incoming.Path,
+                         .ReceivedAt = SteadyClock::now()};
     const HttpServerResponse Reply = co_await answer(std::move(Incoming));
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
@@ -138,7 +159,8 @@
     Response.set_body(Reply.Body);
     // The response is only queued here; the request is in flight until the
     // response has been written.
-    Response.done([this](const asio::error_code &) { --InFlight_; });
+    Response.done(
+        [this, Number](const asio::error_code &) { InFlight_.erase(Number); });
   }
 
   asio::io_context &Context_;
@@ -146,7 +168,8 @@
   Handler OnRequest_;
   std::unique_ptr<restinio::http_server_t<ServerTraits>> Server_;
   std::uint16_t Port_ = 0;
-  std::size_t InFlight_ = 0;
+  std::uint64_t NextRequest_ = 0;
+  std::map<std::uint64_t, ReceivedRequest> InFlight_; ///< In order of arrival.
   bool IsOpen_ = false;
   bool CloseAfterResponse_ = false;
 };
@@ -163,6 +186,9 @@
 std::size_t HttpServer::requestsInFlight() const {
   return Implementation_->requestsInFlight();
 }
+std::optional<HttpRequestInFlight> HttpServer::oldestRequest() const {
+  return Implementation_->oldestRequest();
+}
 
 std::string percentDecode(const std::string &Text) {
   std::string Decoded;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -27,6 +27,12 @@
   std::optional<std::chrono::seconds> RetryAfter = std::nullopt;
 };
 
+/// A request whose response has not been written completely.
+struct HttpRequestInFlight {
+  std::string Call; ///< Method and path.
+  std::chrono::milliseconds Age{0};
+};
+
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0; ///< 0 lets the system choose.
@@ -56,6 +62,8 @@
   void stop();
   [[nodiscard]] std::uint16_t port() const;
   [[nodiscard]] std::size_t requestsInFlight() const;
+  /// The request in flight that was received first.
+  [[nodiscard]] std::optional<HttpRequestInFlight> oldestRequest() const;
 
 private:
   class Implementation;
