Add tests of a stop under load, which fail: requests in flight are cut off

Change: ProcessStopTest stops a real hickory-cell on the emulated platform, whose appends take 400 ms, while clients send requests, on new connections, on connections that were open before, and with more signals meanwhile.

--- a/Tests/Emulator/emulate.cpp
+++ b/Tests/Emulator/emulate.cpp
@@ -2,16 +2,15 @@
 // checks the recorded history. Usage: see --help. The exit status is 0 only if
 // no rule was violated and all processes ran until they were stopped.
 #include "Base/AsioTimerService.h"
+#include "Emulator/CellInstance.h"
 #include "Emulator/LoadClients.h"
 #include "Emulator/PlatformHistoryChecker.h"
 #include "Http/CurlHttpClient.h"
-#include "Support/ChildProcess.h"
 #include "Support/RunCoroutine.h"
 #include "Support/ToolProgram.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
-#include <asio/ip/tcp.hpp>
 #include <filesystem>
 #include <iostream>
 #include <set>
@@ -22,7 +21,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint16_t MetricsPort = 9190; ///< Fixed in hickory-cell.
 /// hickory-cell stops in under a second; the limit leaves room for a machine
 /// under load, which must not fail a run.
 constexpr std::chrono::milliseconds StopTimeout{30000};
@@ -37,90 +35,6 @@
   int Seed = 1;
 };
 
-/// A hickory-cell process and its addresses.
-struct Instance {
-  std::string Name;
-  std::string Ip;
-  std::vector<std::uint16_t> Ports;
-  std::unique_ptr<ChildProcess> Process;
-  bool HasActiveFault = false;
-  [[nodiscard]] std::string at(std::size_t Index) const {
-    return fmt::format("{}:{}", Ip, Ports[Index]);
-  }
-};
-
-/// Indices of Instance::Ports.
-enum PortIndex : std::size_t {
-  GatewayPort,
-  ReadyPort,
-  ControlPort,
-  InternalPort,
-  PortCount
-};
-
-/// Finds a loopback address on which the metrics port is free, and free ports
-/// on it. The first address to try depends on the process, so that concurrent
-/// runs on one machine use different addresses.
-Instance findAddress(asio::io_context &Context, int &NextAddress) {
-  using asio::ip::tcp;
-  for (int Try = 0; Try < 1000; ++Try, ++NextAddress) {
-    Instance Free;
-    Free.Ip = fmt::format("127.{}.{}.{}", 16 + NextAddress / 62500 % 200,
-                          NextAddress / 250 % 250, 2 + NextAddress % 250);
-    const auto Address = asio::ip::make_address(Free.Ip);
-    try {
-      const tcp::acceptor MetricsListener(Context, {Address, MetricsPort});
-      std::vector<tcp::acceptor> PortHolders;
-      for (std::size_t Index = 0; Index < PortCount; ++Index) {
-        PortHolders.emplace_back(Context, tcp::endpoint(Address, 0));
-        Free.Ports.push_back(PortHolders.back().local_endpoint().port());
-      }
-    } catch (const std::system_error &) {
-      continue;
-    }
-    ++NextAddress;
-    return Free;
-  }
-  throw std::runtime_error("no loopback address is free");
-}
-
-/// The settings file of one hickory-cell process, in the platform's format.
-json cellSettings(const Instance &Cell, const json &Addresses,
-                  std::size_t Number, const EmulatorSettings &Platform) {
-  return {
-      {"node", Cell.Name},
-      {"role", "cell"},
-      {"machine-class", "edge"},
-      {"serves", {"edge"}},
-      {"ip", Cell.Ip},
-      {"zone", "zone-a"},
-      {"region", "region-a"},
-      {"zones", {{"zone-a", "region-a"}}},
-      {"bind-addresses",
-       {{"front", Cell.at(GatewayPort)},
-        {"ready", Cell.at(ReadyPort)},
-        {"control", Cell.at(ControlPort)}}},
-      {"internal-ports", {Cell.Ports[InternalPort], Cell.Ports[InternalPort]}},
-      {"seeds", json::array()},
-      {"bootstrap", true},
-      {"limits", {{"cpu-share", 1.0}, {"cores", 1}, {"memory-mb", 260}}},
-      {"data-dir", nullptr},
-      {"discovery", "platform"},
-      {"heartbeat-ms", 1500},
-      {"bounds",
-       {{"hold-max-ms", Platform.MaximumLease.count()},
-        {"stop-ms", Platform.StopDuration.count()},
-        {"gang-timeout-ms", Platform.GangTimeout.count()}}},
-      {"orders", "call"},
-      {"advice", Addresses.at("advisers").at(Number)},
-      {"platform",
-       {{"address", Addresses.at("stores").at(Number)},
-        {"form", "log"},
-        {"parts", Platform.Partitions},
-        {"append-ms", Platform.AppendDuration.count()},
-        {"ttl-min-ms", 1000}}}};
-}
-
 /// One complete run: starts the processes, sends the load and checks the
 /// history.
 class Experiment {
@@ -157,15 +71,9 @@
     return Options_.Output + "/" + Name;
   }
 
-  /// Starts a program with its output redirected to a log file. The shell that
-  /// redirects it is replaced by the program (exec), so that signals reach it.
   std::unique_ptr<ChildProcess> start(const std::string &Name,
                                       std::vector<std::string> Command) {
-    std::vector<std::string> ShellCommand = {
-        "/bin/sh", "-c", R"(log=$1; shift; exec "$@" >>"$log" 2>&1)", "sh",
-        path(Name + ".log")};
-    ShellCommand.insert(ShellCommand.end(), Command.begin(), Command.end());
-    return std::make_unique<ChildProcess>(std::move(ShellCommand));
+    return startWithLog(path(Name + ".log"), std::move(Command));
   }
 
   void startEmulator() {
