Answer every request before a process stops, instead of waiting 2.8 s

The process slept for 2.8 s from the store's answer to its leave, closed its listener and exited, whatever was in flight. A fixed time stood for the event that all responses have been written. Change: GracefulStop waits for events, one after the other: two failed readiness probes (or 2.8 s, as probes may not arrive), no request of a client or a peer in flight for 0.2 s, and the end of the handover, which runs beside. At 0.8 of the platform's grace-s, requests that are still in flight are answered with 504, which says that the outcome is unknown. Configuration relays to peers end at once, as they would hold the stop up.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -153,12 +153,12 @@
          Shards_.shardsWithHolder() > 0 && !Node_.isIsolated();
 }
 
-asio::awaitable<void> CellDaemon::drain() {
+asio::awaitable<void> CellDaemon::handOver() {
   Draining_ = true;
   Events_.emit("daemon", "draining");
+  Operator_.stopRelaying();
   co_await Shards_.drain();
   Node_.announceLeaving();
-  co_await Timers_.sleepFor(Options_.DrainTime);
 }
 
 void CellDaemon::stop() {
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -35,9 +35,6 @@
   DispatcherOptions Dispatch;
   CellNodeOptions Node;
   EventLogOptions Events;
-  /// Time for which open connections are served after the shards are handed
-  /// over.
-  std::chrono::milliseconds DrainTime{2800};
 };
 
 /// Clients of the platform's services that the cell uses.
@@ -58,15 +55,17 @@
              CellDaemonOptions Options);
 
   void start();
-  /// Hands the shards over, then serves open connections for DrainTime.
-  asio::awaitable<void> drain();
+  /// Gives the shards to other processes, which are told. Requests are
+  /// forwarded as before.
+  asio::awaitable<void> handOver();
   void stop();
 
   /// Returns true if the process can serve client requests.
   [[nodiscard]] bool isReady() const;
   [[nodiscard]] CellGateway &gateway() { return Gateway_; }
   [[nodiscard]] CellHandler &handler() { return Node_; }
-  [[nodiscard]] const Metrics &metrics() const { return Metrics_; }
+  [[nodiscard]] Metrics &metrics() { return Metrics_; }
+  [[nodiscard]] TimerService &timers() { return Timers_; }
   [[nodiscard]] EventLog &events() { return Events_; }
 
 private:
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -145,7 +145,8 @@
 }
 
 bool KeyedFollower::isCurrent() const {
-  return CurrentAt_ && Timers_.now() - *CurrentAt_ <= Options_.RelayedFor;
+  return Relaying_ && CurrentAt_ &&
+         Timers_.now() - *CurrentAt_ <= Options_.RelayedFor;
 }
 
 asio::awaitable<RecordsReply>
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -60,6 +60,8 @@
   [[nodiscard]] std::string_view name() const override { return Options_.Name; }
   asio::awaitable<Result<void>> run() override;
   void stop() override { Stopping_ = true; }
+  /// Relays no further records; waiting processes are told to ask another one.
+  void stopRelaying() { Relaying_ = false; }
   /// Returns false until the first complete read.
   [[nodiscard]] bool isReady() const { return Ready_; }
 
@@ -90,6 +92,7 @@
   bool Positioned_ = false; ///< NextOffset_ continues what was read.
   bool Ready_ = false;
   bool Reachable_ = true;
+  bool Relaying_ = true;
   bool Stopping_ = false;
 };
 
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int InternalServerError = 500;
+constexpr int GatewayTimeout = 504;
 
 /// All handlers run on one thread, so no strands are needed.
 struct ServerTraits : restinio::default_single_thread_traits_t {
@@ -95,6 +96,17 @@
 
   void closeAfterResponse() { CloseAfterResponse_ = true; }
 
+  void answerRemaining() {
+    // A response to a closed connection removes its entry at once.
+    std::vector<std::uint64_t> Unanswered;
+    for (const auto &[Number, Received] : InFlight_)
+      if (Received.Handle != nullptr)
+        Unanswered.push_back(Number);
+    for (const std::uint64_t Number : Unanswered)
+      respond(Number, InFlight_.at(Number),
+              {.Status = GatewayTimeout, .Body = "{}"});
+  }
+
   void stop() {
     if (!IsOpen_)
       return;
@@ -106,11 +118,12 @@
   [[nodiscard]] std::size_t requestsInFlight() const {
     return InFlight_.size();
   }
-  [[nodiscard]] std::optional<HttpRequestInFlight> oldestRequest() const {
+  [[nodiscard]] std::uint64_t requestsReceived() const { return NextRequest_; }
+  [[nodiscard]] std::optional<RequestInFlight> oldestRequest() const {
     if (InFlight_.empty())
       return std::nullopt;
     const ReceivedRequest &Oldest = InFlight_.begin()->second;
-    return HttpRequestInFlight{
+    return RequestInFlight{
         .Call = Oldest.Call,
         .Age = std::chrono::duration_cast<std::chrono::milliseconds>(
             SteadyClock::now() - Oldest.ReceivedAt)};
@@ -120,6 +133,7 @@
   using SteadyClock = std::chrono::steady_clock;
 
   struct ReceivedRequest {
+    restinio::request_handle_t Handle;
     std::string Call;
     SteadyClock::time_point ReceivedAt;
   };
@@ -145,9 +159,19 @@
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
 
         .Body = Request->body()};
-    InFlight_[Number] = {.Call = Incoming.Method + " " + Incoming.Path,
+    InFlight_[Number] = {.Handle = Request,
+                         .Call = Incoming.Method + " " + Incoming.Path,
                          .ReceivedAt = SteadyClock::now()};
     const HttpServerResponse Reply = co_await answer(std::move(Incoming));
+    // Empty if answerRemaining() has answered the request.
+    if (const auto It = InFlight_.find(Number);
+        It != InFlight_.end() && It->second.Handle != nullptr)
+      respond(Number, It->second, Reply);
+  }
+
+  void respond(std::uint64_t Number, ReceivedRequest &Received,
+               const HttpServerResponse &Reply) {
+    const auto Request = std::exchange(Received.Handle, nullptr);
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
                            Reply.ContentType);
@@ -186,7 +210,11 @@
 std::size_t HttpServer::requestsInFlight() const {
   return Implementation_->requestsInFlight();
 }
-std::optional<HttpRequestInFlight> HttpServer::oldestRequest() const {
+std::uint64_t HttpServer::requestsReceived() const {
+  return Implementation_->requestsReceived();
+}
+void HttpServer::answerRemaining() { Implementation_->answerRemaining(); }
+std::optional<RequestInFlight> HttpServer::oldestRequest() const {
   return Implementation_->oldestRequest();
 }
 
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Http/DrainableServer.h"
+
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <chrono>
@@ -27,12 +29,6 @@
   std::optional<std::chrono::seconds> RetryAfter = std::nullopt;
 };
 
-/// A request whose response has not been written completely.
-struct HttpRequestInFlight {
-  std::string Call; ///< Method and path.
-  std::chrono::milliseconds Age{0};
-};
-
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0; ///< 0 lets the system choose.
@@ -44,26 +40,24 @@
 
 /// HTTP server on RESTinio. It runs on the given Asio context and handles each
 /// request in a coroutine of its own.
-class HttpServer {
+class HttpServer final : public DrainableServer {
 public:
   using Handler =
       std::function<asio::awaitable<HttpServerResponse>(HttpServerRequest)>;
 
   HttpServer(asio::io_context &Context, HttpServerOptions Options,
              Handler OnRequest);
-  ~HttpServer();
+  ~HttpServer() override;
 
   /// Binds and listens; throws std::system_error if the address is in use.
   void start();
-  /// Makes each further response close its connection, so that clients do not
-  /// send their next request on a connection that stop() is about to close.
-  void closeAfterResponse();
-  /// Closes the listener; requests in flight may finish.
-  void stop();
+  void closeAfterResponse() override;
+  void stop() override;
+  void answerRemaining() override;
   [[nodiscard]] std::uint16_t port() const;
-  [[nodiscard]] std::size_t requestsInFlight() const;
-  /// The request in flight that was received first.
-  [[nodiscard]] std::optional<HttpRequestInFlight> oldestRequest() const;
+  [[nodiscard]] std::size_t requestsInFlight() const override;
+  [[nodiscard]] std::uint64_t requestsReceived() const override;
+  [[nodiscard]] std::optional<RequestInFlight> oldestRequest() const override;
 
 private:
   class Implementation;
