--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -122,6 +122,11 @@
 void CellDaemon::updateWorkers(const std::map<std::string, std::string> &Values,
                                const std::set<std::string> &Changed) {
   const bool ListChanged = ListedWorkers_.apply(Values, Changed);
+  for (const RejectedEntry &Rejected : ListedWorkers_.takeRejected()) {
+    Metrics_.count("worker_entries_rejected_total");
+    Events_.emit("workers_list", "entry_rejected",
+                 {{"worker", Rejected.Key}, {"reason", Rejected.Reason}});
+  }
   const Clock::time_point Now = Timers_.now();
   // Workers that have left are removed some time after their entry.
   if (!ListChanged && Now - WorkersAppliedAt_ < UnchangedListPeriod)
--- a/Source/Cell/CellRecords.h
+++ b/Source/Cell/CellRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Error.h"
 #include "Cell/CellConfiguration.h"
 #include "Cell/WorkerClient.h"
 
@@ -12,8 +13,9 @@
 class CellRecords {
 public:
   virtual ~CellRecords() = default;
-  /// Returns nothing if the record does not describe a usable worker.
-  [[nodiscard]] virtual std::optional<WorkerEntry>
+  /// Returns an error that names the reason if the record does not describe a
+  /// usable worker.
+  [[nodiscard]] virtual Result<WorkerEntry>
   parseWorker(const std::string &Key, const std::string &Value) const = 0;
   /// Returns nothing if the record is not a configuration.
   [[nodiscard]] virtual std::optional<CellConfiguration>
--- a/Tests/Platform/PlatformFormatsTest.cpp
+++ b/Tests/Platform/PlatformFormatsTest.cpp
@@ -43,12 +43,23 @@
              {"service", "pool"}}}}};
 }
 
+bool isParsed(const std::string &WorkerRecord) {
+  return PlatformRecords().parseWorker("i", WorkerRecord).has_value();
+}
+
 } // namespace
 
 class PlatformFormatsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformFormatsTest);
   CPPUNIT_TEST(testWorkerRecord);
   CPPUNIT_TEST(testInvalidWorkerRecordIsNotParsed);
+  CPPUNIT_TEST(testWorkerRecordWithNumberOutOfRangeIsNotParsed);
+  CPPUNIT_TEST(testWorkerRecordWithUnusableAddressIsNotParsed);
+  CPPUNIT_TEST(testWorkerRecordWithUnusableIdIsNotParsed);
+  CPPUNIT_TEST(testDeeplyNestedWorkerRecordIsNotParsed);
+  CPPUNIT_TEST(testWorkerRecordWithRepeatedMemberIsNotParsed);
+  CPPUNIT_TEST(testWorkerRecordWithFractionOfACoreIsParsed);
+  CPPUNIT_TEST(testConfigurationWithNumberOutOfRangeIsNotParsed);
   CPPUNIT_TEST(testConfigurationAndLongestPrefix);
   CPPUNIT_TEST(testJobBody);
   CPPUNIT_TEST(testUnusableJobBodies);
@@ -88,6 +99,88 @@
     CPPUNIT_ASSERT(!Records.parseWorker("i", Negative.dump()));
   }
 
+  // Guards against casting a number that the type of its field can't hold.
+  void testWorkerRecordWithNumberOutOfRangeIsNotParsed() {
+    for (const char *Number : {"1e300", "-1", "18446744073709551616", "1e19",
+                               "9223372036854775808", "\"5\"", "true"}) {
+      for (const char *Amount : {"cpu", "mem-mb", "gpu"}) {
+        json Record = workerRecord();
+        Record["capacity"][Amount] = json::parse(Number);
+        CPPUNIT_ASSERT_MESSAGE(std::string(Amount) + " " + Number,
+                               !isParsed(Record.dump()));
+      }
+      json Record = workerRecord();
+      Record["born"] = json::parse(Number);
+      CPPUNIT_ASSERT_MESSAGE(std::string("born ") + Number,
+                             !isParsed(Record.dump()));
+    }
+    json Record = workerRecord();
+    Record["born"] = 1700000000000.5;
+    CPPUNIT_ASSERT(!isParsed(Record.dump()));
+  }
+
+  // Guards against calls to a worker that can't be reached by its address.
+  void testWorkerRecordWithUnusableAddressIsNotParsed() {
+    for (const std::string Address :
+         {"10.0.0.9:99999", "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1",
+          "10.0.0.9:", "10.0.0.9", "", ":8080", "10.0.0.9:8080/x",
+          "10.0.0.9:80 80", "host.example:8080", "10.0.0.9:8080:1",
+          "10.0.0.9:000000008080"}) {
+      json Record = workerRecord();
+      Record["address"] = Address;
+      CPPUNIT_ASSERT_MESSAGE(Address, !isParsed(Record.dump()));
+    }
+  }
+
+  // Guards against an id that does not fit into a journal key or a message.
+  void testWorkerRecordWithUnusableIdIsNotParsed() {
+    for (const std::string &Id :
+         {std::string(), std::string(255, 'i'), std::string("\xC3\x28"),
+          std::string("a b"), std::string("a\r\nX: y")})
+      CPPUNIT_ASSERT(!PlatformRecords().parseWorker(Id, workerRecord().dump()));
+  }
+
+  // Guards against overflowing the stack in functions that follow the nesting.
+  void testDeeplyNestedWorkerRecordIsNotParsed() {
+    constexpr std::size_t Depth = 100000;
+    const std::string Nested =
+        std::string(Depth, '[') + std::string(Depth, ']');
+    CPPUNIT_ASSERT(!isParsed(Nested));
+    std::string Record = workerRecord().dump();
+    Record.insert(1, "\"other\":" + Nested + ",");
+    CPPUNIT_ASSERT(!isParsed(Record));
+  }
+
+  // Guards against two readers that take different ones of the values.
+  void testWorkerRecordWithRepeatedMemberIsNotParsed() {
+    std::string Record = workerRecord().dump();
+    Record.insert(1, "\"address\":\"10.0.0.8:8080\",");
+    CPPUNIT_ASSERT(!isParsed(Record));
+  }
+
+  // Guards against dropping a worker that reports parts of a unit.
+  void testWorkerRecordWithFractionOfACoreIsParsed() {
+    json Record = workerRecord();
+    Record["capacity"]["cpu"] = 15999.9;
+    const auto Entry = PlatformRecords().parseWorker("i", Record.dump());
+    CPPUNIT_ASSERT(Entry);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(15999), Entry->Capacity.CpusMilli);
+  }
+
+  void testConfigurationWithNumberOutOfRangeIsNotParsed() {
+    for (const char *Field :
+         {"priority", "max-attempts", "stretch", "target-latency-ms"}) {
+      json Read = configuration();
+      Read["routes"][0][Field] = 1e300;
+      CPPUNIT_ASSERT_MESSAGE(
+          Field, !PlatformRecords().parseConfiguration("config", Read.dump()));
+    }
+    json Read = configuration();
+    Read["version"] = 1e300;
+    CPPUNIT_ASSERT(
+        !PlatformRecords().parseConfiguration("config", Read.dump()));
+  }
+
   void testConfigurationAndLongestPrefix() {
     const auto Read =
         PlatformRecords().parseConfiguration("config", configuration().dump());
@@ -130,8 +223,16 @@
          {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
           R"({"steps":[{"count":1,"depends-on":[0]}]})",
           R"({"steps":[{"count":1000000}]})",
-          R"({"steps":[{"count":1,"mem-mb":-1}]})"})
-      CPPUNIT_ASSERT(!parseJob("id", {}, Body));
+          R"({"steps":[{"count":1,"mem-mb":-1}]})",
+          R"({"steps":[{"count":1,"cpu":1e300}]})",
+          R"({"steps":[{"count":1e300}]})",
+          R"({"steps":[{"count":4294967297}]})", R"({"steps":[{"count":1.5}]})",
+          R"({"steps":[{"count":1,"estimated-ms":1e300}]})",
+          R"({"steps":[{"count":1,"anti-affinity":-1}]})",
+          R"({"steps":[{"count":1}],"repetitions":1e300})",
+          R"({"steps":[{"count":1},{"count":1,"depends-on":[1e300]}]})",
+          R"({"steps":[{"count":1},{"count":1,"depends-on":[4294967296]}]})"})
+      CPPUNIT_ASSERT_MESSAGE(Body, !parseJob("id", {}, Body));
   }
 
   void testSettings() {
