--- a/Tests/Platform/PlatformCallsTest.cpp
+++ b/Tests/Platform/PlatformCallsTest.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(testExecutedStartIsNotReportedAsRefused);
   CPPUNIT_TEST(testStopIsSentAgainAfterAReset);
   CPPUNIT_TEST(testMalformedRepliesAreFailures);
+  CPPUNIT_TEST(testRepliesWithNumbersOutOfRangeAreFailures);
   CPPUNIT_TEST(testUnreadableItemDoesNotHideOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +120,39 @@
       }
   }
 
+  // Guards against casting a number of a reply that its type can't hold.
+  void testRepliesWithNumbersOutOfRangeAreFailures() {
+    const auto Serve = [](ResetBench &Bench, const std::string &Body) {
+      Bench.Client.ChooseFault = nullptr;
+      Bench.Client.serve(Address, [Body](const HttpClientRequest &) {
+        return HttpClientResponse{.Status = 200, .Body = Body};
+      });
+    };
+    for (const char *Body :
+         {R"({"clock-ms":1e300,"running":[],"finished":[]})",
+          R"({"clock-ms":1,"running":[["j.0.0.0",4294967297,"",0]],
+              "finished":[]})",
+          R"({"clock-ms":1,"running":[],
+              "finished":[[1e300,"j.0.0.0",1,"done",""]]})"}) {
+      ResetBench Bench;
+      Serve(Bench, Body);
+      CPPUNIT_ASSERT_MESSAGE(Body, !Bench.call(Bench.Workers.heartbeat(
+                                       ResetBench::worker(), 1, {})));
+    }
+    for (const char *Body :
+         {R"({"generation":1e300,"parts":[]})",
+          R"({"generation":-1,"parts":[]})",
+          R"({"generation":1,"parts":[["t",4294967296,0]]})"}) {
+      ResetBench Bench;
+      Serve(Bench, Body);
+      CPPUNIT_ASSERT_MESSAGE(Body, !Bench.call(Bench.Stored.join(
+                                       "g", "m", "t", 1200ms, 0, 300ms)));
+    }
+    ResetBench Bench;
+    Serve(Bench, R"({"items":[],"has-more":false,"end":1e300})");
+    CPPUNIT_ASSERT(!Bench.call(Bench.Stored.readNewest("topic", 0, "")));
+  }
+
   // Guards against a record that no process can read and that keeps each of
   // them from reading those after it.
   void testUnreadableItemDoesNotHideOthers() {
