--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,8 +1,5 @@
 #include "Http/HttpServer.h"
 
-#include "Base/Notifier.h"
-
-#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/ip/tcp.hpp>
@@ -18,9 +15,6 @@
 
 constexpr int InternalServerError = 500;
 constexpr int GatewayTimeout = 504;
-/// Requests that a client may send on a connection before it has the response
-/// to the first.
-constexpr std::size_t MaximumPipelinedRequests = 16;
 
 /// All handlers run on one thread, so no strands are needed.
 struct ServerTraits : restinio::default_single_thread_traits_t {
@@ -80,7 +74,9 @@
             // Requests have timeouts of their own, which the gateway limits.
             .handle_request_timeout(std::chrono::hours(1))
             .write_http_response_timelimit(Options_.IdleTimeout)
-            .max_pipelined_requests(MaximumPipelinedRequests)
+            // With more, RESTinio reads while a request is handled, and drops
+            // its response if the client has ended its side of the connection.
+            .max_pipelined_requests(1)
             .incoming_http_msg_limits(
                 incoming_http_msg_limits_t{}
                     .max_url_size(4096)
@@ -142,8 +138,6 @@
     restinio::request_handle_t Handle;
     std::string Call;
     SteadyClock::time_point ReceivedAt;
-    /// Set once there is a response.
-    std::shared_ptr<Notifier> Answered;
   };
 
   /// Calls the handler. An exception is answered with 500, as the caller would
@@ -167,16 +161,9 @@
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
 
         .Body = Request->body()};
-    InFlight_[Number] = {
-        .Handle = Request,
-        .Call = Incoming.Method + " " + Incoming.Path,
-        .ReceivedAt = SteadyClock::now(),
-        .Answered = std::make_shared<Notifier>(Context_.get_executor())};
-    if (const auto Earlier = findEarlier(Number))
-      co_await Earlier->wait();
-    // answerRemaining() has answered it meanwhile.
-    if (!InFlight_.contains(Number) || InFlight_.at(Number).Handle == nullptr)
-      co_return;
+    InFlight_[Number] = {.Handle = Request,
+                         .Call = Incoming.Method + " " + Incoming.Path,
+                         .ReceivedAt = SteadyClock::now()};
     const HttpServerResponse Reply = co_await answer(std::move(Incoming));
     // Empty if answerRemaining() has answered the request.
     if (const auto It = InFlight_.find(Number);
@@ -184,42 +171,16 @@
       respond(Number, It->second, Reply);
   }
 
-  /// Returns the notifier of the unanswered request that precedes the given one
-  /// on its connection, or null. Pipelined requests take effect in the order in
-  /// which they were sent.
-  std::shared_ptr<Notifier> findEarlier(std::uint64_t Number) const {
-    const auto Own = InFlight_.find(Number);
-    const auto Connection = Own->second.Handle->connection_id();
-    for (auto It = std::make_reverse_iterator(Own); It != InFlight_.rend();
-         ++It)
-      if (It->second.Handle != nullptr &&
-          It->second.Handle->connection_id() == Connection)
-        return It->second.Answered;
-    return nullptr;
-  }
-
-  /// Returns whether a later request of the connection waits for its response.
-  bool hasLater(std::uint64_t Number,
-                restinio::connection_id_t Connection) const {
-    return std::any_of(
-        InFlight_.upper_bound(Number), InFlight_.end(), [&](const auto &Entry) {
-          const auto &Handle = Entry.second.Handle;
-          return Handle != nullptr && Handle->connection_id() == Connection;
-        });
-  }
-
   void respond(std::uint64_t Number, ReceivedRequest &Received,
                const HttpServerResponse &Reply) {
     const auto Request = std::exchange(Received.Handle, nullptr);
-    Received.Answered->notify();
     auto Response = Request->create_response(statusLine(Reply.Status));
     Response.append_header(restinio::http_field::content_type,
                            Reply.ContentType);
     if (Reply.RetryAfter)
       Response.append_header(restinio::http_field::retry_after,
                              std::to_string(Reply.RetryAfter->count()));
-    // The connection closes after the last of its pipelined requests.
-    if (CloseAfterResponse_ && !hasLater(Number, Request->connection_id()))
+    if (CloseAfterResponse_)
       Response.connection_close();
     Response.set_body(Reply.Body);
     // The response is only queued here; the request is in flight until the
--- a/Tests/Http/PipelinedRequestsTest.cpp
+++ b/Tests/Http/PipelinedRequestsTest.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST_SUITE(PipelinedRequestsTest);
   CPPUNIT_TEST(testClosingServerAnswersPipelinedRequests);
   CPPUNIT_TEST(testPipelinedRequestsAreHandledInOrder);
+  CPPUNIT_TEST(testClientThatEndsItsSideGetsItsResponse);
+  CPPUNIT_TEST(testGarbageAfterARequestDoesNotHideItsResponse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +53,22 @@
                          Trace_);
   }
 
+  // Guards against dropping the response to a client that shuts down its side
+  // of the connection after its request.
+  void testClientThatEndsItsSideGetsItsResponse() {
+    Server_.start();
+    Server_.closeAfterResponse();
+    const std::string Text = exchange(request(1), true);
+    CPPUNIT_ASSERT(Text.find("<1>") != std::string::npos);
+  }
+
+  void testGarbageAfterARequestDoesNotHideItsResponse() {
+    Server_.start();
+    Server_.closeAfterResponse();
+    const std::string Text = exchange(request(1) + "?\r\n\r\n");
+    CPPUNIT_ASSERT(Text.find("<1>") != std::string::npos);
+  }
+
 private:
   asio::awaitable<HttpServerResponse> handle(HttpServerRequest Request) {
     const std::string Number = Request.Path.substr(1);
@@ -60,21 +78,31 @@
     co_return HttpServerResponse{.Body = "<" + Number + ">"};
   }
 
+  static std::string request(int Number) {
+    return "GET /" + std::to_string(Number) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+
   /// Sends requests at once on one connection, and returns what the server
   /// sends until it closes the connection.
   std::string exchange(int Requests) {
-    return runCoroutine(Context_, sendAll(Requests));
+    std::string Text;
+    for (int Number = 1; Number <= Requests; ++Number)
+      Text += request(Number);
+    return exchange(Text);
   }
 
-  asio::awaitable<std::string> sendAll(int Requests) {
+  std::string exchange(const std::string &Text, bool EndSide = false) {
+    return runCoroutine(Context_, send(Text, EndSide));
+  }
+
+  asio::awaitable<std::string> send(std::string Text, bool EndSide) {
     tcp::socket Socket(Context_);
     co_await Socket.async_connect(
         {asio::ip::make_address("127.0.0.1"), Server_.port()},
         asio::use_awaitable);
-    std::string Text;
-    for (int Number = 1; Number <= Requests; ++Number)
-      Text += "GET /" + std::to_string(Number) + " HTTP/1.1\r\nHost: h\r\n\r\n";
     co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
+    if (EndSide)
+      Socket.shutdown(tcp::socket::shutdown_send);
     std::string Received;
     std::error_code Ended;
     co_await asio::async_read(Socket, asio::dynamic_buffer(Received),
