Refuse requests that reach a stopping process after its limit

Change: from the limit on, the server answers each new request at once with 503, as it has not been handled, and closes the connection. Measured: the new test of HttpRoundTripTest fails without the refusal (two requests handled instead of one), and passes.

--- a/Source/Http/DrainableServer.h
+++ b/Source/Http/DrainableServer.h
@@ -23,7 +23,8 @@
   virtual void closeAfterResponse() = 0;
   /// Closes the listener. Open connections are served as before.
   virtual void stop() = 0;
-  /// Answers all requests in flight with 504.
+  /// Answers all requests in flight with 504, as their outcome is not known,
+  /// and all later ones with 503, as they are not handled.
   virtual void answerRemaining() = 0;
   [[nodiscard]] virtual std::size_t requestsInFlight() const = 0;
   /// Number of requests received since the start.
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int InternalServerError = 500;
+constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
 /// All handlers run on one thread, so no strands are needed.
@@ -99,6 +100,8 @@
   void closeAfterResponse() { CloseAfterResponse_ = true; }
 
   void answerRemaining() {
+    IsRefusing_ = true;
+    CloseAfterResponse_ = true;
     // A response to a closed connection removes its entry at once.
     std::vector<std::uint64_t> Unanswered;
     for (const auto &[Number, Received] : InFlight_)
@@ -164,6 +167,11 @@
     InFlight_[Number] = {.Handle = Request,
                          .Call = Incoming.Method + " " + Incoming.Path,
                          .ReceivedAt = SteadyClock::now()};
+    if (IsRefusing_) {
+      respond(Number, InFlight_.at(Number),
+              {.Status = ServiceUnavailable, .Body = "{}"});
+      co_return;
+    }
     const HttpServerResponse Reply = co_await answer(std::move(Incoming));
     // Empty if answerRemaining() has answered the request.
     if (const auto It = InFlight_.find(Number);
@@ -198,6 +206,7 @@
   std::map<std::uint64_t, ReceivedRequest> InFlight_; ///< In order of arrival.
   bool IsOpen_ = false;
   bool CloseAfterResponse_ = false;
+  bool IsRefusing_ = false; ///< Requests are answered without being handled.
 };
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
--- a/Tests/Http/HttpRoundTripTest.cpp
+++ b/Tests/Http/HttpRoundTripTest.cpp
@@ -1,5 +1,7 @@
+#include "Base/AsioTimerService.h"
 #include "Http/CurlHttpClient.h"
 #include "Http/HttpServer.h"
+#include "Support/RunCoroutine.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -14,6 +16,7 @@
   CPPUNIT_TEST(concurrentRequestsGetTheirOwnResponses);
   CPPUNIT_TEST(refusedConnectionIsReported);
   CPPUNIT_TEST(exceptionInAHandlerIsAnswered);
+  CPPUNIT_TEST(answeringTheRemainingRequestsRefusesLaterOnes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +76,44 @@
     CPPUNIT_ASSERT(Code == ErrorCode::ConnectionRefused);
   }
 
+  // Guards against a request that reaches a stopping process after its limit
+  // and is cut off, and against a second response to one that was answered
+  // there.
+  void answeringTheRemainingRequestsRefusesLaterOnes() {
+    asio::io_context Context;
+    AsioTimerService Timers(Context);
+    int Handled = 0;
+    HttpServer Server(
+        Context, {},
+        [&](HttpServerRequest) -> asio::awaitable<HttpServerResponse> {
+          ++Handled;
+          co_await Timers.sleepFor(std::chrono::milliseconds(200));
+          co_return HttpServerResponse{};
+        });
+    Server.start();
+    CurlHttpClient Client(Context);
+    std::vector<int> Statuses;
+    const auto Send = [&]() -> asio::awaitable<void> {
+      HttpClientRequest Request{
+          .Url = "http://127.0.0.1:" + std::to_string(Server.port()) + "/"};
+      const auto Response = co_await Client.send(std::move(Request));
+      Statuses.push_back(Response ? Response->Status : 0);
+    };
+    const auto Run = [&]() -> asio::awaitable<int> {
+      asio::co_spawn(Context, Send(), asio::detached);
+      while (Handled == 0)
+        co_await Timers.sleepFor(std::chrono::milliseconds(5));
+      Server.answerRemaining();
+      co_await Send();
+      co_await Timers.sleepFor(std::chrono::milliseconds(400));
+      co_return 0;
+    };
+    runCoroutine(Context, Run());
+    CPPUNIT_ASSERT_EQUAL(1, Handled);
+    CPPUNIT_ASSERT((std::vector<int>{504, 503}) == Statuses);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Server.requestsInFlight());
+  }
+
   // Guards against a request without a response, and against a request that is
   // counted as in flight forever.
   void exceptionInAHandlerIsAnswered() {
