Do not ask a leaving process for advice

Cause: after its handover, a stopping process holds no shards, so that the others took it for a process with time to spare and sent it calls for advice. These can hold up its stop until the limit, and are cut off there. Change: each exchange after the handover says that the sender leaves, and the process declines advice from then on. Measured: not run yet; testLeavingProcessIsNotAskedForHelp is new.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -67,6 +67,7 @@
 }
 
 void CellNode::announceLeaving() {
+  Leaving_ = true;
   for (const std::string &Address : Shards_.peers())
     asio::co_spawn(Executor_, announceLeavingTo(Address), asio::detached);
 }
@@ -80,7 +81,8 @@
 asio::awaitable<void> CellNode::exchangeWith(std::string Address) {
   ExchangeRequest Request{.Sender = Options_.Address,
                           .Member = Shards_.member(),
-                          .Held = Jobs_.heldShards()};
+                          .Held = Jobs_.heldShards(),
+                          .Leaving = Leaving_};
   Request.Demands = std::move(Demands_[Address]);
   Demands_.erase(Address);
   const Clock::time_point SentAt = Timers_.now();
@@ -138,7 +140,9 @@
 }
 
 ExchangeReply CellNode::exchange(const ExchangeRequest &Request) {
-  if (Request.Leaving)
+  // The first of the exchanges in which the process says that it leaves.
+  if (Request.Leaving && std::exchange(LeavingMembers_[Request.Sender],
+                                       Request.Member) != Request.Member)
     Shards_.requestJoin();
   if (Request.Held.empty() && !Request.Sender.empty() && !Request.Leaving)
     HelperLastSeen_[Request.Sender] = Timers_.now();
@@ -233,6 +237,9 @@
 }
 
 asio::awaitable<AdviseReply> CellNode::advise(AdviseRequest Request) {
+  // The caller asks another process, which does not stop meanwhile.
+  if (Leaving_)
+    co_return AdviseReply{};
   auto Reply = co_await Adviser_.askOnBehalfOfPeer(std::move(Request));
   // Steps of this process may have waited for the adviser.
   Dispatcher_.wake();
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -139,6 +139,9 @@
   WaitingJobsView WaitingJobs_;
   std::set<std::string> EndsInDelivery_;
   std::size_t NextRemovalPeer_ = 0; ///< Each request goes to the next process.
+  bool Leaving_ = false;            ///< The shards have been handed over.
+  /// Member ids of the processes that leave, by address.
+  std::map<std::string, std::string> LeavingMembers_;
   bool Stopped_ = false;
 };
 
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -159,7 +159,7 @@
   std::string Member;           ///< See ExchangeReply.
   std::vector<ShardEpoch> Held; ///< Shards whose jobs the sender owns.
   std::vector<RunDemand> Demands;
-  bool Leaving = false; ///< The sender has just released all its shards.
+  bool Leaving = false; ///< The sender has released all its shards, and stops.
 };
 
 /// Workers whose capacity is claimed for a waiting gang.
--- a/Tests/Cell/CellNodeTest.cpp
+++ b/Tests/Cell/CellNodeTest.cpp
@@ -143,6 +143,7 @@
   CPPUNIT_TEST(testOnlyTheHolderOfAWorkerConfirmsAStop);
   CPPUNIT_TEST(testHolderOfAnEarlierTermDoesNotConfirmAStop);
   CPPUNIT_TEST(testPlacementHasNoEffectInALaterTermOfTheHolder);
+  CPPUNIT_TEST(testLeavingProcessIsNotAskedForHelp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -499,6 +500,24 @@
             {.Type = Kind::Duplicated, .Delay = 20ms},
             {.Type = Kind::Duplicated, .Delay = 900ms}};
   }
+
+  // Guards against a stop that is held up by calls which other processes send
+  // because the leaving process holds no shards.
+  void testLeavingProcessIsNotAskedForHelp() {
+    constexpr int Shards = 8;
+    CellNodeBench Bench(Shards);
+    std::vector<TestCellNode *> Nodes;
+    for (const char *Address : {"n0:1", "n1:1", "n2:1", "n3:1"})
+      Nodes.push_back(&Bench.startNode(Address));
+    Bench.run(4000ms);
+    asio::co_spawn(Bench.Environment.Context, Nodes[0]->drain(),
+                   asio::detached);
+    for (int Check = 0; Check < 25; ++Check) {
+      Bench.run(100ms);
+      for (std::size_t Other = 1; Other < Nodes.size(); ++Other)
+        CPPUNIT_ASSERT(!Nodes[Other]->node().helpers().contains("n0:1"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellNodeTest);
