Wait for a join in flight before a process counts as handed over

Cause: a join that the store carries out after the leave makes the process a member again. The leave that undoes this was not waited for, and the process may now exit before it.

--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -54,6 +54,7 @@
   int Failures = 0;
   while (!Stopping_ && !Left_) {
     const Clock::time_point SentAt = Timers_.now();
+    Joining_ = true;
     const auto Reply = co_await Store_.join(
         Options_.Group, Options_.Member, Options_.Topic, Options_.TimeToLive,
         Generation_,
@@ -67,8 +68,10 @@
     if (Left_) {
       // The store may have carried out the join after the leave of drain().
       co_await Store_.leave(Options_.Group, Options_.Member);
+      Joining_ = false;
       break;
     }
+    Joining_ = false;
     if (Reply.has_value() != Reachable) {
       Reachable = Reply.has_value();
       Events_.emit("shards", Reachable ? "group_regained" : "group_lost",
@@ -291,6 +294,8 @@
   Left_ = true;
   revokeAll();
   co_await Store_.leave(Options_.Group, Options_.Member);
+  while (Joining_)
+    co_await Timers_.sleepFor(RetryDelay);
 }
 
 std::optional<std::string> ShardMembership::holderOf(int Shard) const {
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -195,6 +195,7 @@
   bool HolderListRead_ = false; ///< The latest request succeeded.
   bool Stopping_ = false;
   bool Left_ = false;
+  bool Joining_ = false; ///< A join, or the leave that undoes it, is in flight.
 };
 
 } // namespace hickory
