Bound the wait for readiness probes by the limit of the stop

Cause: with a grace period of 3 s or less, the wait of 2.8 s for the probes went past the limit, so that the platform would kill the process.

--- a/Source/Cell/GracefulStop.cpp
+++ b/Source/Cell/GracefulStop.cpp
@@ -13,6 +13,7 @@
 /// Consecutive polls without a request after which the process exits. Requests
 /// that have arrived meanwhile are read between two polls.
 constexpr int IdlePolls = 10;
+constexpr milliseconds IdleTime = IdlePolls * PollPeriod;
 /// Time for writing the responses that are sent at the limit.
 constexpr milliseconds WriteTime{300};
 
@@ -89,8 +90,9 @@
 }
 
 asio::awaitable<void> GracefulStop::waitForBalancer() {
-  while (!isRemovedFromBalancer() &&
-         Timers_.now() - RequestedAt_ < Options_.ProbeLimit)
+  const auto Longest =
+      std::min(Options_.ProbeLimit, Options_.Limit - WriteTime - IdleTime);
+  while (!isRemovedFromBalancer() && Timers_.now() - RequestedAt_ < Longest)
     co_await Timers_.sleepFor(PollPeriod);
 }
 
--- a/Tests/Cell/GracefulStopTest.cpp
+++ b/Tests/Cell/GracefulStopTest.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(testHandoverDelaysTheStop);
   CPPUNIT_TEST(testLateRequestsOnOpenConnectionsDelayTheStop);
   CPPUNIT_TEST(testRequestsAtTheLimitAreAnswered);
+  CPPUNIT_TEST(testShortLimitEndsTheWaitForProbes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,13 +112,14 @@
 
   // Guards against an exit before the store knows that the process leaves.
   void testHandoverDelaysTheStop() {
-    HandoverTime_ = 4s;
+    HandoverTime_ = 3s;
     start();
     removeFromBalancer();
-    advance(1s);
+    advance(500ms);
     CPPUNIT_ASSERT(!Ended_);
-    advance(2s);
+    advance(700ms);
     CPPUNIT_ASSERT(Ended_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Clients_.Cut);
   }
 
   // Guards against an exit between two requests of a client.
@@ -145,6 +147,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Peers_.Cut);
   }
 
+  // Guards against being killed while waiting for probes.
+  void testShortLimitEndsTheWaitForProbes() {
+    constexpr std::chrono::milliseconds ShortLimit{1600};
+    GracefulStop Stop(Context_.get_executor(), Timers_, Events_, Metrics_,
+                      Clients_, Peers_, [this] { return handOver(); },
+                      {.Limit = ShortLimit});
+    asio::co_spawn(
+        Context_, Stop.run(),
+        [this](const std::exception_ptr & /*Thrown*/) { Ended_ = true; });
+    advance(ShortLimit);
+    CPPUNIT_ASSERT(Ended_);
+  }
+
 private:
   asio::awaitable<void> handOver() { co_await Timers_.sleepFor(HandoverTime_); }
 
