Keep hickoryd running on SIGHUP, which cut off every request

SIGHUP is now logged (event reload, as in hickory-cell) and changes nothing, since settings are read once. ChildProcess::wait() returns the exit status also if exitsWithin() has reaped the process.

--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -185,6 +185,11 @@
   asio::co_spawn(Context_, drain(true), asio::detached);
 }
 
+void Daemon::logReloadRequest() {
+  LOG(INFO) << "daemon: SIGHUP changes nothing; settings are read at the start";
+  Events_.emit("daemon", "reload");
+}
+
 asio::awaitable<void> Daemon::drain(bool Clean) {
   Summaries_.setDraining();
   co_await Supervisor_.drainAndStop();
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -53,6 +53,8 @@
   Result<void> start();
   /// Graceful shutdown; OnStopped is called when everything has ended.
   void requestDrain();
+  /// Logs that SIGHUP changes nothing, as settings are read only once.
+  void logReloadRequest();
   void onStopped(std::function<void(bool Clean)> Callback) {
     OnStopped_ = std::move(Callback);
   }
--- a/Source/Programs/hickoryd.cpp
+++ b/Source/Programs/hickoryd.cpp
@@ -91,16 +91,21 @@
     return 2;
   }
   asio::io_context Context(1);
-  // Set before the parts are built, so that an early signal drains as well.
-  asio::signal_set Signals(Context, SIGTERM, SIGINT);
+  // Set before the parts are built, so that an early signal drains as well. The
+  // default action of SIGHUP would cut off all requests.
+  asio::signal_set Signals(Context, SIGTERM, SIGINT, SIGHUP);
   hickory::Daemon Instance(Context, *Settings, Faults);
   int Status = 0;
   Instance.onStopped([&](bool Clean) {
     Status = Clean ? 0 : 1;
     Context.stop();
   });
-  hickory::watchSignals(
-      Signals, [&Instance](int /*Number*/) { Instance.requestDrain(); });
+  hickory::watchSignals(Signals, [&Instance](int Number) {
+    if (Number == SIGHUP)
+      Instance.logReloadRequest();
+    else
+      Instance.requestDrain();
+  });
   if (const auto Started = Instance.start(); !Started) {
     std::cerr << "hickoryd: " << Started.error().Message << "\n";
     return 1;
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -81,7 +81,7 @@
   bool exitsWithin(std::chrono::milliseconds Timeout) {
     const auto Deadline = std::chrono::steady_clock::now() + Timeout;
     while (!HasExited_) {
-      HasExited_ = ::waitpid(Pid_, nullptr, WNOHANG) == Pid_;
+      HasExited_ = ::waitpid(Pid_, &Status_, WNOHANG) == Pid_;
       if (HasExited_ || std::chrono::steady_clock::now() >= Deadline)
         break;
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -92,16 +92,17 @@
   /// Waits for the process to exit and returns its exit status, or the negated
   /// number of the signal that ended it.
   int wait() {
-    int Status = 0;
-    PCHECK(::waitpid(Pid_, &Status, 0) == Pid_);
+    if (!HasExited_)
+      PCHECK(::waitpid(Pid_, &Status_, 0) == Pid_);
     HasExited_ = true;
-    return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
+    return WIFEXITED(Status_) ? WEXITSTATUS(Status_) : -WTERMSIG(Status_);
   }
 
 private:
   pid_t Pid_ = -1;
   int Input_ = -1;
   int Output_ = -1;
+  int Status_ = 0;
   bool HasExited_ = false;
 };
 
