Ignore SIGPIPE in hickoryd

Callers would see their connections reset when the reader of the process's log (standard error) exits: the next line raises SIGPIPE, whose default action ends the process. hickory-cell ignores the signal already.

The new test failed on the old program: closedLogReaderCutsNoRequest: Expected 0, Actual 1 (the process exited)

Result: daemon_tests pass.

--- a/Source/Programs/hickoryd.cpp
+++ b/Source/Programs/hickoryd.cpp
@@ -69,6 +69,8 @@
 } // namespace
 
 int main(int Count, char **Values) {
+  // A line written to a log whose reader has exited must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   google::InitGoogleLogging(Values[0]);
   // Instances have no disk: logs go to standard error only.
   FLAGS_logtostderr = true;
--- a/Tests/Daemon/DaemonSignalTest.cpp
+++ b/Tests/Daemon/DaemonSignalTest.cpp
@@ -24,6 +24,7 @@
 class DaemonSignalTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DaemonSignalTest);
   CPPUNIT_TEST(hangupCutsNoRequest);
+  CPPUNIT_TEST(closedLogReaderCutsNoRequest);
   CPPUNIT_TEST(secondTerminationCutsNoRequest);
   CPPUNIT_TEST(terminationDuringStartIsClean);
   CPPUNIT_TEST_SUITE_END();
@@ -37,6 +38,10 @@
                    std::string::npos);
   }
 
+  // Guards against the default action of SIGPIPE, which the process gets for a
+  // line of its log if the reader of the log has exited.
+  void closedLogReaderCutsNoRequest() { sendDuringRequest({SIGPIPE}); }
+
   // Guards against signals during a stop that end the process at once.
   void secondTerminationCutsNoRequest() {
     sendDuringRequest({SIGTERM, SIGTERM, SIGHUP, SIGINT}, true);
--- a/Tests/Daemon/HickorydProcess.h
+++ b/Tests/Daemon/HickorydProcess.h
@@ -44,7 +44,7 @@
     writeFile(Folder_ + "/settings.toml", settings());
     Process_ = std::make_unique<ChildProcess>(std::vector<std::string>{
         "/bin/sh", "-c", R"(exec "$1" --settings="$2" 2>"$3")", "sh",
-        TOOL_FOLDER "/hickoryd", Folder_ + "/settings.toml",
+        std::string(TOOL_FOLDER) + "/hickoryd", Folder_ + "/settings.toml",
         Folder_ + "/hickoryd.log"});
   }
   ~HickorydProcess() {
