--- a/Tests/Emulator/EmulatedStore.cpp
+++ b/Tests/Emulator/EmulatedStore.cpp
@@ -23,7 +23,9 @@
 constexpr const char *KeyedPrefix = "keyed.";
 
 StandInServer::Reply reply(int Status, const json &Body) {
-  return {.Status = Status, .Body = Body.dump()};
+  // Keys may be any bytes; JSON has no form for those that are not UTF-8.
+  return {.Status = Status,
+          .Body = Body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 std::string base64(const std::string &Bytes) {
--- a/Tests/Emulator/EmulatedStore.h
+++ b/Tests/Emulator/EmulatedStore.h
@@ -22,6 +22,9 @@
   EmulatedStore(TimerService &Timers, const EmulatorSettings &Settings)
       : Timers_(Timers), Settings_(Settings) {}
 
+  /// The length of a key is stored in one byte.
+  static constexpr std::size_t MaximumKeyBytes = 255;
+
   /// Handles one HTTP request.
   asio::awaitable<Reply> handle(Request Incoming);
   /// Appends a record as the platform itself does, also to a topic that is
--- a/Tests/Emulator/platform-emulator.cpp
+++ b/Tests/Emulator/platform-emulator.cpp
@@ -59,6 +59,10 @@
   /// Starts the fault that a /trouble request describes. Returns false for an
   /// unknown kind or worker.
   bool injectFault(const json &Body);
+  /// Stores the record of another writer in a keyed topic. The command gives
+  /// `key` and `value` as hexadecimal digits, since they may be any bytes; an
+  /// empty value deletes the key. Returns false for a key that is too long.
+  bool putForeignRecord(const json &Body);
   /// Executes a command after a random delay.
   asio::awaitable<void> executeCommandLater(EmulatedWorker &Worker,
                                             StandInServer::Request Incoming);
@@ -101,6 +105,21 @@
                               .Body = Reply.Body.dump()};
 }
 
+/// Throws std::invalid_argument if the member is not a text of hexadecimal
+/// digits.
+std::string bytesFromHex(const json &Body, const char *Name) {
+  const auto Digits = Body.at(Name).get<std::string>();
+  if (Digits.size() % 2 != 0 ||
+      Digits.find_first_not_of("0123456789abcdef") != std::string::npos)
+    throw std::invalid_argument(std::string(Name) + " is not hexadecimal");
+  std::string Bytes;
+  Bytes.reserve(Digits.size() / 2);
+  for (std::size_t Index = 0; Index < Digits.size(); Index += 2)
+    Bytes.push_back(
+        static_cast<char>(std::stoi(Digits.substr(Index, 2), nullptr, 16)));
+  return Bytes;
+}
+
 std::string expectedInstance(const StandInServer::Request &Incoming) {
   const auto It = Incoming.Headers.find("x-expected-instance");
   return It == Incoming.Headers.end() ? std::string() : It->second;
@@ -303,6 +322,16 @@
   }
 }
 
+bool Emulator::putForeignRecord(const json &Body) {
+  const std::string Key = bytesFromHex(Body, "key");
+  if (Key.size() > EmulatedStore::MaximumKeyBytes)
+    return false;
+  Store_.putRecord(Body.value("topic", "keyed.servers"), Key,
+                   bytesFromHex(Body, "value"));
+  incrementCounter("foreign-records");
+  return true;
+}
+
 bool Emulator::injectFault(const json &Body) {
   const auto Kind = Body.value("kind", std::string());
   const milliseconds Duration(
@@ -323,7 +352,10 @@
     Store_.reassignAll();
   else if (Kind == "drop-history")
     Store_.trimAll();
-  else if (Kind == "restart-worker") {
+  else if (Kind == "put-entry") {
+    if (!putForeignRecord(Body))
+      return false;
+  } else if (Kind == "restart-worker") {
     auto &Workers = Pool_.workers();
     EmulatedWorker *Worker = Body.contains("worker")
                                  ? Pool_.find(Body["worker"].get<std::string>())
@@ -359,7 +391,7 @@
   bool IsValid = false;
   try {
     IsValid = injectFault(Body);
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     IsValid = false;
   }
   co_return answerFrom({.Status = IsValid ? 200 : BadRequest});
