Restart a component that throws, instead of ending it without a trace

Cause: the supervisor runs each component in a detached coroutine, and asio::detached discards the exception of the coroutine. A component that threw, e.g. the reader of the list of workers, ended for good: nothing was logged, the process kept running and stayed ready.

Evidence: a program of two detached coroutines, one of which throws, runs on with the other one and prints no error. In a trial with 2 GB of address space, a job of 2,000,000,000 repetitions ran out of memory, and the process stayed ready, with nothing logged.

Change: an exception counts as a failure of the component: it is logged, and the component is restarted with the backoff.

--- a/Source/Base/Supervisor.cpp
+++ b/Source/Base/Supervisor.cpp
@@ -19,10 +19,20 @@
     asio::co_spawn(Executor_, superviseChild(State), asio::detached);
 }
 
+asio::awaitable<Result<void>> Supervisor::runChild(Component &Child) {
+  // An exception that leaves a detached coroutine would be discarded and end
+  // the component without a trace.
+  try {
+    co_return co_await Child.run();
+  } catch (const std::exception &Failure) {
+    co_return fail(ErrorCode::Internal, Failure.what());
+  }
+}
+
 asio::awaitable<void> Supervisor::superviseChild(ChildState &State) {
   auto Backoff = Options_.InitialBackoff;
   while (!Stopping_) {
-    Result<void> Outcome = co_await State.Child->run();
+    Result<void> Outcome = co_await runChild(*State.Child);
     if (Stopping_ || Outcome)
       co_return;
     LOG(WARNING) << "supervisor: component " << State.Child->name()
--- a/Source/Base/Supervisor.h
+++ b/Source/Base/Supervisor.h
@@ -43,6 +43,8 @@
     std::deque<Clock::time_point> Restarts;
   };
 
+  /// Runs the component once. An exception counts as a failure.
+  static asio::awaitable<Result<void>> runChild(Component &Child);
   asio::awaitable<void> superviseChild(ChildState &State);
 
   asio::any_io_executor Executor_;
