Answer requests that are in flight at the limit of hickoryd's drain

A synchronous request that waits for an executor may have a timeout of up to 10 minutes.

At the limit the requests are now answered with 504 `stopping` (outcome unknown), and the drain waits up to 1 s until the responses are written. A warning names their number and the oldest; the event gateway/drained has how long the drain took and what it cut.

--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -17,6 +17,9 @@
 /// How long a list or an executor may hold idle connections together.
 constexpr long PlatformConnections = 16;
 constexpr long UpstreamConnections = 256;
+constexpr const char *UnansweredBody =
+    R"({"code":"stopping","message":"this instance stops before the outcome )"
+    R"(is known; ask another one, with the same key"})";
 
 std::string domainStream(const Settings &Configured) {
   return "domain." + Configured.Instance.FailureDomain;
@@ -57,7 +60,8 @@
                      .Port = Given.Port,
                      .MaximumBodyBytes = Given.MaximumBodyBytes,
                      .MaximumHeaderBytes = Given.MaximumHeaderBytes,
-                     .MaximumConnections = Given.MaximumConnections},
+                     .MaximumConnections = Given.MaximumConnections,
+                     .UnansweredBody = UnansweredBody},
           .MaximumWaitingRequests = Given.MaximumWaitingRequests,
           .DefaultTimeout = Configured.Requests.DefaultTimeout};
 }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds CancelTimeout{15000};
 constexpr milliseconds ApplyTimeout{10000};
 constexpr milliseconds DrainPoll{20};
+/// Time for writing the responses that are sent at the limit of a drain.
+constexpr milliseconds ResponseWriteLimit{1000};
 constexpr std::chrono::seconds RetryAfterOverload{1};
 
 HttpServerResponse jsonResponse(int Status, const json &Body) {
@@ -154,7 +156,29 @@
   Server_.closeAfterResponse();
   co_await Uses_.Timers.sleepFor(Options_.DrainDelay);
   Refusing_ = true;
-  const Clock::time_point Deadline = Uses_.Timers.now() + Options_.DrainLimit;
+  const Clock::time_point Start = Uses_.Timers.now();
+  co_await waitUntilAnswered(Options_.DrainLimit);
+  const std::size_t Unanswered = Server_.requestsInFlight();
+  const auto Oldest = Server_.oldestRequest();
+  if (Unanswered > 0) {
+    LOG(WARNING) << "gateway: " << Unanswered
+                 << " requests in flight at the limit of the drain are "
+                    "answered with 504; the oldest is "
+                 << (Oldest ? Oldest->Call : "");
+    Server_.answerRemaining();
+    co_await waitUntilAnswered(ResponseWriteLimit);
+  }
+  Uses_.Events.emit("gateway", "drained",
+                    {{"wait_ms", std::chrono::duration_cast<milliseconds>(
+                                     Uses_.Timers.now() - Start)
+                                     .count()},
+                     {"in_flight", Unanswered},
+                     {"oldest", Oldest ? Oldest->Call : ""},
+                     {"unwritten", Server_.requestsInFlight()}});
+}
+
+asio::awaitable<void> Gateway::waitUntilAnswered(milliseconds Limit) {
+  const Clock::time_point Deadline = Uses_.Timers.now() + Limit;
   while (Server_.requestsInFlight() > 0 && Uses_.Timers.now() < Deadline)
     co_await Uses_.Timers.sleepFor(DrainPoll);
 }
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -57,12 +57,15 @@
 
   [[nodiscard]] std::string_view name() const override { return "gateway"; }
   asio::awaitable<Result<void>> run() override;
-  /// Leaves the balancer's rotation, then waits for requests in flight.
+  /// Leaves the balancer's rotation, then waits for requests in flight. Those
+  /// that are left at DrainLimit are answered with 504.
   asio::awaitable<void> drain() override;
   void stop() override;
   [[nodiscard]] std::uint16_t port() const { return Server_.port(); }
 
 private:
+  /// Waits until no request is in flight, at most Limit.
+  asio::awaitable<void> waitUntilAnswered(std::chrono::milliseconds Limit);
   asio::awaitable<HttpServerResponse> handle(HttpServerRequest Request);
   asio::awaitable<HttpServerResponse> submit(std::string Body, bool IsJob);
   asio::awaitable<HttpServerResponse> query(std::string Key);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -110,7 +110,7 @@
         Unanswered.push_back(Number);
     for (const std::uint64_t Number : Unanswered)
       respond(Number, InFlight_.at(Number),
-              {.Status = GatewayTimeout, .Body = "{}"});
+              {.Status = GatewayTimeout, .Body = Options_.UnansweredBody});
   }
 
   void stop() {
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -36,6 +36,8 @@
   std::size_t MaximumHeaderBytes = 16 << 10;
   std::size_t MaximumConnections = 1024;
   std::chrono::seconds IdleTimeout{60};
+  /// Body of the responses of answerRemaining().
+  std::string UnansweredBody = "{}";
 };
 
 /// HTTP server on RESTinio. It runs on the given Asio context and handles each
--- a/Tests/Daemon/HickorydProcess.h
+++ b/Tests/Daemon/HickorydProcess.h
@@ -120,7 +120,7 @@
   [[nodiscard]] asio::io_context &context() { return Context_; }
 
 private:
-  static constexpr std::chrono::seconds Timeout{60};
+  static constexpr std::chrono::seconds Timeout{120};
 
   [[nodiscard]] std::string url(const std::string &Path) const {
     return fmt::format("http://{}:{}{}", Ip_, GatewayPort_, Path);
