Add a soak of planned work on the emulated platform

Change: emulate draws planned work from the seed (stops, second signals, stops during a start, SIGHUP, versions of op/config), keeps the clients' connections open behind a stand-in of the balancer, and checks the rule LOST. A stop that takes longer than grace-s fails the run, unless emulate itself could not run meanwhile.

--- a/Tests/Emulator/CellInstance.h
+++ b/Tests/Emulator/CellInstance.h
@@ -15,6 +15,9 @@
 
 constexpr std::uint16_t MetricsPort = 9190; ///< Fixed in hickory-cell.
 
+/// Time after SIGTERM at which the platform sends SIGKILL (`grace-s`).
+constexpr std::chrono::seconds GraceTime{6};
+
 /// A hickory-cell process and its addresses.
 struct Instance {
   std::string Name;
@@ -88,7 +91,7 @@
       {"bounds",
        {{"hold-max-ms", Platform.MaximumLease.count()},
         {"stop-ms", Platform.StopDuration.count()},
-        {"grace-s", 6},
+        {"grace-s", GraceTime.count()},
         {"gang-timeout-ms", Platform.GangTimeout.count()}}},
       {"orders", "call"},
       {"advice", Addresses.at("advisers").at(Number)},
--- a/Tests/Emulator/LoadSettings.h
+++ b/Tests/Emulator/LoadSettings.h
@@ -25,6 +25,11 @@
   int Instance = -1; ///< Negative if the fault is a command for the emulator.
 
   [[nodiscard]] bool targetsInstance() const { return Instance >= 0; }
+  /// Whether the fault is no planned work of the platform.
+  [[nodiscard]] bool isUnplanned() const {
+    return kind() == "kill-instance" || kind() == "pause-instance" ||
+           (!targetsInstance() && kind() != "change-routes");
+  }
   [[nodiscard]] std::string kind() const {
     return Command.at("kind").get<std::string>();
   }
@@ -38,6 +43,12 @@
   double FinishSeconds = 60;
   std::vector<JobKind> Kinds;
   std::vector<PlannedFault> Faults;
+  /// Number of randomly drawn stops, reloads and changes of the configuration.
+  int PlannedWork = 0;
+  /// Whether clients keep their connections open (see KeepAliveClient).
+  bool KeepAlive = false;
+  /// Share of the requests that such clients send before the previous response.
+  double PipelinedShare = 0;
 };
 
 /// Reads one step and adds it to the steps of the kind's submission and to the
@@ -118,10 +129,11 @@
   Fault.AtSeconds = Table.number("at-seconds", 0, 0, 86400);
   const std::string Kind = Table.text("kind", "");
   static const std::set<std::string> EmulatorFaultKinds = {
-      "lose-answers", "reset-orders", "refuse-orders", "late-orders",
-      "store-down",   "deal-anew",    "drop-history",  "restart-worker"};
+      "lose-answers", "reset-orders",   "refuse-orders",
+      "late-orders",  "store-down",     "deal-anew",
+      "drop-history", "restart-worker", "change-routes"};
   static const std::set<std::string> InstanceFaultKinds = {
-      "kill-instance", "stop-instance", "pause-instance"};
+      "kill-instance", "stop-instance", "pause-instance", "reload-instance"};
   if (InstanceFaultKinds.contains(Kind))
     Fault.Instance = Table.integer("instance", 0, 0, Instances - 1);
   else if (!EmulatorFaultKinds.contains(Kind))
@@ -142,6 +154,9 @@
   Settings.Instances = Table.integer("instances", 3, 1, 100);
   Settings.Seconds = Table.number("seconds", 10, 0.1, 86400);
   Settings.FinishSeconds = Table.number("finish-seconds", 60, 1, 3600);
+  Settings.PlannedWork = Table.integer("planned-work", 0, 0, 10000);
+  Settings.KeepAlive = Table.flag("keep-alive", false);
+  Settings.PipelinedShare = Table.number("pipelined-share", 0, 0, 1);
   for (const CheckedTable &Kind : Table.tables("kinds"))
     Settings.Kinds.push_back(readKind(Kind, Platform));
   if (Settings.Kinds.empty())
--- a/Tests/Emulator/emulate.cpp
+++ b/Tests/Emulator/emulate.cpp
@@ -3,6 +3,8 @@
 // no rule was violated and all processes ran until they were stopped.
 #include "Base/AsioTimerService.h"
 #include "Emulator/CellInstance.h"
+#include "Emulator/InstanceFaults.h"
+#include "Emulator/KeepAliveClient.h"
 #include "Emulator/LoadClients.h"
 #include "Emulator/PlatformHistoryChecker.h"
 #include "Http/CurlHttpClient.h"
@@ -25,6 +27,9 @@
 /// under load, which must not fail a run.
 constexpr std::chrono::milliseconds StopTimeout{30000};
 constexpr std::chrono::seconds ReadyTimeout{60};
+constexpr std::chrono::milliseconds StallCheckPeriod{20};
+/// A timer that fires later than this shows that the machine is overloaded.
+constexpr std::chrono::milliseconds StallThreshold{100};
 
 struct EmulateOptions {
   std::string Settings;
@@ -32,6 +37,7 @@
   std::string Programs;
   int Instances = 0;
   double Seconds = 0;
+  double PipelinedShare = -1; ///< Negative if not given.
   int Seed = 1;
 };
 
@@ -42,7 +48,24 @@
   Experiment(EmulateOptions Options, EmulatorSettings Platform,
              LoadSettings Load)
       : Options_(std::move(Options)), Platform_(std::move(Platform)),
-        Load_(std::move(Load)), Timers_(Context_), Client_(Context_) {}
+        Load_(std::move(Load)), Timers_(Context_), Client_(Context_),
+        Balancer_(Context_.get_executor(), Timers_, Client_),
+        KeepAlive_(Context_, Timers_, Balancer_, Load_.PipelinedShare,
+                   static_cast<std::uint64_t>(Options_.Seed),
+                   path("requests.jsonl")),
+        InstanceFaults_(
+            Timers_,
+            {.Start = [this](Instance &Cell) { startInstance(Cell); },
+             .ReportFailure =
+                 [this](const std::string &Text) { reportFailure(Text); },
+             .HasStalledSince =
+                 [this](Clock::time_point Begin) {
+                   return LastStall_ >= Begin;
+                 }}) {
+    const auto Drawn =
+        drawPlannedWork(Load_, static_cast<std::uint64_t>(Options_.Seed));
+    Load_.Faults.insert(Load_.Faults.end(), Drawn.begin(), Drawn.end());
+  }
 
   int run() {
     startEmulator();
@@ -52,7 +75,9 @@
     GatewayAddresses.reserve(Instances_.size());
     for (const Instance &Cell : Instances_)
       GatewayAddresses.push_back(Cell.at(GatewayPort));
-    LoadClients Clients(Context_.get_executor(), Timers_, Client_, Load_,
+    HttpClient &Client =
+        Load_.KeepAlive ? static_cast<HttpClient &>(KeepAlive_) : Client_;
+    LoadClients Clients(Context_.get_executor(), Timers_, Client, Load_,
                         std::move(GatewayAddresses),
                         static_cast<std::uint64_t>(Options_.Seed),
                         path("clients.jsonl"));
@@ -62,8 +87,9 @@
     printLoadResults(Clients);
     printProcesses(Stats);
     const bool ProcessesSucceeded = stopAllProcesses();
+    const bool RequestsKept = printRequestCheck();
     const bool RulesKept = printHistoryCheck(Clients);
-    return ProcessesSucceeded && RulesKept ? 0 : 1;
+    return ProcessesSucceeded && RequestsKept && RulesKept ? 0 : 1;
   }
 
 private:
@@ -131,13 +157,11 @@
     co_return 0;
   }
 
-  static Clock::duration toDuration(double Value) {
-    return std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(Value));
-  }
-
   asio::awaitable<void> injectFault(PlannedFault Fault) {
-    co_await Timers_.sleepFor(toDuration(Fault.AtSeconds));
+    co_await Timers_.sleepFor(std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(Fault.AtSeconds)));
+    if (Fault.isUnplanned())
+      KeepAlive_.recordUnplannedFault();
     std::cout << fmt::format("{:.1f} s: {}", Fault.AtSeconds,
                              Fault.Command.dump())
               << (Fault.targetsInstance()
@@ -145,7 +169,8 @@
                       : std::string("\n"))
               << std::flush;
     if (Fault.targetsInstance())
-      co_await injectInstanceFault(Fault);
+      co_await InstanceFaults_.inject(
+          Instances_[static_cast<std::size_t>(Fault.Instance)], Fault);
     else
       co_await sendFaultCommand(Fault);
     --PendingFaults_;
@@ -163,52 +188,47 @@
                     Fault.Command.dump());
   }
 
-  /// Pauses an instance, or stops it and starts it again after the duration of
-  /// the fault.
-  asio::awaitable<void> injectInstanceFault(PlannedFault Fault) {
-    Instance &Cell = Instances_[static_cast<std::size_t>(Fault.Instance)];
-    // Faults of one instance do not overlap.
-    while (std::exchange(Cell.HasActiveFault, true))
-      co_await Timers_.sleepFor(20ms);
-    const auto Duration = toDuration(Fault.Command.at("seconds").get<double>());
-    if (Cell.Process->exitsWithin(0ms))
-      reportFailure(Cell.Name + " exited unexpectedly");
-    else if (Fault.kind() == "pause-instance") {
-      ::kill(Cell.Process->id(), SIGSTOP);
-      co_await Timers_.sleepFor(Duration);
-      ::kill(Cell.Process->id(), SIGCONT);
-      Cell.HasActiveFault = false;
-      co_return;
-    } else
-      co_await stopInstance(Cell, Fault.kind() == "stop-instance");
-    co_await Timers_.sleepFor(Duration);
-    startInstance(Cell);
-    Cell.HasActiveFault = false;
+  void reportFailure(const std::string &Text) {
+    std::cout << Text << "\n";
+    Succeeded_ = false;
   }
 
-  asio::awaitable<void> stopInstance(Instance &Cell, bool IsGraceful) {
-    ::kill(Cell.Process->id(), IsGraceful ? SIGTERM : SIGKILL);
-    const auto Deadline = Timers_.now() + StopTimeout;
-    while (!Cell.Process->exitsWithin(0ms) && Timers_.now() < Deadline)
-      co_await Timers_.sleepFor(10ms);
-    if (Cell.Process->exitsWithin(0ms))
-      co_return;
-    reportFailure(Cell.Name + " did not exit in time");
-    Cell.Process.reset();
+  void startBalancer() {
+    std::vector<BalancerTarget> Targets;
+    Targets.reserve(Instances_.size());
+    for (const Instance &Cell : Instances_)
+      Targets.push_back(
+          {.Gateway = Cell.at(GatewayPort), .Ready = Cell.at(ReadyPort)});
+    Balancer_.start(std::move(Targets));
   }
 
-  void reportFailure(const std::string &Text) {
-    std::cout << Text << "\n";
-    Succeeded_ = false;
+  /// Records when this process, and so probably all of them, could not run.
+  asio::awaitable<void> watchForStalls() {
+    while (!Finished_) {
+      const auto Due = Timers_.now() + StallCheckPeriod;
+      const std::int64_t Begin = wallMicroseconds();
+      co_await Timers_.sleepFor(StallCheckPeriod);
+      if (Timers_.now() < Due + StallThreshold)
+        continue;
+      LastStall_ = Timers_.now();
+      ++StallCount_;
+      KeepAlive_.recordStall({.Begin = Begin, .End = wallMicroseconds()});
+    }
   }
 
   asio::awaitable<json> sendLoad(LoadClients &Clients) {
+    startBalancer();
+    asio::co_spawn(Context_, watchForStalls(), asio::detached);
     PendingFaults_ = Load_.Faults.size();
     for (const PlannedFault &Fault : Load_.Faults)
       asio::co_spawn(Context_, injectFault(Fault), asio::detached);
     co_await Clients.run();
     while (PendingFaults_ > 0)
       co_await Timers_.sleepFor(20ms);
+    co_await KeepAlive_.close();
+    co_await Balancer_.stop();
+    Finished_ = true;
+    co_await Timers_.sleepFor(2 * StallCheckPeriod);
     co_return co_await get("http://" +
                            Addresses_["control"].get<std::string>() + "/stats");
   }
@@ -290,6 +310,20 @@
     return Succeeded_;
   }
 
+  /// Checks the rule LOST of planned work.
+  bool printRequestCheck() {
+    if (!Load_.KeepAlive)
+      return true;
+    std::cout << "requests on kept connections:";
+    for (const auto &[Outcome, Count] : KeepAlive_.outcomes())
+      std::cout << fmt::format(" {} {},", Count, Outcome);
+    std::cout << fmt::format(" {} lost; {} stalls of this process\n",
+                             KeepAlive_.lost().size(), StallCount_);
+    for (const std::string &Lost : KeepAlive_.lost())
+      std::cout << "  LOST: " << Lost << "\n";
+    return KeepAlive_.lost().empty();
+  }
+
   bool printHistoryCheck(const LoadClients &Clients) {
     PlatformHistory History{.Clients = Clients.history()};
     std::ifstream File(path("workers.jsonl"));
@@ -331,6 +365,9 @@
   asio::io_context Context_{1};
   AsioTimerService Timers_;
   CurlHttpClient Client_;
+  Balancer Balancer_;
+  KeepAliveClient KeepAlive_;
+  InstanceFaults InstanceFaults_;
   json Addresses_;
   std::unique_ptr<ChildProcess> Emulator_;
   std::vector<Instance> Instances_;
@@ -338,6 +375,9 @@
   std::uint64_t CrashingSent_ = 0; ///< Submitted jobs that crash workers.
   int CrashCount_ = 0;             ///< Crashes of workers.
   std::size_t PendingFaults_ = 0;
+  Clock::time_point LastStall_{};
+  int StallCount_ = 0;
+  bool Finished_ = false; ///< The load was sent, and its faults injected.
   bool Succeeded_ = true; ///< No failure was reported.
 };
 
@@ -355,6 +395,8 @@
        "overrides load.instances", "N"},
       {"seconds", 0, POPT_ARG_DOUBLE, &Options.Seconds, 0,
        "overrides load.seconds", "S"},
+      {"pipelined-share", 0, POPT_ARG_DOUBLE, &Options.PipelinedShare, 0,
+       "overrides load.pipelined-share", "SHARE"},
       {"seed", 0, POPT_ARG_INT, &Options.Seed, 0, "seed of all random choices",
        "N"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -385,6 +427,8 @@
     File["load"]["instances"] = Options.Instances;
   if (Options.Seconds != 0)
     File["load"]["seconds"] = Options.Seconds;
+  if (Options.PipelinedShare >= 0)
+    File["load"]["pipelined-share"] = Options.PipelinedShare;
   const EmulatorSettings Platform = readEmulatorSettings(
       {File.value("platform", json::object()), "platform"});
   const LoadSettings Load =
--- a/Tests/Emulator/platform-emulator.cpp
+++ b/Tests/Emulator/platform-emulator.cpp
@@ -75,6 +75,8 @@
   StandInServer &listen(std::uint16_t Port, StandInServer::Handler Handler);
   json advise(const json &Body);
   [[nodiscard]] json configuration() const;
+  /// Puts the next version of the configuration into force.
+  void publishConfiguration();
 
   asio::io_context &Context_;
   const EmulatorSettings &Settings_;
@@ -85,6 +87,7 @@
   EmulatedWorkerPool Pool_;
   std::vector<std::unique_ptr<StandInServer>> Servers_;
   json Addresses_;
+  int ConfigurationVersion_ = 3;
   FaultWindow LostAnswers_;
   FaultWindow DelayedCommands_;
   FaultWindow ResetCommands_;
@@ -148,14 +151,26 @@
                              {"valid-ms", Route.TicketValidMs}};
     Routes.push_back(std::move(RouteJson));
   }
+  // A route without jobs, in every second version.
+  if (ConfigurationVersion_ % 2 == 0) {
+    Routes.push_back(Routes.front());
+    Routes.back()["name"] = "added";
+    Routes.back()["host"] = "added.example";
+    Routes.back()["path-prefix"] = "/added/";
+  }
   return {
-      {"version", 3},
+      {"version", ConfigurationVersion_},
       {"routes", std::move(Routes)},
       {"services",
        {{{"name", "workers"}, {"admission-check", Settings_.AdmissionCheck}}}},
       {"limits", json::object()}};
 }
 
+void Emulator::publishConfiguration() {
+  Store_.putRecord("keyed.op", "config", configuration().dump());
+  ++ConfigurationVersion_;
+}
+
 void Emulator::start(const EmulatorOptions &Options) {
   Addresses_ = {{"stores", json::array()}, {"advisers", json::array()}};
   for (int Caller = 0; Caller < Options.Callers; ++Caller) {
@@ -168,7 +183,7 @@
           return answerAdvice(Caller, std::move(Incoming));
         }).address());
   }
-  Store_.putRecord("keyed.op", "config", configuration().dump());
+  publishConfiguration();
   for (const auto &Worker : Pool_.workers()) {
     EmulatedWorker &ServedWorker = *Worker;
     StandInServer &Server =
@@ -323,6 +338,8 @@
     Store_.reassignAll();
   else if (Kind == "drop-history")
     Store_.trimAll();
+  else if (Kind == "change-routes")
+    publishConfiguration();
   else if (Kind == "restart-worker") {
     auto &Workers = Pool_.workers();
     EmulatedWorker *Worker = Body.contains("worker")
