--- a/Tests/Daemon/DaemonDrainTest.cpp
+++ b/Tests/Daemon/DaemonDrainTest.cpp
@@ -39,39 +39,42 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void setUp() override { Daemon_ = std::make_unique<HickorydProcess>(); }
+  void tearDown() override { Daemon_.reset(); }
+
   // Guards against a stop that closes the connections of the requests that are
   // still in flight when the time for them is over.
   void requestIsAnsweredAtTheLimitOfTheDrain() {
-    Daemon_.awaitReady();
+    Daemon_->awaitReady();
     CPPUNIT_ASSERT_EQUAL(
-        200, Daemon_.statusOf("POST", "/v1/config/apply", Configuration)
+        200, Daemon_->statusOf("POST", "/v1/config/apply", Configuration)
                  .value_or(0));
     std::optional<int> Status;
     bool Ended = false;
-    asio::co_spawn(Daemon_.context(),
-                   Daemon_.send("POST", "/v1/requests", LongRequest),
+    asio::co_spawn(Daemon_->context(),
+                   Daemon_->send("POST", "/v1/requests", LongRequest),
                    [&](const std::exception_ptr &, std::optional<int> Given) {
                      Status = Given;
                      Ended = true;
                    });
-    Daemon_.runFor(500ms);
+    Daemon_->runFor(500ms);
     CPPUNIT_ASSERT_MESSAGE(
         fmt::format("answered before the stop: {}", Status.value_or(0)),
         !Ended);
-    Daemon_.sendSignal(SIGTERM);
-    CPPUNIT_ASSERT_MESSAGE(Daemon_.log(), Daemon_.exitsWithin(StopTimeout));
-    Daemon_.runFor(500ms);
+    Daemon_->sendSignal(SIGTERM);
+    CPPUNIT_ASSERT_MESSAGE(Daemon_->log(), Daemon_->exitsWithin(StopTimeout));
+    Daemon_->runFor(500ms);
     CPPUNIT_ASSERT_MESSAGE("request was cut off", Status.has_value());
     CPPUNIT_ASSERT_EQUAL(504, *Status);
-    CPPUNIT_ASSERT_MESSAGE(Daemon_.log(),
-                           Daemon_.log().find("1 requests in flight at the "
-                                              "limit of the drain") !=
+    CPPUNIT_ASSERT_MESSAGE(Daemon_->log(),
+                           Daemon_->log().find("1 requests in flight at the "
+                                               "limit of the drain") !=
                                std::string::npos);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(Daemon_.log(), 0, Daemon_.exitStatus());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Daemon_->log(), 0, Daemon_->exitStatus());
   }
 
 private:
-  HickorydProcess Daemon_;
+  std::unique_ptr<HickorydProcess> Daemon_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonDrainTest);
--- a/Tests/Daemon/HickorydProcess.h
+++ b/Tests/Daemon/HickorydProcess.h
@@ -113,8 +113,10 @@
   /// As of ChildProcess::wait(); the process must have exited.
   [[nodiscard]] int exitStatus() const { return Process_->wait(); }
   void sendSignal(int Number) const { ::kill(Process_->id(), Number); }
+  /// Empty until the process has been started.
   [[nodiscard]] std::string log() const {
-    return readFile(Folder_ + "/hickoryd.log");
+    const std::string Path = Folder_ + "/hickoryd.log";
+    return std::filesystem::exists(Path) ? readFile(Path) : "";
   }
   [[nodiscard]] std::uint16_t gatewayPort() const { return GatewayPort_; }
   [[nodiscard]] asio::io_context &context() { return Context_; }
