--- a/Tests/Platform/PlatformFormatsTest.cpp
+++ b/Tests/Platform/PlatformFormatsTest.cpp
@@ -230,6 +230,8 @@
           R"({"steps":[{"count":1,"estimated-ms":1e300}]})",
           R"({"steps":[{"count":1,"anti-affinity":-1}]})",
           R"({"steps":[{"count":1}],"repetitions":1e300})",
+          R"({"steps":[{"count":1}],"repetitions":2000000000})",
+          R"({"steps":[{"count":1}],"repetitions":100001})",
           R"({"steps":[{"count":1},{"count":1,"depends-on":[1e300]}]})",
           R"({"steps":[{"count":1},{"count":1,"depends-on":[4294967296]}]})"})
       CPPUNIT_ASSERT_MESSAGE(Body, !parseJob("id", {}, Body));
