--- a/Tests/Http/PipelinedRequestsTest.cpp
+++ b/Tests/Http/PipelinedRequestsTest.cpp
@@ -97,9 +97,9 @@
 
   asio::awaitable<std::string> send(std::string Text, bool EndSide) {
     tcp::socket Socket(Context_);
-    co_await Socket.async_connect(
-        {asio::ip::make_address("127.0.0.1"), Server_.port()},
-        asio::use_awaitable);
+    const tcp::endpoint Target(asio::ip::make_address("127.0.0.1"),
+                               Server_.port());
+    co_await Socket.async_connect(Target, asio::use_awaitable);
     co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
     if (EndSide)
       Socket.shutdown(tcp::socket::shutdown_send);
