--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -176,6 +176,9 @@
   FakeWorkers Workers{Timers, History};
   FakeCellNetwork Network{Timers};
   CellConfiguration Configuration;
+  /// See FakeAdviceClient::RuleOf.
+  std::function<AdviceRule *(const std::string &Step)> AdviceRuleOf;
+  DispatcherOptions Dispatching;
   int Shards;
 
   explicit CellEnvironment(int Shards)
@@ -210,7 +213,8 @@
         Adviser_(Environment.Timers, Advice_, Peers_, {.Address = Address}),
         Dispatcher_(Environment.Context.get_executor(), Environment.Timers,
                     Jobs_, View_, Peers_, Adviser_, Shards_,
-                    Environment.Configuration, Events_, Metrics_, {}),
+                    Environment.Configuration, Events_, Metrics_,
+                    Environment.Dispatching),
         Node_(Environment.Context.get_executor(), Environment.Timers, Shards_,
               Map_, Pool_, Jobs_, View_, Dispatcher_, Adviser_, Peers_,
               {.Address = Address}),
@@ -261,9 +265,11 @@
   [[nodiscard]] JobOwner &jobs() { return Jobs_; }
   [[nodiscard]] ShardMembership &shards() { return Shards_; }
   [[nodiscard]] EventLog &events() { return Events_; }
+  [[nodiscard]] Metrics &metrics() { return Metrics_; }
 
 private:
   void wire() {
+    Advice_.RuleOf = Environment_.AdviceRuleOf;
     Peers_.setLocal(Node_);
     Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
       Pool_.assign(Shard, Epoch);
@@ -375,9 +381,10 @@
         return Id;
     }
   }
-  void addWorker(const std::string &Id, std::uint64_t Cpus = 4000) {
+  void addWorker(const std::string &Id, std::uint64_t Cpus = 4000,
+                 std::uint64_t MemoryMb = 8000) {
     WorkerEntry Entry{.Id = Id, .Service = "pool", .Address = Id + ":80"};
-    Entry.Capacity = {.CpusMilli = Cpus, .MemoryMb = 8000};
+    Entry.Capacity = {.CpusMilli = Cpus, .MemoryMb = MemoryMb};
     Environment.Workers.add(std::move(Entry));
     Environment.Store.put(TestCellNode::WorkersTopic, Id, "ready");
   }
@@ -497,6 +504,15 @@
 
   CellEnvironment Environment;
 
+protected:
+  /// Returns the demand of a task of a submitted job.
+  [[nodiscard]] const Resources &demandOf(const std::string &Task) const {
+    const auto Name = TaskName::parse(Task);
+    return Jobs_.at(Name->Job)
+        .Steps[static_cast<std::size_t>(Name->Step)]
+        .Demand;
+  }
+
 private:
   static constexpr std::int64_t Origin =
       3600000; ///< Start of the fake clock, in ms.
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -1,37 +1,75 @@
 #pragma once
 
+#include "Base/Hash.h"
 #include "Base/TimerService.h"
 #include "Cell/CellPeer.h"
 #include "Cell/WorkerClient.h"
 
+#include <algorithm>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace hickory {
 
-/// Answers after a fixed time that all workers are good.
+/// What the adviser says of a step: which workers are good for it, and how long
+/// a call about it takes.
+struct AdviceRule {
+  AdvicePolicy Policy;
+  double GoodShare = 1; ///< Share of the workers that are good for a step.
+  int Calls = 0;        ///< Answered by all processes.
+  std::chrono::duration<double> CallTime{0}; ///< Sum over these calls.
+};
+
+/// Answers the calls of one process one after the other. By default, answers
+/// after a fixed time that all workers are good.
 class FakeAdviceClient final : public AdviceClient {
 public:
   FakeAdviceClient(TimerService &Timers, std::chrono::milliseconds ResponseTime)
       : Timers_(Timers), ResponseTime_(ResponseTime) {}
 
   std::vector<std::string> Asked; ///< Steps, in the order of the calls.
+  /// Returns the rule of the step's queue; null: the default answer.
+  std::function<AdviceRule *(const std::string &Step)> RuleOf;
 
   asio::awaitable<Result<Advice>>
   ask(std::string Step, std::vector<std::string> Workers,
       std::chrono::milliseconds /*Timeout*/) override {
-    Asked.push_back(std::move(Step));
-    co_await Timers_.sleepFor(ResponseTime_);
+    Asked.push_back(Step);
+    AdviceRule *Rule = RuleOf ? RuleOf(Step) : nullptr;
+    co_await Timers_.sleepFor(
+        Rule == nullptr ? ResponseTime_ : queueCall(*Rule, Workers.size()));
     Advice Reply;
     for (std::string &Worker : Workers)
-      Reply.Good.push_back({.Worker = std::move(Worker), .Text = "ticket"});
+      if (Rule == nullptr || isGood(Step, Worker, Rule->GoodShare))
+        Reply.Good.push_back({.Worker = std::move(Worker), .Text = "ticket"});
     co_return Reply;
   }
 
+  /// Returns the same for each process and call.
+  static bool isGood(const std::string &Step, const std::string &Worker,
+                     double GoodShare) {
+    constexpr std::uint64_t Resolution = 10000;
+    return static_cast<double>(stableHash(Step + "@" + Worker) % Resolution) <
+           GoodShare * static_cast<double>(Resolution);
+  }
+
 private:
+  /// Returns the time until the call is answered, behind the earlier ones.
+  Clock::duration queueCall(AdviceRule &Rule, std::size_t Workers) {
+    const auto Time = std::chrono::duration_cast<Clock::duration>(
+        Rule.Policy.DecisionTime +
+        Rule.Policy.TimePerWorker * static_cast<double>(Workers));
+    BusyUntil_ = std::max(BusyUntil_, Timers_.now()) + Time;
+    ++Rule.Calls;
+    Rule.CallTime += Time;
+    return BusyUntil_ - Timers_.now();
+  }
+
   TimerService &Timers_;
   std::chrono::milliseconds ResponseTime_;
+  Clock::time_point BusyUntil_{};
 };
 
 /// Other processes of the cell, which answer only calls for advice.
--- a/Tests/Cell/FakeWorkers.h
+++ b/Tests/Cell/FakeWorkers.h
@@ -72,6 +72,13 @@
   [[nodiscard]] std::size_t running(const std::string &Id) const {
     return Workers_.at(Id).Running.size();
   }
+  /// Returns the names of the tasks that run on the worker.
+  [[nodiscard]] std::vector<std::string> tasksOn(const std::string &Id) const {
+    std::vector<std::string> Tasks;
+    for (const auto &[Name, RunState] : Workers_.at(Id).Running)
+      Tasks.push_back(Name.first);
+    return Tasks;
+  }
   [[nodiscard]] std::vector<std::string> ids() const {
     std::vector<std::string> All;
     All.reserve(Workers_.size());
