Ask for advice about a wide gang in several calls at a time

Cause: Callers saw the widest gangs late or not at all. A step had one call for advice in flight. A call of 100 workers takes about a second and names 30; a gang of 110 tasks needs 120 names before it can claim, thus four calls in turn, while its latest start in time is 2 to 4 s after its arrival. Class: calls made in turn that can go side by side. Change: A gang may have four calls in flight, each about other workers (StepAdvice::beginCall); workers in flight count as expected. Other steps keep one call, which covers them. PlacementTest, one test more. Conclusion: One cause of several.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -241,7 +241,7 @@
        {"ticketed_slots_free", Wait.TicketedFreeSlots},
        {"workers_blocked", Gangs_.workersBlockedFor(Schedulable).size()},
        {"claimed", Gangs_.hasClaim(Schedulable)},
-       {"calls_in_flight", Advice != nullptr && Advice->CallPending ? 1 : 0},
+       {"calls_in_flight", Advice == nullptr ? 0 : Advice->callsInFlight()},
        {"late", Schedulable.Rank.Late},
        {"start_in_ms", toMilliseconds(Schedulable.Rank.StartBy - Now)},
        {"age_ms", toMilliseconds(Now - Schedulable.Job->AcceptedAt)}});
@@ -268,7 +268,9 @@
   StepAdvice &Advice = Schedulable.advice();
   const AdviceCost Usual = costOf(Schedulable, TypicalWorkersAsked);
   const Clock::time_point Now = Timers_.now();
-  if (Advice.CallPending || Advice.RetryAt > Now || !Adviser_.canAsk(Usual))
+  const bool Gang = Schedulable.step().Gang;
+  if (Advice.callsInFlight() >= (Gang ? Options_.MaximumCallsPerGang : 1) ||
+      Advice.RetryAt > Now || !Adviser_.canAsk(Usual))
     return;
   const PlacementNeed Need{.Step = &Schedulable.step(), .Count = Count};
   auto Workers =
@@ -276,13 +278,15 @@
                          Now + Usual.Time + Options_.Orders.TicketMargin);
   if (Workers.empty())
     return;
-  Advice.CallPending = true;
+  Advice.beginCall(Workers);
   const AdviceCost Cost = costOf(Schedulable, Workers.size());
   AdviceCall Call{.Step = Schedulable.stepName(),
                   .Workers = std::move(Workers),
                   .Cost = Cost};
   asio::co_spawn(Executor_, runAdviceCall(Schedulable, std::move(Call)),
                  asio::detached);
+  if (Gang)
+    wake();
 }
 
 asio::awaitable<void> Dispatcher::runAdviceCall(SchedulableStep Schedulable,
@@ -302,7 +306,7 @@
                              Clock::time_point AskedAt) {
   const QueuePolicy &Queue = Schedulable.job().Queue;
   StepAdvice &Collected = Schedulable.advice();
-  Collected.CallPending = false;
+  Collected.endCall(Call.Workers);
   if (!Reply) {
     Counters_.count("advice_without_answer_total");
     Collected.RetryAt =
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -28,6 +28,9 @@
   /// Delay before a step asks for advice again after a failed call.
   std::chrono::milliseconds ShortCallRetryDelay{15};
   std::chrono::milliseconds LongCallRetryDelay{120};
+  /// Maximum number of calls in flight about one gang. A wide gang needs the
+  /// answers of several calls while the tickets of all are valid.
+  int MaximumCallsPerGang = 4;
   /// Minimum time between events about the same waiting gang.
   std::chrono::milliseconds GangWaitEventInterval{500};
 };
@@ -72,6 +75,8 @@
   /// Returns RunOrderSender::canOrder() as of the first call in this pass, as
   /// many workers share a shard.
   [[nodiscard]] bool canOrderInPass(int JobShard, int WorkerShard);
+  /// Starts a call about workers for Count tasks, unless none is needed or
+  /// possible at present. Further calls about a gang follow in later passes.
   void startAdviceCall(const SchedulableStep &Schedulable,
                        const std::vector<Candidate> &Candidates, int Count);
   /// Records why a gang that was not placed waits; does nothing for other
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -176,7 +176,9 @@
                         ExpectedSlots >= AskedSlotsFactor * Need.Count;
     const bool AskToLearn = !Advice.isGood(Id) &&
                             PotentialSlots < PotentialSlotsFactor * Need.Count;
-    const bool Useful = !HasTicket && !Enough && (Slots > 0 || AskToLearn);
+    const bool Pending = Advice.isPending(Id);
+    const bool Useful =
+        !HasTicket && !Pending && !Enough && (Slots > 0 || AskToLearn);
     const bool Ask = Useful && Asked.size() < MaximumAsked;
     // Does not depend on Ask: even if the workers known to be good fill a call,
     // the gang may need others as well.
@@ -188,9 +190,9 @@
       New.push_back(Id);
     if (Ask)
       Asked.push_back(Id);
-    if (Ask || HasTicket)
+    if (Ask || HasTicket || Pending)
       ExpectedSlots += Share * Slots;
-    if (Ask || HasTicket || Learn)
+    if (Ask || HasTicket || Learn || Pending)
       PotentialSlots += Share * Total;
   }
   if (ExpectedSlots >= Need.Count)
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -71,7 +71,8 @@
 /// the same for few and for many workers, it covers enough of them at once.
 ///
 /// Workers with a ticket that is valid until ValidUntil, a time after the
-/// expected answer, are not asked about again. For a gang, workers known to be
+/// expected answer, are not asked about again. Those in a call in flight are
+/// not either, and for a gang they count like the ones chosen here. For a gang, workers known to be
 /// good come before those without advice. For a gang that does not fit at
 /// present, only workers without advice are chosen, to learn which ones to
 /// claim; the gang's tickets are requested once it fits.
--- a/Source/Cell/StepAdvice.h
+++ b/Source/Cell/StepAdvice.h
@@ -54,10 +54,28 @@
       It->second.ValidUntil = {};
   }
 
-  bool CallPending = false;    ///< A call is in flight.
+  /// Records that a call about the workers is in flight.
+  void beginCall(const std::vector<std::string> &Workers) {
+    ++CallsInFlight_;
+    Pending_.insert(Workers.begin(), Workers.end());
+  }
+  /// Records that a call about the workers was answered or has failed.
+  void endCall(const std::vector<std::string> &Workers) {
+    --CallsInFlight_;
+    for (const std::string &Worker : Workers)
+      Pending_.erase(Worker);
+  }
+  [[nodiscard]] int callsInFlight() const { return CallsInFlight_; }
+  /// Returns true while a call about the worker is in flight.
+  [[nodiscard]] bool isPending(const std::string &Worker) const {
+    return Pending_.contains(Worker);
+  }
+
   Clock::time_point RetryAt{}; ///< Time of the next attempt to ask.
 
 private:
+  int CallsInFlight_ = 0;
+  std::unordered_set<std::string> Pending_;
   std::unordered_map<std::string, GoodWorker> Good_;
   std::unordered_set<std::string> Bad_;
 };
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(testAsksAboutOtherWorkersForTheRestOfAStep);
   CPPUNIT_TEST(testAsksAboutKnownGoodWorkersOfAWideGangFirst);
   CPPUNIT_TEST(testLearnsWhileKnownGoodWorkersDoNotFitAWideGang);
+  CPPUNIT_TEST(testSecondCallOfAWideGangAsksAboutOtherWorkers);
   CPPUNIT_TEST(testBurstOfSmallTasksLeavesCapacityForGangs);
   CPPUNIT_TEST(testDropsSuspectWorkersOnlyWhileTheyAreFew);
   CPPUNIT_TEST(testGangsPlacedAtTheSameTimeRarelyMeet);
@@ -344,6 +345,28 @@
     }
     CPPUNIT_ASSERT(2 * Started >= Gangs);
   }
+
+  // Guards against a wide gang that learns its workers in one call after the
+  // other, each of which takes as long as the gang may wait.
+  void testSecondCallOfAWideGangAsksAboutOtherWorkers() {
+    const TestWorkers Workers(std::vector<std::uint64_t>(400, 9000));
+    const StepSpec Gang = stepOf(110, 9000, true);
+    const PlacementNeed Need{.Step = &Gang, .Count = 110};
+    StepAdvice Collected;
+    std::set<std::string> Asked;
+    for (int Call = 0; Call < 3; ++Call) {
+      const auto Chosen =
+          chooseWorkersToAsk(Need, Workers.Candidates, Collected, 0.3, {});
+      CPPUNIT_ASSERT_EQUAL(std::size_t(100), Chosen.size());
+      Collected.beginCall(Chosen);
+      Asked.insert(Chosen.begin(), Chosen.end());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(300), Asked.size());
+    CPPUNIT_ASSERT_EQUAL(3, Collected.callsInFlight());
+    Collected.endCall({Asked.begin(), Asked.end()});
+    CPPUNIT_ASSERT_EQUAL(2, Collected.callsInFlight());
+    CPPUNIT_ASSERT(!Collected.isPending(*Asked.begin()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
--- a/Tests/CellScale/MixedLoadBench.h
+++ b/Tests/CellScale/MixedLoadBench.h
@@ -27,6 +27,7 @@
   bool AllWorkersGood = false;
   bool ExactEstimates = false;
   bool GangsOnly = false;
+  DispatcherOptions Dispatching;
 };
 
 /// A value with a lognormal distribution.
@@ -80,6 +81,7 @@
       : CellNodeBench(Options.Owners), Options_(Options),
         Random_(Options.Seed) {
     addQueues();
+    Environment.Dispatching = Options.Dispatching;
     Environment.Network.Latency = std::chrono::milliseconds(4);
     Environment.AdviceRuleOf = [this](const std::string &Step) {
       return &Rules_.at(queueOf(Step));
--- a/Tests/CellScale/WideGangShareTest.cpp
+++ b/Tests/CellScale/WideGangShareTest.cpp
@@ -42,6 +42,8 @@
       Options.ExactEstimates = true;
     else if (Name == "gangs-only")
       Options.GangsOnly = true;
+    else if (Name == "calls-per-gang")
+      Options.Dispatching.MaximumCallsPerGang = static_cast<int>(Number);
     else
       throw std::invalid_argument("HICKORYPICK_MIX: " + Word);
   }
