Try more peers for a call for advice, and let a process have more of them in flight

Change: A call tries 8 peers, and 12 calls of each kind may be in flight through peers. On one process more calls cost processor time; not measured apart.

--- a/Source/Cell/AdviceRouter.h
+++ b/Source/Cell/AdviceRouter.h
@@ -24,9 +24,9 @@
   AdviserChannelOptions Channel;
   /// Maximum number of calls of each kind, long and short, that peers make on
   /// behalf of this process at a time.
-  int MaximumCallsThroughPeers = 6;
+  int MaximumCallsThroughPeers = 12;
   /// Maximum number of peers tried until one has a free channel.
-  std::size_t MaximumPeersTried = 3;
+  std::size_t MaximumPeersTried = 8;
   /// Added to twice the sum of the call's estimated time and of
   /// AdviserChannelOptions::MaximumUrgentWait.
   std::chrono::milliseconds TimeoutMargin{700};
