Draw estimates of the mixed load as wrong as on the large site; fix a fake that crashed

Cause: (1) The mixed load drew estimates within a factor of 1.9. A gang whose estimate is too short counts as late before it is. (2) AdviceRouterTest crashed since: g++ 12 miscompiles a conditional with temporaries in a co_await. Change: Lognormal estimates. FakeAdviceClient computes the time of a call in a statement of its own. AdviceRouterTest: 5 tests pass.

--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -72,10 +72,10 @@
 ///
 /// Workers with a ticket that is valid until ValidUntil, a time after the
 /// expected answer, are not asked about again. Those in a call in flight are
-/// not either, and for a gang they count like the ones chosen here. For a gang, workers known to be
-/// good come before those without advice. For a gang that does not fit at
-/// present, only workers without advice are chosen, to learn which ones to
-/// claim; the gang's tickets are requested once it fits.
+/// not either, and for a gang they count like the ones chosen here. For a gang,
+/// workers known to be good come before those without advice. For a gang that
+/// does not fit at present, only workers without advice are chosen, to learn
+/// which ones to claim; the gang's tickets are requested once it fits.
 std::vector<std::string> chooseWorkersToAsk(
     const PlacementNeed &Need, const std::vector<Candidate> &Candidates,
     const StepAdvice &Advice, double GoodShare, Clock::time_point ValidUntil);
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -38,8 +38,10 @@
       std::chrono::milliseconds /*Timeout*/) override {
     Asked.push_back(Step);
     AdviceRule *Rule = RuleOf ? RuleOf(Step) : nullptr;
-    co_await Timers_.sleepFor(
-        Rule == nullptr ? ResponseTime_ : queueCall(*Rule, Workers.size()));
+    Clock::duration Time = ResponseTime_;
+    if (Rule != nullptr)
+      Time = queueCall(*Rule, Workers.size());
+    co_await Timers_.sleepFor(Time);
     Advice Reply;
     for (std::string &Worker : Workers)
       if (Rule == nullptr || isGood(Step, Worker, Rule->GoodShare))
--- a/Tests/CellScale/MixedLoadBench.h
+++ b/Tests/CellScale/MixedLoadBench.h
@@ -47,7 +47,7 @@
 struct JobShape {
   double PerSecond = 1;
   SkewedValue Steps, Tasks, Cpus, MemoryMb, Milliseconds;
-  /// Estimates are off by up to 1 plus this factor.
+  /// Standard deviation of the logarithm of estimates.
   double EstimateError = 0;
   double CheckpointingShare = 0;
   double GangShare = 0;
@@ -309,9 +309,8 @@
                                      double Error) {
     if (Options_.ExactEstimates)
       return Duration;
-    const double Bound = std::log1p(Error);
-    const double Factor = std::exp(
-        std::uniform_real_distribution<double>(-Bound, Bound)(Random_));
+    const double Factor =
+        std::lognormal_distribution<double>(0, Error)(Random_);
     return std::chrono::milliseconds(static_cast<std::int64_t>(
         static_cast<double>(Duration.count()) * Factor));
   }
