--- a/Source/Cell/GangWait.h
+++ b/Source/Cell/GangWait.h
@@ -2,8 +2,6 @@
 
 #include "Cell/Placement.h"
 
-#include <optional>
-
 namespace hickory {
 
 /// What a waiting gang still needs.
