--- a/review/rig/Cases.cpp
+++ b/review/rig/Cases.cpp
@@ -38,11 +38,13 @@
   Rig &Rig_;
 };
 
-// --- 1: LOST ----------------------------------------------------------------
+// --- 5: LOST ----------------------------------------------------------------
 
-/// Executors crash while a task has just started on them. No run fails.
+/// Executors crash while a task has just started on them. No run fails. The
+/// last two jobs last until they are cancelled.
 asio::awaitable<void> crashes(Rig &Played) {
   constexpr int Rounds = 5;
+  constexpr int Lasting = 2;
   std::map<std::string, int> CrashesLeft;
   Played.OnStarted = [&](Executor &Where, const std::string &Task, int) {
     const auto It = CrashesLeft.find(jobOf(Task));
@@ -61,22 +63,28 @@
   };
   for (int Round = 0; Round < Rounds; ++Round) {
     const std::string Id = jobId(Round);
+    const bool Lasts = Round >= Rounds - Lasting;
+    const std::string Expected = Lasts ? "running" : "completed";
     CrashesLeft[Id] = 2;
-    if (!co_await Played.submit(Id, oneStep(1, 2000, 2000)))
+    json Job = oneStep(1, 2000, Lasts ? 60000 : 2000);
+    if (Lasts)
+      Job["steps"][0]["long-running"] = true;
+    if (!co_await Played.submit(Id, Job))
       continue;
     std::string State;
-    for (int Try = 0; Try < 20; ++Try) {
+    for (int Try = 0; Try < 16; ++Try) {
       co_await Played.Timers.sleepFor(500ms);
       State = co_await Played.stateOf(Id);
-      if (State == "completed" || State == "failed")
+      if (State == "failed" || (!Lasts && State == Expected))
         break;
     }
-    if (State != "completed")
-      Played.violation("LOST", {{"job", Id}, {"shown_as", State}});
+    if (State != Expected)
+      Played.violation("LOST",
+                       {{"job", Id}, {"shown_as", State}, {"lasts", Lasts}});
   }
 }
 
-// --- 2: ROUTE ---------------------------------------------------------------
+// --- 3: ROUTE ---------------------------------------------------------------
 
 /// Executors start again under their ids, at once, and are of another kind.
 asio::awaitable<void> otherKind(Rig &Played) {
@@ -127,7 +135,7 @@
   co_await Played.Timers.sleepFor(3s);
 }
 
-// --- 3: TWICE ---------------------------------------------------------------
+// --- 2: TWICE ---------------------------------------------------------------
 
 /// An executor drains, and is cut off for 5.5 s with its work.
 asio::awaitable<void> drainAndCut(Rig &Played) {
@@ -164,7 +172,7 @@
   }
 }
 
-// --- 4: LOST ----------------------------------------------------------------
+// --- 1: LOST ----------------------------------------------------------------
 
 /// An executor starts again under its id. Later, its region and that of the
 /// machines lose each other for 12 s.
