--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -529,9 +529,10 @@
 }
 
 void Rig::stop() {
-  for (const Cell &Each : Cells) {
+  for (const Cell &Each : Cells)
     Each.Process->terminate();
-    if (!Each.Process->exitsWithin(7s))
+  for (const Cell &Each : Cells) {
+    if (!Each.Process->exitsWithin(3s))
       ::kill(Each.Process->id(), SIGKILL);
   }
   Cells.clear();
