--- a/review/rig/Cases.cpp
+++ b/review/rig/Cases.cpp
@@ -128,26 +128,26 @@
 
 // --- 1: LOST ----------------------------------------------------------------
 
-/// An executor starts again under its id. Later, its region and that of the
-/// machines lose each other for 12 s.
+/// An executor starts again under its id. Later, the switch of its rack is down
+/// for 12 s.
 asio::awaitable<void> sameIdAndCut(Rig &Played) {
   const ShardMap Map(24);
   const auto Epochs = Played.heldEpochs();
   std::uint64_t Latest = 0;
   for (const auto &[Shard, Epoch] : Epochs)
     Latest = std::max(Latest, Epoch);
-  // The executors of the other region; the first one is in a shard that has
-  // been dealt out in the latest generation, as is the case for a third of all
-  // ids or more.
-  std::vector<Executor *> Remote;
-  for (int Number = 0; Remote.size() < 4; ++Number) {
+  // The executors of one more rack; the first one is in a shard that has been
+  // dealt out in the latest generation, as is the case for a third of all ids
+  // or more.
+  std::vector<Executor *> Rack;
+  for (int Number = 0; Rack.size() < 8; ++Number) {
     const std::string Id = fmt::format("m{:03}", Number);
     const auto It = Epochs.find(Map.shardOf(Id));
-    if (Remote.empty() && (It == Epochs.end() || It->second != Latest))
+    if (Rack.empty() && (It == Epochs.end() || It->second != Latest))
       continue;
-    Remote.push_back(&Played.add(Id, "a", "midrand-a"));
+    Rack.push_back(&Played.add(Id, "a"));
   }
-  Executor &Subject = *Remote.front();
+  Executor &Subject = *Rack.front();
   const int Shard = Map.shardOf(Subject.id());
   Played.record({{"event", "subject"},
                  {"executor", Subject.id()},
@@ -193,12 +193,12 @@
     co_await Played.Timers.sleepFor(DownTime);
     Subject.startAgain(Subject.kind());
     co_await Played.Timers.sleepFor(6s);
-    for (Executor *Each : Remote)
+    for (Executor *Each : Rack)
       Each->cut(true);
     co_await Played.Timers.sleepFor(9s);
     co_await SubmitLongJobs();
     co_await Played.Timers.sleepFor(3s);
-    for (Executor *Each : Remote)
+    for (Executor *Each : Rack)
       Each->heal();
   } else {
     co_await Played.Timers.sleepFor(DownTime + 15s);
@@ -259,6 +259,8 @@
     return 2;
   }
   review::Options Given{.Folder = Values[2]};
+  if (std::string(Values[1]) == "same-id-and-cut")
+    Given.Executors = 40;
   const char *Trouble = std::getenv("TROUBLE");
   Given.Trouble = Trouble == nullptr || std::string(Trouble) != "0";
   int Status = 2;
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -26,11 +26,9 @@
 
 // --- Executor ---------------------------------------------------------------
 
-Executor::Executor(Rig &Owner, std::string Id, int Index, std::string Kind,
-                   std::string Zone)
+Executor::Executor(Rig &Owner, std::string Id, int Index, std::string Kind)
     : Rig_(Owner), Id_(std::move(Id)), Index_(Index), Kind_(std::move(Kind)),
-      Zone_(std::move(Zone)), Born_(wallMicroseconds() / 1000),
-      ClockStart_(Owner.Timers.now()) {
+      Born_(wallMicroseconds() / 1000), ClockStart_(Owner.Timers.now()) {
   Server_ = std::make_unique<StandInServer>(
       Owner.Context, 0, [this](StandInServer::Request Incoming) {
         return handle(std::move(Incoming));
@@ -73,7 +71,7 @@
   const json Entry = {
       {"service", "crackline-ops"},
       {"address", Server_->address()},
-      {"zone", Zone_},
+      {"zone", "paarl-a"},
       {"version", "1"},
       {"slots", 8},
       {"state", Draining_ ? "draining" : "ready"},
@@ -431,7 +429,7 @@
       {"limits", json::object()}};
   Store->putRecord("keyed.op", "config", Configuration.dump());
   for (int I = 0; I < Settings.Executors; ++I)
-    add(fmt::format("x{:02}", I), I % 2 == 0 ? "a" : "b", "paarl-a");
+    add(fmt::format("x{:02}", I), I % 2 == 0 ? "a" : "b");
   int NextAddress = static_cast<int>(::getpid()) * 16 % 40000;
   for (int I = 0; I < Settings.Instances; ++I) {
     const auto Free = emulator::findAddress(Context, NextAddress);
@@ -521,10 +519,10 @@
   co_return false;
 }
 
-Executor &Rig::add(std::string Id, std::string Kind, std::string Zone) {
+Executor &Rig::add(std::string Id, std::string Kind) {
   Executors.push_back(std::make_unique<Executor>(
-      *this, std::move(Id), static_cast<int>(Executors.size()), std::move(Kind),
-      std::move(Zone)));
+      *this, std::move(Id), static_cast<int>(Executors.size()),
+      std::move(Kind)));
   return *Executors.back();
 }
 
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -37,8 +37,7 @@
 /// start (`admission-check` is false).
 class Executor {
 public:
-  Executor(Rig &Owner, std::string Id, int Index, std::string Kind,
-           std::string Zone);
+  Executor(Rig &Owner, std::string Id, int Index, std::string Kind);
 
   /// The process ends: its connections break, its runs and all that it knows
   /// are gone.
@@ -100,7 +99,6 @@
   std::string Id_;
   int Index_;
   std::string Kind_;
-  std::string Zone_;
   bool Up_ = true;
   bool Cut_ = false;
   bool SilentCut_ = false;
@@ -149,7 +147,7 @@
   asio::awaitable<bool> start();
   void stop();
   /// Adds an executor.
-  Executor &add(std::string Id, std::string Kind, std::string Zone);
+  Executor &add(std::string Id, std::string Kind);
 
   struct HttpAnswer {
     int Status = 0; ///< 0: no answer.
