--- a/review/rig/Cases.cpp
+++ b/review/rig/Cases.cpp
@@ -261,6 +261,8 @@
   review::Options Given{.Folder = Values[2]};
   if (std::string(Values[1]) == "same-id-and-cut")
     Given.Executors = 40;
+  if (std::string(Values[1]) == "drain-and-cut")
+    Given.Executors = 16;
   const char *Trouble = std::getenv("TROUBLE");
   Given.Trouble = Trouble == nullptr || std::string(Trouble) != "0";
   int Status = 2;
