--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -47,6 +47,7 @@
   /// Cuts the executor off from the machines and from the store; it runs on.
   /// Silent: calls get no answer. Otherwise connections are refused.
   void cut(bool Silent);
+  /// The next heartbeat comes when it is due.
   void heal();
   /// Reports `draining`; the executor runs on and takes what it is given.
   void drain();
