Tell a silent store from a slow transfer

Each failed read doubled the time for the next one, up to 8 s, for large records on slow links; a time-out without a byte counted as such a transfer. A read sent near the end of the outage was waited for 4.7 s although the store answered again. Change: HttpClientRequest::IdleTimeout limits the time without a byte, apart from the limit on the whole call. Reads of the store and of the relay are given up after 1 s of silence beyond the wait, and a transfer that goes on has 8 s. After a failed read the store answers at once. Two tests of KeyedFollowerTest said silence by a transfer of an hour, and now say silence.

--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::string_view PathPrefix = "/cell/";
 constexpr std::chrono::milliseconds ShortTimeout{1000};
+/// For a transfer of many records that goes on.
+constexpr std::chrono::milliseconds TransferTimeout{8000};
 /// Added to twice the time that the adviser needs for a call.
 constexpr std::chrono::milliseconds AdviceMargin{700};
 /// Short, as the caller does not join the group meanwhile.
@@ -50,8 +52,8 @@
                                                   false};
 const HttpCellPeer::CallKind HttpCellPeer::RemoveMember{"relieve",
                                                         RemovalTimeout, true};
-const HttpCellPeer::CallKind HttpCellPeer::RelayRecords{"records", ShortTimeout,
-                                                        true};
+const HttpCellPeer::CallKind HttpCellPeer::RelayRecords{
+    "records", TransferTimeout, true, ShortTimeout};
 const HttpCellPeer::CallKind HttpCellPeer::Submit{"submit", WriteTimeout,
                                                   false};
 const HttpCellPeer::CallKind HttpCellPeer::State{"state", WriteTimeout, true};
@@ -64,6 +66,7 @@
                                    std::string(PathPrefix) + Kind.Name,
                             .Body = std::move(Body),
                             .Timeout = Kind.Timeout,
+                            .IdleTimeout = Kind.IdleTimeout,
                             .MayResend = Kind.MayResend};
   auto Reply = co_await Client_.send(std::move(Request));
   if (!Reply)
@@ -142,6 +145,7 @@
     co_return co_await Local_->relayRecords(Request);
   CallKind Kind = RelayRecords;
   Kind.Timeout += std::chrono::milliseconds(Request.WaitMs);
+  Kind.IdleTimeout += std::chrono::milliseconds(Request.WaitMs);
   co_return co_await send<RecordsReply>(std::move(Address), Kind,
                                         json(Request));
 }
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -44,6 +44,8 @@
     const char *Name;
     std::chrono::milliseconds Timeout;
     bool MayResend; ///< See HttpClientRequest.
+    /// See HttpClientRequest; 0: only Timeout holds.
+    std::chrono::milliseconds IdleTimeout{0};
   };
   static const CallKind Place;
   static const CallKind Stop;
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -16,8 +16,7 @@
                              EventLog &Events, KeyedFollowerOptions Options,
                              ChangeCallback OnChange)
     : Timers_(Timers), Store_(Store), Events_(Events),
-      Options_(std::move(Options)), OnChange_(std::move(OnChange)),
-      TransferTime_(Options_.TransferTime) {}
+      Options_(std::move(Options)), OnChange_(std::move(OnChange)) {}
 
 asio::awaitable<Result<void>> KeyedFollower::run() {
   while (!Stopping_) {
@@ -65,12 +64,13 @@
 
 asio::awaitable<bool> KeyedFollower::readStore() {
   const bool Read = Positioned_ ? co_await readTail() : co_await readNewest();
-  TransferTime_ =
-      Read ? Options_.TransferTime
-           : std::min(2 * TransferTime_, Options_.LongestTransferTime);
   co_return Read;
 }
 
+std::chrono::milliseconds KeyedFollower::pollWait() const {
+  return Reachable_ ? Options_.PollWait : std::chrono::milliseconds(0);
+}
+
 asio::awaitable<bool> KeyedFollower::readNewest() {
   std::vector<KeyedRecord> Records;
   std::string After;
@@ -78,8 +78,8 @@
   bool First = true;
   const Clock::time_point SentAt = Timers_.now();
   while (true) {
-    auto Page =
-        co_await Store_.readNewest(Options_.Topic, Options_.Partition, After);
+    auto Page = co_await Store_.readNewest(Options_.Topic, Options_.Partition,
+                                           After, Options_.ReadLimits);
     if (!Page)
       co_return false;
     // The pages are not one snapshot: readTail() reads again what has changed
@@ -110,9 +110,9 @@
 
 asio::awaitable<bool> KeyedFollower::readTail() {
   const Clock::time_point SentAt = Timers_.now();
-  auto Page =
-      co_await Store_.readTail(Options_.Topic, Options_.Partition, NextOffset_,
-                               Options_.PollWait, TransferTime_);
+  const std::chrono::milliseconds Wait = pollWait();
+  auto Page = co_await Store_.readTail(Options_.Topic, Options_.Partition,
+                                       NextOffset_, Wait, Options_.ReadLimits);
   if (!Page)
     co_return false;
   if (Page->Expired) {
@@ -122,7 +122,7 @@
   NextOffset_ = Page->NextOffset;
   // Without records, the store has waited for them.
   if (Page->NextOffset >= Page->EndOffset)
-    CurrentAt_ = Page->Records.empty() ? SentAt + Options_.PollWait : SentAt;
+    CurrentAt_ = Page->Records.empty() ? SentAt + Wait : SentAt;
   const auto Changed = apply(std::move(Page->Records));
   if (!Changed.empty())
     OnChange_(Values_, Changed);
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -32,10 +32,9 @@
   std::chrono::milliseconds PollWait{1500};
   /// Pause between two reads, so that many changes cost few calls.
   std::chrono::milliseconds ReadPause{300};
-  /// Time allowed for the transfer of records. It doubles, up to the longest,
-  /// after each call that fails, as many large records may be on a slow link.
-  std::chrono::milliseconds TransferTime{1000};
-  std::chrono::milliseconds LongestTransferTime{8000};
+  /// A read is given up after a short silence, however large the records are
+  /// that are being transferred.
+  TransferLimits ReadLimits;
   /// Records are relayed to other processes until this time after the store was
   /// last known to have no further ones.
   std::chrono::milliseconds RelayedFor{2200};
@@ -75,6 +74,9 @@
   asio::awaitable<bool> readStore();
   asio::awaitable<bool> readNewest();
   asio::awaitable<bool> readTail();
+  /// Returns the time that the store may wait for new records. After a failure
+  /// it answers at once, so that its return is noticed soon.
+  [[nodiscard]] std::chrono::milliseconds pollWait() const;
   std::set<std::string> apply(std::vector<KeyedRecord> Records);
   [[nodiscard]] bool isCurrent() const;
 
@@ -86,7 +88,6 @@
   std::map<std::string, std::string> Values_;
   std::map<std::string, std::uint64_t> Offsets_; ///< Of the values, by key.
   std::uint64_t NextOffset_ = 0;
-  std::chrono::milliseconds TransferTime_;
   /// Time at which the store had no further records.
   std::optional<Clock::time_point> CurrentAt_;
   bool Positioned_ = false; ///< NextOffset_ continues what was read.
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -70,8 +70,8 @@
   std::vector<KeyedRecord> All;
   std::string After;
   while (!Stopped_) {
-    auto Page =
-        co_await Store_.readNewest(Options_.Topic, Options_.Shard, After);
+    auto Page = co_await Store_.readNewest(Options_.Topic, Options_.Shard,
+                                           After, Options_.ReadLimits);
     if (!Page)
       co_return std::nullopt;
     for (KeyedRecord &Record : Page->Records)
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -34,6 +34,7 @@
   /// response costs little time and a slow one is still received.
   std::chrono::milliseconds FirstTimeout{400};
   std::chrono::milliseconds LongestTimeout{1600};
+  TransferLimits ReadLimits; ///< For each page of the records.
   /// Writes are added to a batch until it has at least this size, so that the
   /// last one may exceed it.
   std::size_t MaximumBatchBytes = 256U << 10U;
--- a/Source/Cell/StoreClient.h
+++ b/Source/Cell/StoreClient.h
@@ -63,6 +63,14 @@
   std::string Member;
 };
 
+/// Limits on a read whose size is not known in advance.
+struct TransferLimits {
+  /// Time without a byte after which the store is taken to be silent.
+  std::chrono::milliseconds Idle{1000};
+  /// Time for a whole transfer that goes on.
+  std::chrono::milliseconds Total{8000};
+};
+
 /// The calls of the platform's store that the cell uses. After an error the
 /// effect of a call is unknown unless the error says that it had none.
 class StoreClient {
@@ -76,14 +84,14 @@
          AppendStamp Stamp, std::chrono::milliseconds Timeout) = 0;
   /// Reads one page of the newest record of each key, beginning after AfterKey.
   virtual asio::awaitable<Result<NewestPage>>
-  readNewest(std::string Topic, int Partition, std::string AfterKey) = 0;
+  readNewest(std::string Topic, int Partition, std::string AfterKey,
+             TransferLimits Limits) = 0;
   /// Reads records from the offset From on, and waits up to Wait if there are
   /// none. Returns no records if none arrived, and Expired if the store no
-  /// longer has all of them. The call times out TransferTime after Wait.
+  /// longer has all of them. The limits count from the end of Wait.
   virtual asio::awaitable<Result<TailPage>>
   readTail(std::string Topic, int Partition, std::uint64_t From,
-           std::chrono::milliseconds Wait,
-           std::chrono::milliseconds TransferTime) = 0;
+           std::chrono::milliseconds Wait, TransferLimits Limits) = 0;
   /// Joins, or renews the membership in, the group that assigns the partitions
   /// of the topic to its members. The membership ends TimeToLive after the
   /// latest join. Generation is that of the caller's previous reply, or 0.
--- a/Source/Http/CurlHttpClient.cpp
+++ b/Source/Http/CurlHttpClient.cpp
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 #include <functional>
 #include <glog/logging.h>
+#include <optional>
 #include <unordered_map>
 
 namespace hickory {
@@ -25,6 +26,10 @@
   HttpClientResponse Response;
   Completion Done;
   bool SendStarted = false; ///< The request may have been sent.
+  /// Time of the latest byte of the response, or of the start.
+  std::chrono::steady_clock::time_point LastByteAt =
+      std::chrono::steady_clock::now();
+  std::optional<asio::steady_timer> IdleTimer; ///< For IdleTimeout.
 
   ~Transfer() {
     curl_slist_free_all(Headers);
@@ -34,7 +39,9 @@
 
 std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
                        void *User) {
-  static_cast<Transfer *>(User)->Response.Body.append(Data, Size * Count);
+  auto *Current = static_cast<Transfer *>(User);
+  Current->LastByteAt = std::chrono::steady_clock::now();
+  Current->Response.Body.append(Data, Size * Count);
   return Size * Count;
 }
 
@@ -42,6 +49,7 @@
                        void *User) {
   constexpr std::string_view Name = "retry-after:";
   const std::string_view Line(Data, Size * Count);
+  static_cast<Transfer *>(User)->LastByteAt = std::chrono::steady_clock::now();
   if (Line.size() > Name.size() &&
       curl_strnequal(Line.data(), Name.data(), Name.size()) != 0) {
     const std::string Value(Line.substr(Name.size()));
@@ -141,6 +149,10 @@
                      static_cast<long>(Current.Request.Timeout.count()));
     Transfers_.emplace(Easy, std::move(Active));
     curl_multi_add_handle(Multi_, Easy);
+    if (Current.Request.IdleTimeout.count() > 0) {
+      Current.IdleTimer.emplace(Context_);
+      armIdleTimer(Easy, Current);
+    }
   }
 
 private:
@@ -229,24 +241,51 @@
     });
   }
 
+  void armIdleTimer(CURL *Easy, Transfer &Current) {
+    Current.IdleTimer->expires_at(Current.LastByteAt +
+                                  Current.Request.IdleTimeout);
+    // The timer is destroyed, and its wait cancelled, with the transfer.
+    Current.IdleTimer->async_wait(
+        [Self = weak_from_this(), Easy](const std::error_code &Code) {
+          auto Alive = Self.lock();
+          if (!Code && Alive && !Alive->Closed_)
+            Alive->checkIdle(Easy);
+        });
+  }
+
+  /// Fails the transfer if no byte has arrived for its IdleTimeout.
+  void checkIdle(CURL *Easy) {
+    const auto It = Transfers_.find(Easy);
+    if (It == Transfers_.end())
+      return;
+    Transfer &Current = *It->second;
+    if (std::chrono::steady_clock::now() <
+        Current.LastByteAt + Current.Request.IdleTimeout)
+      armIdleTimer(Easy, Current);
+    else
+      finishTransfer(Easy, CURLE_OPERATION_TIMEDOUT);
+  }
+
+  void finishTransfer(CURL *Easy, CURLcode Code) {
+    const auto It = Transfers_.find(Easy);
+    CHECK(It != Transfers_.end());
+    std::unique_ptr<Transfer> Active = std::move(It->second);
+    Transfers_.erase(It);
+    Result<HttpClientResponse> Outcome = resultOf(*Active, Code);
+    curl_multi_remove_handle(Multi_, Easy);
+    // Posted, so that the handler may call the client again.
+    asio::post(Context_, [Done = std::move(Active->Done),
+                          Outcome = std::move(Outcome)]() mutable {
+      Done(std::move(Outcome));
+    });
+  }
+
   void finishCompletedTransfers() {
     int Remaining = 0;
     while (CURLMsg *Message = curl_multi_info_read(Multi_, &Remaining)) {
       if (Message->msg != CURLMSG_DONE)
         continue;
-      CURL *Easy = Message->easy_handle;
-      const CURLcode Code = Message->data.result;
-      const auto It = Transfers_.find(Easy);
-      CHECK(It != Transfers_.end());
-      std::unique_ptr<Transfer> Active = std::move(It->second);
-      Transfers_.erase(It);
-      Result<HttpClientResponse> Outcome = resultOf(*Active, Code);
-      curl_multi_remove_handle(Multi_, Easy);
-      // Posted, so that the handler may call the client again.
-      asio::post(Context_, [Done = std::move(Active->Done),
-                            Outcome = std::move(Outcome)]() mutable {
-        Done(std::move(Outcome));
-      });
+      finishTransfer(Message->easy_handle, Message->data.result);
     }
   }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -16,6 +16,10 @@
   std::string Body;
   std::string ContentType = "application/json";
   std::chrono::milliseconds Timeout{2000};
+  /// Limit on the time without a byte of the response, before the first one and
+  /// between two; 0: only Timeout holds. It tells a server that is silent from
+  /// a transfer that is slow.
+  std::chrono::milliseconds IdleTimeout{0};
   /// Allows the client to resend the request by itself if a kept-alive
   /// connection closes without a response. The response then belongs to the
   /// last copy only: an error does not prove that an earlier copy had no
--- a/Tests/Cell/FakeGroupStore.h
+++ b/Tests/Cell/FakeGroupStore.h
@@ -270,7 +270,8 @@
         });
   }
   asio::awaitable<Result<NewestPage>>
-  readNewest(std::string Topic, int Partition, std::string AfterKey) override {
+  readNewest(std::string Topic, int Partition, std::string AfterKey,
+             TransferLimits /*Limits*/) override {
     return call<NewestPage>(
         "newest", ReadTimeout, [this, Topic, Partition, AfterKey] {
           return Store_.readNewest(Topic, Partition, AfterKey);
@@ -278,8 +279,7 @@
   }
   asio::awaitable<Result<TailPage>>
   readTail(std::string Topic, int Partition, std::uint64_t From,
-           std::chrono::milliseconds Wait,
-           std::chrono::milliseconds /*TransferTime*/) override {
+           std::chrono::milliseconds Wait, TransferLimits /*Limits*/) override {
     const Clock::time_point End = Timers_.now() + Wait;
     while (Timers_.now() < End &&
            Store_.readTail(Topic, Partition, From).EndOffset <= From)
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -41,6 +41,7 @@
   /// Records that readTail() returns, for all topics and partitions.
   std::vector<KeyedRecord> Tail;
   std::chrono::milliseconds TailTime{4}; ///< Time that a transfer takes.
+  bool TailSilent = false;               ///< No byte of a read arrives.
   int LostJoins = 0; ///< Number of next joins without a response.
   std::vector<Clock::time_point> JoinedAt;
 
@@ -104,7 +105,8 @@
   }
 
   asio::awaitable<Result<NewestPage>>
-  readNewest(std::string /*Topic*/, int Number, std::string AfterKey) override {
+  readNewest(std::string /*Topic*/, int Number, std::string AfterKey,
+             TransferLimits /*Limits*/) override {
     ++NewestReads;
     co_await Timers_.sleepFor(std::chrono::milliseconds(4));
     // Pages of two records, so that tests cover the reading of several pages.
@@ -121,13 +123,14 @@
     co_return Page;
   }
 
-  asio::awaitable<Result<TailPage>>
-  readTail(std::string /*Topic*/, int /*Number*/, std::uint64_t From,
-           std::chrono::milliseconds Wait,
-           std::chrono::milliseconds TransferTime) override {
+  asio::awaitable<Result<TailPage>> readTail(std::string /*Topic*/,
+                                             int /*Number*/, std::uint64_t From,
+                                             std::chrono::milliseconds Wait,
+                                             TransferLimits Limits) override {
     ++TailReads;
-    if (TailTime > TransferTime) {
-      co_await Timers_.sleepFor(Wait + TransferTime);
+    if (TailSilent || TailTime > Limits.Total) {
+      co_await Timers_.sleepFor(Wait +
+                                (TailSilent ? Limits.Idle : Limits.Total));
       co_return fail(ErrorCode::Timeout, "no answer");
     }
     co_await Timers_.sleepFor(TailTime);
--- a/Tests/Cell/KeyedFollowerTest.cpp
+++ b/Tests/Cell/KeyedFollowerTest.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(testDeletedKeyIsDeletedAtTheHelper);
   CPPUNIT_TEST(testFailedReadIsNotFollowedByAReadOfAllKeys);
   CPPUNIT_TEST(testLargeRecordOnASlowLinkIsReadInTheEnd);
+  CPPUNIT_TEST(testRecordAfterASilentOutageIsReadSoon);
   CPPUNIT_TEST(testRelayGoesOnToAnotherOwnerAfterAFailure);
   CPPUNIT_TEST_SUITE_END();
 
@@ -97,14 +98,14 @@
     FollowerBench Bench;
     Bench.append("config", "1");
     Bench.run(1500ms);
-    Bench.OwnerStore.TailTime = 1h;
+    Bench.OwnerStore.TailSilent = true;
     // The owner's present read ends.
     Bench.run(1s);
     Bench.append("config", "2");
     Bench.run(3s);
     CPPUNIT_ASSERT_EQUAL(std::string("2"), Bench.HelperValues["config"]);
     CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
-    Bench.OwnerStore.TailTime = 4ms;
+    Bench.OwnerStore.TailSilent = false;
     Bench.Relay.Reachable = false;
     Bench.append("config", "3");
     Bench.run(1500ms);
@@ -129,10 +130,10 @@
   void testFailedReadIsNotFollowedByAReadOfAllKeys() {
     FollowerBench Bench;
     const int Before = Bench.OwnerStore.NewestReads;
-    Bench.OwnerStore.TailTime = 1h;
+    Bench.OwnerStore.TailSilent = true;
     Bench.run(10s);
     Bench.append("config", "1");
-    Bench.OwnerStore.TailTime = 4ms;
+    Bench.OwnerStore.TailSilent = false;
     Bench.run(10s);
     CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
     CPPUNIT_ASSERT_EQUAL(Before, Bench.OwnerStore.NewestReads);
@@ -148,6 +149,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.OwnerValues["config"]);
   }
 
+  // Guards against a configuration that takes effect late: a read without an
+  // answer counted as a slow transfer, so that the next one waited for seconds
+  // although the store answered again.
+  void testRecordAfterASilentOutageIsReadSoon() {
+    for (std::chrono::milliseconds Outage = 500ms; Outage <= 9500ms;
+         Outage += 250ms) {
+      FollowerBench Bench;
+      Bench.OwnerStore.TailSilent = true;
+      Bench.run(Outage);
+      Bench.OwnerStore.TailSilent = false;
+      Bench.append("config", "1");
+      Bench.run(2s);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(Outage.count()),
+                                   std::string("1"),
+                                   Bench.OwnerValues["config"]);
+    }
+  }
+
   // Guards against a helper that keeps asking an owner that does not answer.
   void testRelayGoesOnToAnotherOwnerAfterAFailure() {
     CellTestBench Bench;
--- a/Tests/Http/HttpLimitsTest.cpp
+++ b/Tests/Http/HttpLimitsTest.cpp
@@ -4,9 +4,12 @@
 #include "Base/AsioTimerService.h"
 #include "Support/RunCoroutine.h"
 
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -60,6 +63,8 @@
   CPPUNIT_TEST(oversizedUrlDoesNotReachHandler);
   CPPUNIT_TEST(slowResponseIsReportedAsTimeout);
   CPPUNIT_TEST(silentServerIsReportedAsTimeout);
+  CPPUNIT_TEST(silenceEndsACallBeforeItsTimeout);
+  CPPUNIT_TEST(slowTransferGoesOnBeyondTheIdleTimeout);
   CPPUNIT_TEST(idleConnectionIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +118,51 @@
     CPPUNIT_ASSERT(!Response && Response.error().Code == ErrorCode::Timeout);
   }
 
+  // Guards against a caller that waits for a silent server as long as for a
+  // large response.
+  void silenceEndsACallBeforeItsTimeout() {
+    HttpFixture Setup;
+    HttpClientRequest Request{
+        .Url = fmt::format("http://127.0.0.1:{}/slow", Setup.Server.port()),
+        .Timeout = 1h,
+        .IdleTimeout = 100ms};
+    const auto Response =
+        runCoroutine(Setup.Context, Setup.Client.send(std::move(Request)));
+    CPPUNIT_ASSERT(!Response && Response.error().Code == ErrorCode::Timeout);
+    CPPUNIT_ASSERT(!Response.error().hadNoEffect());
+  }
+
+  // Guards against a large response that is given up although it goes on.
+  void slowTransferGoesOnBeyondTheIdleTimeout() {
+    HttpFixture Setup;
+    asio::ip::tcp::acceptor Slow(
+        Setup.Context,
+        asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    constexpr int Pieces = 10;
+    asio::co_spawn(
+        Setup.Context,
+        [&]() -> asio::awaitable<void> {
+          auto Peer = co_await Slow.async_accept(asio::use_awaitable);
+          std::string Text = fmt::format(
+              "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", Pieces);
+          for (int I = 0; I < Pieces; ++I) {
+            Text += 'x';
+            co_await asio::async_write(Peer, asio::buffer(Text),
+                                       asio::use_awaitable);
+            Text.clear();
+            co_await Setup.Timers.sleepFor(100ms);
+          }
+        },
+        asio::detached);
+    HttpClientRequest Request{.Url = fmt::format("http://127.0.0.1:{}/",
+                                                 Slow.local_endpoint().port()),
+                              .Timeout = 20s,
+                              .IdleTimeout = 700ms};
+    const auto Response =
+        runCoroutine(Setup.Context, Setup.Client.send(std::move(Request)));
+    CPPUNIT_ASSERT(Response && Response->Body == std::string(Pieces, 'x'));
+  }
+
   // Guards against connections that stay open forever without a request.
   void idleConnectionIsClosed() {
     HttpServerOptions Options;
--- a/Tests/Platform/PlatformCallsTest.cpp
+++ b/Tests/Platform/PlatformCallsTest.cpp
@@ -112,7 +112,8 @@
             Bench.call(Bench.Workers.heartbeat(ResetBench::worker(), 1, {}));
         CPPUNIT_ASSERT(!Heartbeat || Heartbeat->Status != OrderStatus::Ok);
         Bench.call(Bench.Stored.append("topic", 0, {}, {}, 400ms));
-        CPPUNIT_ASSERT(!Bench.call(Bench.Stored.readNewest("topic", 0, "")));
+        CPPUNIT_ASSERT(
+            !Bench.call(Bench.Stored.readNewest("topic", 0, "", {})));
         CPPUNIT_ASSERT(
             !Bench.call(Bench.Stored.join("g", "m", "t", 1200ms, 0, 300ms)));
         Bench.call(Bench.Stored.listHolders("g"));
@@ -150,7 +151,7 @@
     }
     ResetBench Bench;
     Serve(Bench, R"({"items":[],"has-more":false,"end":1e300})");
-    CPPUNIT_ASSERT(!Bench.call(Bench.Stored.readNewest("topic", 0, "")));
+    CPPUNIT_ASSERT(!Bench.call(Bench.Stored.readNewest("topic", 0, "", {})));
   }
 
   // Guards against a record that no process can read and that keeps each of
@@ -165,7 +166,7 @@
                      {"key":"b","value":"***"},{"key":"c","value":"e30="}],
                      "end":5})"};
     });
-    const auto Page = Bench.call(Bench.Stored.readNewest("topic", 0, ""));
+    const auto Page = Bench.call(Bench.Stored.readNewest("topic", 0, "", {}));
     CPPUNIT_ASSERT(Page);
     CPPUNIT_ASSERT_EQUAL(std::string("c"), Page->Records.back().Key);
     CPPUNIT_ASSERT_EQUAL(std::string("{}"), *Page->Records.back().Value);
