Take a refused fencing token for no proof of a later holder

Its agent was removed and added again within the epoch, and began with a lower token, which the executor refused. The refusal was taken for a later holder: the shard was given up, and not taken again in the same generation. Change: What must not begin anew within a term (incarnations seen, tombstones of runs) outlives the agent. If there is no later holder, the next token is tried. Refused starts and stops, which gave the shard up in the same way, wait for that. Conclusion: A shard is given up only for what the store proves: a fenced append, or a later epoch of a process that has it from the group.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -80,7 +80,7 @@
   Jobs_.onWorkerRecorded([this](int Shard, const std::string &Worker) {
     Pool_.markRecorded(Shard, Worker);
   });
-  Pool_.onFenced([this](int Shard) { Shards_.handleFenced(Shard); });
+  Pool_.onFenced([this](int /*Shard*/) { Shards_.requestJoin(); });
   Pool_.setOwnershipCheck([this](int Shard, std::uint64_t Epoch) {
     return Jobs_.confirmOwnership(Shard, Epoch);
   });
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -129,10 +129,8 @@
       continue;
     }
     if (Reply->Status == OrderStatus::Fenced) {
-      Events_.emit("workers", "fenced",
-                   {{"worker", Entry_.Id}, {"token", fencingToken()}});
-      Listener_.Fenced();
-      co_return;
+      co_await resolveFence();
+      continue;
     }
     if (Reply->Status == OrderStatus::WrongWorker) {
       // Another worker answers at the address, so that this one no longer
@@ -165,6 +163,21 @@
   }
 }
 
+asio::awaitable<void> WorkerAgent::resolveFence() {
+  Events_.emit("workers", "fenced",
+               {{"worker", Entry_.Id}, {"token", fencingToken()}});
+  Reachable_ = false;
+  Listener_.Fenced();
+  while (!Stopping_) {
+    const bool Confirmed = co_await Listener_.ConfirmOwnership();
+    if (Confirmed && !Stopping_)
+      ++IncarnationsSeen_;
+    co_await Timers_.sleepFor(RetryDelay);
+    if (Confirmed)
+      co_return;
+  }
+}
+
 asio::awaitable<void> WorkerAgent::waitForDelivery() {
   const std::chrono::milliseconds Wait = DeliveryWait_;
   DeliveryWait_ = std::min(2 * Wait, Options_.MaximumDeliveryWait);
@@ -647,15 +660,6 @@
                     {"token", fencingToken()}});
       co_return PlaceResult{.Status = PlaceStatus::Started};
     }
-    if (Reply->Status == OrderStatus::Fenced) {
-      // An earlier attempt may have started the run; the next holder will see
-      // it.
-      const auto Result = MayBeRunning
-                              ? PlaceResult{.Status = PlaceStatus::Pending}
-                              : rejectRun(Key, nameOf(Reply->Status));
-      Listener_.Fenced();
-      co_return Result;
-    }
     if (Reply->Status == OrderStatus::Unhealthy)
       AcceptsOrders_ = false;
     if (!MayBeRunning)
@@ -707,7 +711,8 @@
     auto It = Runs_.find(Key);
     if (It == Runs_.end() || It->second.State != Phase::Stopping)
       co_return;
-    const auto Reply = co_await Client_.stop(Entry_, fencingToken(), Key.first,
+    const std::int64_t Token = fencingToken();
+    const auto Reply = co_await Client_.stop(Entry_, Token, Key.first,
                                              Key.second, Options_.StopTimeout);
     It = Runs_.find(Key);
     if (Stopping_ || It == Runs_.end() || It->second.State != Phase::Stopping)
@@ -717,11 +722,11 @@
       It->second.ConfirmedAt = Timers_.now();
       co_return;
     }
-    if (Reply && Reply->Status == OrderStatus::Fenced) {
-      Listener_.Fenced();
-      co_return;
-    }
     co_await Timers_.sleepFor(RetryDelay);
+    // The next heartbeat is refused as well; see resolveFence().
+    while (Reply && Reply->Status == OrderStatus::Fenced && !Stopping_ &&
+           fencingToken() == Token)
+      co_await Timers_.sleepFor(RetryDelay);
   }
 }
 
@@ -849,6 +854,11 @@
          hasLeaseExpired(OwnerNotificationTime);
 }
 
+void WorkerAgent::restoreTermState(WorkerTermState State) {
+  IncarnationsSeen_ = State.IncarnationsSeen;
+  Tombstones_ = std::move(State.Tombstones);
+}
+
 void WorkerAgent::stop() { Stopping_ = true; }
 
 } // namespace hickory
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -57,6 +57,14 @@
   std::chrono::milliseconds HeartbeatPause{15};
 };
 
+/// What a later agent of the same worker must continue from in the same term:
+/// the worker may have outlived the agent, with the tokens that it has seen and
+/// orders that are still in transit.
+struct WorkerTermState {
+  std::int64_t IncarnationsSeen = 0; ///< Determines the fencing token.
+  RunTombstones Tombstones;
+};
+
 /// Manages one worker on behalf of the process that holds the worker's shard:
 /// accounts for its capacity, sends it orders, extends its lease and collects
 /// the ends of its runs.
@@ -67,8 +75,8 @@
 class WorkerAgent : public std::enable_shared_from_this<WorkerAgent> {
 public:
   struct Callbacks {
-    std::function<void()>
-        Fenced; ///< The worker has seen a token of a later epoch.
+    /// The worker has seen a higher token: there may be a later holder.
+    std::function<void()> Fenced;
     std::function<void()>
         EndsChanged; ///< There are new ends or suspects to deliver.
     /// Returns true if the shard had no later holder at the time of the call.
@@ -85,6 +93,13 @@
   asio::awaitable<void> run();
   void stop();
 
+  /// Continues the term of an earlier agent of the worker. To be called before
+  /// run().
+  void restoreTermState(WorkerTermState State);
+  [[nodiscard]] WorkerTermState termState() const {
+    return {.IncarnationsSeen = IncarnationsSeen_, .Tombstones = Tombstones_};
+  }
+
   /// Called once the shard's journal names the worker, so that the next holder
   /// finds it even if the platform's list lacks it. Nothing is started on the
   /// worker before.
@@ -217,6 +232,10 @@
   /// refuses connections. Refused: the worker's address refused the connection.
   asio::awaitable<void> handleLeaseExpiry(bool Refused);
   asio::awaitable<void> stopUntilAnswered(RunKey Key);
+  /// Handles a refusal for a higher token. Such a token proves no later holder:
+  /// only the shard's journal does. While the ownership is confirmed, the
+  /// worker has seen a token of this term, so that the next one is tried.
+  asio::awaitable<void> resolveFence();
   void updateQuarantine();
   void dropExpiredReservations();
   /// Returns the result for an order that was already accepted.
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -93,6 +93,10 @@
   auto Agent =
       std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
                                     Held.Epoch, std::move(Listener), Options_);
+  if (const auto It = Held.Removed.find(Entry.Id); It != Held.Removed.end()) {
+    Agent->restoreTermState(std::move(It->second.State));
+    Held.Removed.erase(It);
+  }
   Held.Agents[Entry.Id] = Agent;
   asio::co_spawn(Executor_, Agent->run(), asio::detached);
   return Agent;
@@ -102,19 +106,20 @@
     const std::map<std::string, WorkerEntry> &Workers) {
   Listed_ = Workers;
   ListKnown_ = true;
-  for (auto &[ShardNumber, Held] : Shards_)
-    std::erase_if(Held.Agents,
-                  [&, ShardNumber = ShardNumber](auto &IdAndAgent) {
-                    if (Listed_.contains(IdAndAgent.first))
-                      return false;
-                    IdAndAgent.second->markUnlisted();
-                    if (!IdAndAgent.second->isRemovable())
-                      return false;
-                    IdAndAgent.second->stop();
-                    if (DeleteWorker_)
-                      DeleteWorker_(ShardNumber, IdAndAgent.first);
-                    return true;
-                  });
+  for (auto &[ShardNumber, Held] : Shards_) {
+    dropRemoved(Held);
+    std::erase_if(Held.Agents, [this, &Held = Held, ShardNumber = ShardNumber](
+                                   const auto &IdAndAgent) {
+      const auto &[Id, Agent] = IdAndAgent;
+      if (Listed_.contains(Id))
+        return false;
+      Agent->markUnlisted();
+      if (!Agent->isRemovable())
+        return false;
+      removeAgent(ShardNumber, Held, *Agent);
+      return true;
+    });
+  }
   for (const auto &[Id, Entry] : Listed_) {
     const int ShardNumber = Map_.shardOf(Id);
     const auto It = Shards_.find(ShardNumber);
@@ -130,6 +135,25 @@
   }
 }
 
+void WorkerPool::removeAgent(int ShardNumber, Shard &Held, WorkerAgent &Agent) {
+  const std::string &Id = Agent.entry().Id;
+  Agent.stop();
+  Held.Removed.insert_or_assign(Id, RemovedWorker{.State = Agent.termState(),
+                                                  .RemovedAt = Timers_.now()});
+  if (DeleteWorker_)
+    DeleteWorker_(ShardNumber, Id);
+}
+
+void WorkerPool::dropRemoved(Shard &Held) {
+  std::erase_if(Held.Removed, [this](const auto &IdAndWorker) {
+    const RemovedWorker &Worker = IdAndWorker.second;
+    // A worker that has seen a raised token refuses the first one for as long
+    // as it lives.
+    return Worker.State.IncarnationsSeen == 0 &&
+           Timers_.now() - Worker.RemovedAt > Options_.TombstoneLifetime;
+  });
+}
+
 std::shared_ptr<WorkerAgent>
 WorkerPool::findAgent(const std::string &Worker) const {
   const auto It = Shards_.find(Map_.shardOf(Worker));
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -21,6 +21,8 @@
              WorkerClient &Client, EventLog &Events, ShardMap Shards,
              WorkerAgentOptions Options);
 
+  /// Sets the callback for a shard that may have a later holder, as one of its
+  /// workers has seen a higher token.
   void onFenced(std::function<void(int Shard)> Callback) {
     OnFenced_ = std::move(Callback);
   }
@@ -100,17 +102,26 @@
   void stop();
 
 private:
+  /// A worker whose agent was removed. It may be listed again.
+  struct RemovedWorker {
+    WorkerTermState State;
+    Clock::time_point RemovedAt{};
+  };
   struct Shard {
     std::uint64_t Epoch = 0;
     bool Restored = false;
     std::map<std::string, std::shared_ptr<WorkerAgent>> Agents;
     /// Stopped runs on workers that this process does not know, or not yet.
     RunTombstones StoppedOnUnlisted;
+    std::map<std::string, RemovedWorker> Removed; ///< By id.
   };
 
   asio::awaitable<bool> confirmOwnership(int ShardNumber, std::uint64_t Epoch);
   std::shared_ptr<WorkerAgent> addAgent(int ShardNumber,
                                         const WorkerEntry &Entry);
+  void removeAgent(int ShardNumber, Shard &Held, WorkerAgent &Agent);
+  /// Forgets removed workers whose next agent can begin anew.
+  void dropRemoved(Shard &Held);
   std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
                                          const std::string &Worker);
   std::optional<PlaceResult> findRefusal(const ShardEpoch &JobShard,
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -115,6 +115,8 @@
   CPPUNIT_TEST(testStartThatArrivedIsFoundByRepeating);
   CPPUNIT_TEST(testRestartedWorkerLosesItsRunsAndGetsHigherTokens);
   CPPUNIT_TEST(testFormerHolderIsFenced);
+  CPPUNIT_TEST(testHigherTokenOfTheOwnTermIsNoLaterHolder);
+  CPPUNIT_TEST(testUnconfirmedHolderSendsNoFurtherOrders);
   CPPUNIT_TEST(testStopBeforeTheStartKeepsItFromStarting);
   CPPUNIT_TEST(testDrainingWorkerTakesNoWork);
   CPPUNIT_TEST(testReservedCapacityIsKeptForItsStartOnly);
@@ -370,6 +372,36 @@
     CPPUNIT_ASSERT((**Result).Status == PlaceStatus::Started);
   }
 
+  // Guards against a shard without a holder: a refused token was taken for
+  // that of a later holder although the store knew of none.
+  void testHigherTokenOfTheOwnTermIsNoLaterHolder() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(50ms);
+    Bench.Worker.HighestToken += 2;
+    Agent->stopRun("j.0.0.0", 1);
+    Bench.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Bench.Worker.Stops.size());
+    const auto Result = Bench.start(Agent, "k.0.0.0");
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Result).Status == PlaceStatus::Started);
+  }
+
+  // Guards against a former holder that goes on sending orders with a token
+  // that the worker has refused.
+  void testUnconfirmedHolderSendsNoFurtherOrders() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.OwnershipConfirmed = false;
+    Bench.Worker.HighestToken = 1 << 20;
+    Bench.run(2s);
+    const int Before = Bench.Worker.Heartbeats;
+    Bench.run(10s);
+    CPPUNIT_ASSERT_EQUAL(Before, Bench.Worker.Heartbeats);
+    CPPUNIT_ASSERT(!Agent->load().Usable);
+  }
+
   void testStopBeforeTheStartKeepsItFromStarting() {
     AgentBench Bench;
     const auto Agent = Bench.startAgent();
--- a/Tests/Cell/WorkerPoolTest.cpp
+++ b/Tests/Cell/WorkerPoolTest.cpp
@@ -19,6 +19,9 @@
     Pool.onRecordWorker([this](int Shard, const WorkerEntry &Entry) {
       Pool.markRecorded(Shard, Entry.Id);
     });
+    Pool.onFenced([this](int /*Shard*/) { Fenced = true; });
+    Pool.setOwnershipCheck(
+        [](int, std::uint64_t) -> asio::awaitable<bool> { co_return true; });
     Pool.assign(0, Epoch);
     Pool.restore(0, {});
   }
@@ -48,6 +51,7 @@
                          .HolderEpoch = HolderEpoch});
   }
 
+  bool Fenced = false;
   WorkerPool Pool{
       Context.get_executor(), Timers, Worker, Events, ShardMap(1), {}};
 };
@@ -58,6 +62,7 @@
   CPPUNIT_TEST_SUITE(WorkerPoolTest);
   CPPUNIT_TEST(testStopOnAnUnlistedWorkerIsConfirmedAndKept);
   CPPUNIT_TEST(testOnlyTheTermInForceConfirmsAStop);
+  CPPUNIT_TEST(testRemovedWorkerThatIsListedAgainIsNotFenced);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +87,34 @@
     Bench.Pool.revoke(0);
     CPPUNIT_ASSERT(!Bench.stop(Epoch));
   }
+
+  // Guards against a shard that is given up for good: the worker had started
+  // again and was then out of reach for so long that its agent was removed. The
+  // next agent began with the first token, which the worker refused, and the
+  // refusal was taken for a later holder.
+  void testRemovedWorkerThatIsListedAgainIsNotFenced() {
+    PoolBench Bench;
+    Bench.listWorker();
+    Bench.Worker.restart();
+    Bench.run(2s);
+    CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Started);
+    Bench.Worker.end("j.0.0.0", 1, "done");
+    Bench.run(200ms);
+    Bench.Pool.handleEndAccepted(
+        {.Task = "j.0.0.0", .Run = 1, .Worker = "w", .How = "done"});
+    Bench.run(200ms);
+    Bench.Worker.Reachable = false;
+    while (Bench.Pool.find(0, "w") != nullptr) {
+      Bench.run(1s);
+      Bench.Pool.updateWorkers({});
+    }
+    Bench.Worker.Reachable = true;
+    Bench.listWorker();
+    CPPUNIT_ASSERT(!Bench.Fenced);
+    // The former agent's tombstones hold as well.
+    CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Rejected);
+    CPPUNIT_ASSERT(Bench.place(2).Status == PlaceStatus::Started);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerPoolTest);
