Wait for the lease of a draining worker that is cut off

Three signs of one cut (draining, not listed, connections refused) were together taken as proof that it had left. Ruled out: Clocks and late orders: the second start came 3.6 to 4.4 s after the cut began, before any lease of 6 s could end. Change: The shortcut is gone: only the lease and a confirmed ownership end the runs of a worker out of reach. So that planned work costs callers no more than before, a draining worker gets leases of 3 s, asked for every 0.5 s.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -70,8 +70,9 @@
     : Executor_(Executor), Timers_(Timers), Client_(Client), Events_(Events),
       Entry_(std::move(Entry)), Epoch_(Epoch), Listener_(std::move(Listener)),
       Options_(Options), Tombstones_(Options.TombstoneLifetime),
-      LastExtension_(Timers.now()), AllEndsAccepted_(Executor),
-      DeliveryWait_(Options.DeliveryWait) {}
+      AllEndsAccepted_(Executor), DeliveryWait_(Options.DeliveryWait) {
+  recordExtension(Options_.LeaseDuration);
+}
 
 std::int64_t WorkerAgent::fencingToken() const {
   return static_cast<std::int64_t>(Epoch_) * FencingTokensPerEpoch +
@@ -84,15 +85,22 @@
 }
 
 std::chrono::milliseconds WorkerAgent::extendLease() {
-  LastExtension_ = Timers_.now();
-  return workerClockNow() + Options_.LeaseDuration;
+  const auto Duration =
+      Entry_.Draining ? std::min(Options_.DrainingLease, Options_.LeaseDuration)
+                      : Options_.LeaseDuration;
+  recordExtension(Duration);
+  return workerClockNow() + Duration;
+}
+
+void WorkerAgent::recordExtension(std::chrono::milliseconds Duration) {
+  const auto Longest = std::chrono::duration_cast<Clock::duration>(
+      Duration * SlowestClockFactor + LeaseExpiryMargin);
+  // A worker never shortens a lease.
+  LeaseEndsBy_ = std::max(LeaseEndsBy_, Timers_.now() + Longest);
 }
 
 bool WorkerAgent::hasLeaseExpired(std::chrono::milliseconds MinimumAge) const {
-  const auto MaximumAge = std::chrono::duration_cast<Clock::duration>(
-      Options_.LeaseDuration * SlowestClockFactor + LeaseExpiryMargin +
-      MinimumAge);
-  return Timers_.now() - LastExtension_ > MaximumAge;
+  return Timers_.now() > LeaseEndsBy_ + MinimumAge;
 }
 
 void WorkerAgent::setWorkerClock(std::chrono::milliseconds ClockNow) {
@@ -114,7 +122,8 @@
     // may reach the worker even if its reply is lost.
     if (WorkerClockKnown_ && Reachable_) {
       Order.LeaseEnd = extendLease();
-      Order.Wait = Options_.HeartbeatWait;
+      Order.Wait = Entry_.Draining ? Options_.DrainingHeartbeatWait
+                                   : Options_.HeartbeatWait;
     }
     const Clock::time_point SentAt = Timers_.now();
     const auto Reply =
@@ -273,8 +282,7 @@
 }
 
 asio::awaitable<void> WorkerAgent::handleLeaseExpiry(bool Refused) {
-  const bool HasLeft = Refused && Entry_.Draining && !Listed_;
-  if (!hasLeaseExpired() && !HasLeft)
+  if (!hasLeaseExpired())
     co_return;
   const bool AllEnded = std::ranges::all_of(Runs_, [](const auto &KeyAndRun) {
     return KeyAndRun.second.State == Phase::Ended &&
@@ -285,7 +293,7 @@
     co_return;
   }
   // A later holder may have extended the lease, so that the runs are not lost.
-  if (!HasLeft && !co_await Listener_.ConfirmOwnership())
+  if (!co_await Listener_.ConfirmOwnership())
     co_return;
   if (Stopping_)
     co_return;
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -26,7 +26,12 @@
   /// The worker kills its runs when no order has extended the lease for this
   /// time.
   std::chrono::milliseconds LeaseDuration{6000};
+  /// Lease of a draining worker. It is short, as the worker leaves soon, and
+  /// its runs can only be started again once their lease has ended.
+  std::chrono::milliseconds DrainingLease{3000};
   std::chrono::milliseconds HeartbeatWait{1500};
+  /// Several heartbeats fit into DrainingLease.
+  std::chrono::milliseconds DrainingHeartbeatWait{500};
   /// Time for the answer to a heartbeat.
   std::chrono::milliseconds AnswerTime{1000};
   /// Time for the answer to a probe, a heartbeat without contact. It is short,
@@ -189,6 +194,8 @@
   [[nodiscard]] std::int64_t fencingToken() const;
   [[nodiscard]] std::chrono::milliseconds workerClockNow() const;
   [[nodiscard]] std::chrono::milliseconds extendLease();
+  /// Records that an order that is sent now may extend the lease by Duration.
+  void recordExtension(std::chrono::milliseconds Duration);
   /// Returns true if the lease ended at least MinimumAge ago, on the slowest
   /// clock that a worker may have.
   [[nodiscard]] bool
@@ -226,10 +233,10 @@
   [[nodiscard]] bool isUsable() const;
   /// Returns the time to wait for the answer to the next heartbeat.
   [[nodiscard]] std::chrono::milliseconds answerTime() const;
-  /// Reports the worker's runs as lost in either of two cases: the lease has
-  /// ended and the ownership of the shard is confirmed (a later holder may have
-  /// extended the lease), or the worker was draining, is no longer listed and
-  /// refuses connections. Refused: the worker's address refused the connection.
+  /// Reports the worker's runs as lost if the lease has ended and the ownership
+  /// of the shard is confirmed: a later holder may have extended the lease.
+  /// Nothing else that is seen of a worker out of reach proves that its runs
+  /// have ended. Refused: the worker's address refused the connection.
   asio::awaitable<void> handleLeaseExpiry(bool Refused);
   asio::awaitable<void> stopUntilAnswered(RunKey Key);
   /// Handles a refusal for a higher token. Such a token proves no later holder:
@@ -263,7 +270,8 @@
   std::int64_t StartedAtMs_ = 0;
   std::chrono::milliseconds WorkerClock_{0};
   Clock::time_point WorkerClockReadAt_{};
-  Clock::time_point LastExtension_;
+  /// The lease has ended by then, on the slowest clock that a worker may have.
+  Clock::time_point LeaseEndsBy_;
   WorkerHealth RunHealth_;
   Notifier AllEndsAccepted_;
   std::chrono::milliseconds DeliveryWait_; ///< Before the next heartbeat.
--- a/Tests/Cell/FakeWorkerClient.h
+++ b/Tests/Cell/FakeWorkerClient.h
@@ -17,6 +17,7 @@
   explicit FakeWorkerClient(TimerService &Timers) : Timers_(Timers) {}
 
   bool Reachable = true;
+  bool Refuses = false; ///< Connections are refused; the worker runs on.
   bool IsAnotherWorker = false; ///< Another worker answers at the address.
   /// Starts are executed, but their replies are lost.
   bool LoseStartAnswers = false;
@@ -55,6 +56,8 @@
         std::chrono::milliseconds Lease, StartOrder Order,
         std::chrono::milliseconds Timeout) override {
     ++Starts;
+    if (Refuses)
+      co_return fail(ErrorCode::ConnectionRefused, "refused");
     if (!Reachable || LoseStarts) {
       co_await Timers_.sleepFor(Timeout);
       co_return fail(ErrorCode::Timeout, "no answer");
@@ -81,6 +84,8 @@
       co_await Timers_.sleepFor(Timeout);
       co_return fail(ErrorCode::Timeout, "no answer");
     }
+    if (Refuses)
+      co_return fail(ErrorCode::ConnectionRefused, "refused");
     co_await Timers_.sleepFor(std::chrono::milliseconds(1));
     if (!acceptToken(Token))
       co_return OrderReply{.Status = OrderStatus::Fenced};
@@ -94,6 +99,8 @@
   heartbeat(WorkerEntry /*Worker*/, std::int64_t Token,
             HeartbeatOrder Order) override {
     ++Heartbeats;
+    if (Refuses)
+      co_return fail(ErrorCode::ConnectionRefused, "refused");
     if (!Reachable) {
       co_await Timers_.sleepFor(Order.Wait + std::chrono::seconds(1));
       co_return fail(ErrorCode::Timeout, "no answer");
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -83,6 +83,12 @@
     start(Agent, "late.0.0.0");
     run(10ms);
   }
+  /// Lists the worker as draining.
+  static void drain(const std::shared_ptr<WorkerAgent> &Agent) {
+    WorkerEntry Draining = entry();
+    Draining.Draining = true;
+    Agent->update(Draining);
+  }
   /// Returns the undelivered ends, each as "TASK OUTCOME ".
   static std::string endsOf(const WorkerAgent &Agent) {
     std::string Text;
@@ -108,6 +114,8 @@
   CPPUNIT_TEST(testEndsAcceptedOutOfOrderKeepTheFirstListed);
   CPPUNIT_TEST(testUnacceptedEndIsDueAtGrowingIntervals);
   CPPUNIT_TEST(testRunsOfUnreachableWorkerAreLostOnlyAfterTheirLease);
+  CPPUNIT_TEST(testDrainingWorkerThatIsCutOffKeepsItsRuns);
+  CPPUNIT_TEST(testRunsOfWorkerThatHasLeftAreLostSoon);
   CPPUNIT_TEST(testFormerHolderDoesNotReportRunsAsLost);
   CPPUNIT_TEST(testStopBeforeTheFirstContactConcludesNoEnd);
   CPPUNIT_TEST(testNothingIsConcludedFromAFullPageOfEnds);
@@ -270,6 +278,43 @@
     }
   }
 
+  // Guards against tasks that run twice: a worker that drained, was no longer
+  // listed and refused connections was taken to have left, but was cut off.
+  void testDrainingWorkerThatIsCutOffKeepsItsRuns() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(1s);
+    Bench.drain(Agent);
+    Bench.run(1s);
+    Bench.Worker.Refuses = true;
+    Agent->markUnlisted();
+    while (Bench.Worker.clock() <= Bench.Worker.LeaseEnd) {
+      CPPUNIT_ASSERT(Agent->undeliveredEnds().empty());
+      Bench.run(100ms);
+    }
+    Bench.run(8s);
+    CPPUNIT_ASSERT_EQUAL(std::string("lost"),
+                         Agent->undeliveredEnds().at(0).How);
+  }
+
+  // Guards against planned work that costs callers seconds: the runs of a
+  // worker that has left start again once their lease has ended, so that the
+  // lease of a draining worker must be short.
+  void testRunsOfWorkerThatHasLeftAreLostSoon() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(1s);
+    Bench.drain(Agent);
+    Bench.run(8s);
+    Bench.Worker.Refuses = true;
+    Agent->markUnlisted();
+    Bench.run(3600ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("lost"),
+                         Agent->undeliveredEnds().at(0).How);
+  }
+
   // Guards against a holder that is disconnected for longer than the lease,
   // which the next holder has extended: it reported continuing runs as lost,
   // and they were started again elsewhere.
