Bound the leases of a holder that the store does not confirm

A process that the store does not answer went on extending the leases of its workers without an end, while the next holder, which did not reach the worker, counted 6 s from its own takeover. A stale report of the former holder: owners drop reports of earlier terms, and place only through holders whose term they have heard from themselves. Change: A lease ends at most 10 s after the store has last confirmed the ownership of the shard, by a join or an append. The lease is checked again after the confirmation, as a start may have extended it meanwhile. workers/lease_withheld says when it happens. SilentWorkerTest testFormerHolderThatReachesTheWorkerKeepsItsRun, testHolderThatIsNotConfirmedGrantsNoLease and testLeaseOfAFormerHolderIsWaitedFor fail with the former times. Conclusion: Shown is the mechanism with the record's run numbers; that it is what the users saw is suspected, as their record is cut short. Runs on a worker that the new holder never reached are given up after 10.6 s in place of 6.5 s.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Cell/CellDaemon.h"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <fmt/format.h>
@@ -81,9 +82,18 @@
     Pool_.markRecorded(Shard, Worker);
   });
   Pool_.onFenced([this](int /*Shard*/) { Shards_.requestJoin(); });
-  Pool_.setOwnershipCheck([this](int Shard, std::uint64_t Epoch) {
-    return Jobs_.confirmOwnership(Shard, Epoch);
-  });
+  Pool_.setOwnershipSource({.Confirm =
+                                [this](int Shard, std::uint64_t Epoch) {
+                                  return Jobs_.confirmOwnership(Shard, Epoch);
+                                },
+                            .ConfirmedAt =
+                                [this](int Shard, std::uint64_t Epoch) {
+                                  auto At =
+                                      Jobs_.ownershipConfirmedAt(Shard, Epoch);
+                                  if (At)
+                                    At = std::max(*At, Shards_.confirmedAt());
+                                  return At;
+                                }});
   Pool_.onEndsChanged([this] { Node_.requestEndDelivery(); });
   Jobs_.onFenced([this](int Shard) { Shards_.handleFenced(Shard); });
   Jobs_.onRunEnded([this](RunOutcome Outcome) {
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -751,6 +751,15 @@
   return Journal && Journal->confirmedAt() > Since;
 }
 
+std::optional<Clock::time_point>
+JobOwner::ownershipConfirmedAt(int Number, std::uint64_t Epoch) const {
+  const auto Journal = journalOf(Number);
+  if (!Journal || Journal->epoch() != Epoch ||
+      Journal->confirmedAt() == Clock::time_point{})
+    return std::nullopt;
+  return Journal->confirmedAt();
+}
+
 void JobOwner::requestOwnershipConfirmation(int Number) {
   const auto It = Shards_.find(Number);
   if (It == Shards_.end() || !It->second.Ready || It->second.Confirming)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -188,6 +188,10 @@
   /// Since, which shows that no later owner had opened the shard by then.
   [[nodiscard]] bool isOwnershipConfirmedSince(int Shard,
                                                Clock::time_point Since) const;
+  /// Returns when the latest append was sent that the shard's journal accepted
+  /// in this term; nothing before the first one, or in another term.
+  [[nodiscard]] std::optional<Clock::time_point>
+  ownershipConfirmedAt(int Shard, std::uint64_t Epoch) const;
   /// Starts an append to the shard's journal, unless an earlier request is in
   /// flight or the journal has not been read. Its success confirms the
   /// ownership up to the time at which the append was sent.
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -92,6 +92,9 @@
   [[nodiscard]] const std::map<int, std::uint64_t> &heldShards() const {
     return Held_;
   }
+  /// Returns when the latest successful join was sent. The held shards were not
+  /// assigned to another process by then.
+  [[nodiscard]] Clock::time_point confirmedAt() const { return LastJoin_; }
   /// Returns false while this process is on standby.
   [[nodiscard]] bool isParticipating() const { return Participating_; }
   /// Returns the number of shards with a known holder.
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -17,6 +17,8 @@
 /// may have. That clock is 2% slow; the rest is margin.
 constexpr double SlowestClockFactor = 1.03;
 constexpr std::chrono::milliseconds LeaseExpiryMargin{300};
+/// A shorter lease could end before the order that grants it arrives.
+constexpr std::chrono::milliseconds ShortestLease{500};
 /// Covers several exchanges, also in a cell of many processes.
 constexpr std::chrono::milliseconds OwnerNotificationTime{4000};
 constexpr std::chrono::milliseconds RetryDelay{150};
@@ -71,7 +73,8 @@
       Entry_(std::move(Entry)), Epoch_(Epoch), Listener_(std::move(Listener)),
       Options_(Options), Tombstones_(Options.TombstoneLifetime),
       AllEndsAccepted_(Executor), DeliveryWait_(Options.DeliveryWait) {
-  recordExtension(Options_.LeaseDuration);
+  // A former holder may have extended the lease, and may still do so.
+  recordExtension(Options_.OwnershipLease);
 }
 
 std::int64_t WorkerAgent::fencingToken() const {
@@ -84,10 +87,24 @@
                             Timers_.now() - WorkerClockReadAt_);
 }
 
-std::chrono::milliseconds WorkerAgent::extendLease() {
-  const auto Duration =
+std::optional<std::chrono::milliseconds> WorkerAgent::extendLease() {
+  const auto ConfirmedAt = Listener_.OwnershipConfirmedAt();
+  if (!ConfirmedAt)
+    return std::nullopt;
+  const auto OwnershipLeft =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          *ConfirmedAt + Options_.OwnershipLease - Timers_.now());
+  const auto Preferred =
       Entry_.Draining ? std::min(Options_.DrainingLease, Options_.LeaseDuration)
                       : Options_.LeaseDuration;
+  const auto Duration = std::min(Preferred, OwnershipLeft);
+  const bool Withheld = Duration < ShortestLease;
+  if (Withheld && !LeaseWithheld_)
+    Events_.emit("workers", "lease_withheld",
+                 {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
+  LeaseWithheld_ = Withheld;
+  if (Withheld)
+    return std::nullopt;
   recordExtension(Duration);
   return workerClockNow() + Duration;
 }
@@ -121,7 +138,7 @@
     // Without contact the lease is not extended, so that it expires: an order
     // may reach the worker even if its reply is lost.
     if (WorkerClockKnown_ && Reachable_) {
-      Order.LeaseEnd = extendLease();
+      Order.LeaseEnd = extendLease().value_or(std::chrono::milliseconds(0));
       Order.Wait = Entry_.Draining ? Options_.DrainingHeartbeatWait
                                    : Options_.HeartbeatWait;
     }
@@ -295,7 +312,8 @@
   // A later holder may have extended the lease, so that the runs are not lost.
   if (!co_await Listener_.ConfirmOwnership())
     co_return;
-  if (Stopping_)
+  // A start may have extended the lease meanwhile.
+  if (Stopping_ || !hasLeaseExpired())
     co_return;
   Events_.emit("workers", "lapsed",
                {{"worker", Entry_.Id}, {"runs", Runs_.size()}});
@@ -631,14 +649,20 @@
                           .Preemptible = Order.Preemptible,
                           .CrashSuspect = Order.CrashSuspect};
   bool MayBeRunning = false;
+  std::string Refusal = "unreachable";
   for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
     StartOrder Start{.Task = Order.Task,
                      .Run = Order.Run,
                      .Payload = Order.Payload,
                      .Checkpoint = Order.Checkpoint,
                      .Ticket = Order.Ticket};
+    const auto LeaseEnd = extendLease();
+    if (!LeaseEnd) {
+      Refusal = "ownership_unconfirmed";
+      break;
+    }
     const auto Reply =
-        co_await Client_.start(Entry_, fencingToken(), extendLease(),
+        co_await Client_.start(Entry_, fencingToken(), *LeaseEnd,
                                std::move(Start), Options_.StartTimeout);
     const auto It = Runs_.find(Key);
     if (It != Runs_.end() && It->second.State == Phase::Running)
@@ -675,7 +699,7 @@
     break;
   }
   if (!MayBeRunning)
-    co_return rejectRun(Key, "unreachable");
+    co_return rejectRun(Key, Refusal);
   stopRun(Order.Task, Order.Run);
   co_return PlaceResult{.Status = PlaceStatus::Pending};
 }
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -29,6 +29,11 @@
   /// Lease of a draining worker. It is short, as the worker leaves soon, and
   /// its runs can only be started again once their lease has ended.
   std::chrono::milliseconds DrainingLease{3000};
+  /// A lease ends at most this time after the store has last confirmed that the
+  /// holder owns the shard. The next holder therefore knows when the leases of
+  /// a former one, which may not have noticed its loss, have ended. It is
+  /// longer than outages of the store that cost no runs.
+  std::chrono::milliseconds OwnershipLease{10000};
   std::chrono::milliseconds HeartbeatWait{1500};
   /// Several heartbeats fit into DrainingLease.
   std::chrono::milliseconds DrainingHeartbeatWait{500};
@@ -87,6 +92,10 @@
     /// Returns true if the shard had no later holder at the time of the call.
     /// The shard's journal is the proof.
     std::function<asio::awaitable<bool>()> ConfirmOwnership;
+    /// Returns when the latest call was sent by which the store has confirmed
+    /// that this process owns the shard. Nothing before the shard's journal
+    /// refuses the former owner.
+    std::function<std::optional<Clock::time_point>()> OwnershipConfirmedAt;
   };
 
   WorkerAgent(const asio::any_io_executor &Executor, TimerService &Timers,
@@ -105,6 +114,9 @@
     return {.IncarnationsSeen = IncarnationsSeen_, .Tombstones = Tombstones_};
   }
 
+  /// Called once the shard's journal refuses the former owner, which may have
+  /// granted a lease until then.
+  void handleShardOpened() { recordExtension(Options_.OwnershipLease); }
   /// Called once the shard's journal names the worker, so that the next holder
   /// finds it even if the platform's list lacks it. Nothing is started on the
   /// worker before.
@@ -193,7 +205,10 @@
 
   [[nodiscard]] std::int64_t fencingToken() const;
   [[nodiscard]] std::chrono::milliseconds workerClockNow() const;
-  [[nodiscard]] std::chrono::milliseconds extendLease();
+  /// Returns the end of the lease for an order that is sent now, by the
+  /// worker's clock. Nothing if the ownership was not confirmed for so long
+  /// that no lease may be granted.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> extendLease();
   /// Records that an order that is sent now may extend the lease by Duration.
   void recordExtension(std::chrono::milliseconds Duration);
   /// Returns true if the lease ended at least MinimumAge ago, on the slowest
@@ -284,6 +299,7 @@
   Clock::time_point LoadChangedAt_{};
   bool Replaced_ = false; ///< Another worker answers at the address.
   bool WorkerClockKnown_ = false;
+  bool LeaseWithheld_ = false; ///< By the latest call of extendLease().
   bool Resolved_ = false;
   bool Reachable_ = false;
   bool AcceptsOrders_ = true; ///< By the worker's latest reply.
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -29,6 +29,8 @@
     return;
   Shard &Held = It->second;
   Held.Restored = true;
+  for (const auto &[Id, Agent] : Held.Agents)
+    Agent->handleShardOpened();
   for (const WorkerEntry &Entry : Recorded) {
     const auto Agent = Held.Agents.find(Entry.Id);
     if (Agent != Held.Agents.end()) {
@@ -66,9 +68,9 @@
 
 asio::awaitable<bool> WorkerPool::confirmOwnership(int ShardNumber,
                                                    std::uint64_t Epoch) {
-  if (!OwnershipCheck_)
+  if (!Ownership_.Confirm)
     co_return false;
-  co_return co_await OwnershipCheck_(ShardNumber, Epoch);
+  co_return co_await Ownership_.Confirm(ShardNumber, Epoch);
 }
 
 std::shared_ptr<WorkerAgent> WorkerPool::addAgent(int ShardNumber,
@@ -89,6 +91,12 @@
       .ConfirmOwnership =
           [this, ShardNumber, Epoch = Held.Epoch] {
             return confirmOwnership(ShardNumber, Epoch);
+          },
+      .OwnershipConfirmedAt =
+          [this, ShardNumber, Epoch = Held.Epoch] {
+            return Ownership_.ConfirmedAt
+                       ? Ownership_.ConfirmedAt(ShardNumber, Epoch)
+                       : std::nullopt;
           }};
   auto Agent =
       std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,13 +30,20 @@
   void onEndsChanged(std::function<void()> Callback) {
     OnEndsChanged_ = std::move(Callback);
   }
-  /// Sets the function that returns true if the shard had no later holder at
-  /// the time of its call. Without it, the runs of unreachable workers are
-  /// never reported as lost.
-  void setOwnershipCheck(
-      std::function<asio::awaitable<bool>(int Shard, std::uint64_t Epoch)>
-          Callback) {
-    OwnershipCheck_ = std::move(Callback);
+  /// What the store says of the terms of this process.
+  struct OwnershipSource {
+    /// Returns true if the shard had no later holder at the time of the call.
+    std::function<asio::awaitable<bool>(int Shard, std::uint64_t Epoch)>
+        Confirm;
+    /// See WorkerAgent::Callbacks::OwnershipConfirmedAt.
+    std::function<std::optional<Clock::time_point>(int Shard,
+                                                   std::uint64_t Epoch)>
+        ConfirmedAt;
+  };
+  /// Without a source, nothing is started and the runs of unreachable workers
+  /// are never reported as lost.
+  void setOwnershipSource(OwnershipSource Source) {
+    Ownership_ = std::move(Source);
   }
 
   void assign(int Shard, std::uint64_t Epoch);
@@ -139,7 +147,7 @@
   WorkerAgentOptions Options_;
   std::function<void(int)> OnFenced_;
   std::function<void()> OnEndsChanged_;
-  std::function<asio::awaitable<bool>(int, std::uint64_t)> OwnershipCheck_;
+  OwnershipSource Ownership_;
   std::map<int, Shard> Shards_;
   std::map<int, std::uint64_t> JobEpochs_;
   std::map<std::string, WorkerEntry> Listed_;
--- a/Tests/Cell/SilentWorkerTest.cpp
+++ b/Tests/Cell/SilentWorkerTest.cpp
@@ -49,6 +49,14 @@
     run(Duration);
     Environment.Workers.ChooseFault = nullptr;
   }
+  /// Returns the address of the process that holds the worker.
+  [[nodiscard]] std::string holderOfRunning() const {
+    const int Shard = ShardMap(Environment.Shards).shardOf(Running);
+    for (TestCellNode *Node : alive())
+      if (Node->shards().heldShards().contains(Shard))
+        return Node->address();
+    return {};
+  }
   void checkFinalRules() {
     run(60s);
     finalViolations();
@@ -67,6 +75,7 @@
   CPPUNIT_TEST(testSilenceWithinTheLeaseRestartsNothing);
   CPPUNIT_TEST(testSilenceBeyondTheLeaseRestartsTheTaskOnce);
   CPPUNIT_TEST(testHolderThatChangesDuringTheSilenceRestartsNothing);
+  CPPUNIT_TEST(testFormerHolderThatReachesTheWorkerKeepsItsRun);
   CPPUNIT_TEST(testLapsedListEntryRestartsNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -114,6 +123,40 @@
     Bench.checkFinalRules();
   }
 
+  // Guards against a task that runs twice: its worker was cut off together with
+  // the worker's holder, which went on extending the lease. The next holder,
+  // which never reached the worker, counted only from its own takeover.
+  void testFormerHolderThatReachesTheWorkerKeepsItsRun() {
+    for (const std::chrono::seconds Cut : {8s, 14s, 25s}) {
+      SilentWorkerBench Bench;
+      const std::string Holder = Bench.holderOfRunning();
+      CellEnvironment &Environment = Bench.Environment;
+      const CallFault Lost{.Type = Kind::LostRequest};
+      Environment.Store.ChooseFault = [=](const std::string &Process,
+                                          const std::string &) {
+        return Process == Holder ? Lost : CallFault{};
+      };
+      Environment.Network.ChooseFault = [=](const std::string &From,
+                                            const std::string &To,
+                                            const std::string &) {
+        return From == Holder || To == Holder ? Lost : CallFault{};
+      };
+      Environment.Workers.ChooseFault = [=, Running = Bench.Running](
+                                            const std::string &Process,
+                                            const std::string &Worker,
+                                            const std::string &) {
+        return (Process == Holder) != (Worker == Running) ? Lost : CallFault{};
+      };
+      Bench.run(Cut);
+      Environment.Store.ChooseFault = nullptr;
+      Environment.Network.ChooseFault = nullptr;
+      Environment.Workers.ChooseFault = nullptr;
+      Bench.checkFinalRules();
+      CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                           Bench.stateOf(Bench.idIn(0)));
+    }
+  }
+
   // Guards against a task that is started again because the list lacked its
   // worker for a while.
   void testLapsedListEntryRestartsNothing() {
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -39,7 +39,8 @@
         WorkerAgent::Callbacks{
             .Fenced = [this] { Fenced = true; },
             .EndsChanged = [] {},
-            .ConfirmOwnership = [this] { return confirmOwnership(); }},
+            .ConfirmOwnership = [this] { return confirmOwnership(); },
+            .OwnershipConfirmedAt = [this] { return ConfirmedAt(); }},
         WorkerAgentOptions{});
     asio::co_spawn(Context, Agent->run(), asio::detached);
     Agent->markRecorded();
@@ -101,6 +102,10 @@
   }
   bool Fenced = false;
   bool OwnershipConfirmed = true;
+  /// When the store has last confirmed the ownership.
+  std::function<std::optional<Clock::time_point>()> ConfirmedAt = [this] {
+    return std::optional(Timers.now());
+  };
 };
 
 } // namespace
@@ -114,6 +119,8 @@
   CPPUNIT_TEST(testEndsAcceptedOutOfOrderKeepTheFirstListed);
   CPPUNIT_TEST(testUnacceptedEndIsDueAtGrowingIntervals);
   CPPUNIT_TEST(testRunsOfUnreachableWorkerAreLostOnlyAfterTheirLease);
+  CPPUNIT_TEST(testHolderThatIsNotConfirmedGrantsNoLease);
+  CPPUNIT_TEST(testLeaseOfAFormerHolderIsWaitedFor);
   CPPUNIT_TEST(testDrainingWorkerThatIsCutOffKeepsItsRuns);
   CPPUNIT_TEST(testRunsOfWorkerThatHasLeftAreLostSoon);
   CPPUNIT_TEST(testFormerHolderDoesNotReportRunsAsLost);
@@ -173,7 +180,9 @@
     AgentBench Bench;
     const auto Agent = std::make_shared<WorkerAgent>(
         Bench.Context.get_executor(), Bench.Timers, Bench.Worker, Bench.Events,
-        AgentBench::entry(), Epoch, WorkerAgent::Callbacks{},
+        AgentBench::entry(), Epoch,
+        WorkerAgent::Callbacks{
+            .OwnershipConfirmedAt = [&Bench] { return Bench.ConfirmedAt(); }},
         WorkerAgentOptions{});
     asio::co_spawn(Bench.Context, Agent->run(), asio::detached);
     Bench.run(100ms);
@@ -278,6 +287,45 @@
     }
   }
 
+  // Guards against a former holder, cut off from the store, that goes on
+  // extending leases after the next holder has given up waiting for them.
+  void testHolderThatIsNotConfirmedGrantsNoLease() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(1s);
+    const auto ConfirmedAt = Bench.Timers.now();
+    Bench.ConfirmedAt = [ConfirmedAt] { return std::optional(ConfirmedAt); };
+    Bench.run(20s);
+    CPPUNIT_ASSERT(Bench.Worker.LeaseEnd <=
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       ConfirmedAt.time_since_epoch()) +
+                       WorkerAgentOptions{}.OwnershipLease);
+    CPPUNIT_ASSERT(Agent->load().Usable);
+    const auto Refused = Bench.start(Agent, "k.0.0.0");
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Refused).Status == PlaceStatus::Rejected);
+    // Before the journal is opened, a former holder may still be confirmed.
+    Bench.ConfirmedAt = [] { return std::nullopt; };
+    const auto LeaseEnd = Bench.Worker.LeaseEnd;
+    Bench.run(5s);
+    CPPUNIT_ASSERT(Bench.Worker.LeaseEnd == LeaseEnd);
+  }
+
+  // Guards against a new holder that has never reached a worker and takes its
+  // runs for lost while the former holder extends their lease.
+  void testLeaseOfAFormerHolderIsWaitedFor() {
+    AgentBench Bench;
+    Bench.Worker.Reachable = false;
+    const auto Agent = Bench.startAgent();
+    Bench.run(2s);
+    Agent->handleShardOpened();
+    Bench.run(WorkerAgentOptions{}.OwnershipLease);
+    CPPUNIT_ASSERT(!Agent->load().Resolved);
+    Bench.run(2s);
+    CPPUNIT_ASSERT(Agent->load().Resolved);
+  }
+
   // Guards against tasks that run twice: a worker that drained, was no longer
   // listed and refused connections was taken to have left, but was cut off.
   void testDrainingWorkerThatIsCutOffKeepsItsRuns() {
--- a/Tests/Cell/WorkerPoolTest.cpp
+++ b/Tests/Cell/WorkerPoolTest.cpp
@@ -20,8 +20,14 @@
       Pool.markRecorded(Shard, Entry.Id);
     });
     Pool.onFenced([this](int /*Shard*/) { Fenced = true; });
-    Pool.setOwnershipCheck(
-        [](int, std::uint64_t) -> asio::awaitable<bool> { co_return true; });
+    Pool.setOwnershipSource(
+        {.Confirm = [](int, std::uint64_t) -> asio::awaitable<bool> {
+           co_return true;
+         },
+         .ConfirmedAt =
+             [this](int, std::uint64_t) {
+               return std::optional(Timers.now());
+             }});
     Pool.assign(0, Epoch);
     Pool.restore(0, {});
   }
--- a/Tests/Emulator/EmulatedWorkerPool.h
+++ b/Tests/Emulator/EmulatedWorkerPool.h
@@ -49,6 +49,8 @@
   [[nodiscard]] std::int64_t bootTimeMs() const { return BootTimeMs_; }
   [[nodiscard]] std::size_t runningCount() const { return Runs_.size(); }
   [[nodiscard]] int crashCount() const { return CrashCount_; }
+  /// Returns the highest fencing token that the worker has seen.
+  [[nodiscard]] std::int64_t fencingToken() const { return FencingToken_; }
 
   std::string Address;
   /// Called with false when the worker crashes, which breaks its connections,
--- a/Tests/Emulator/platform-emulator.cpp
+++ b/Tests/Emulator/platform-emulator.cpp
@@ -43,6 +43,14 @@
   Clock::time_point End{};
 };
 
+/// A worker that can't be reached for some time, although it runs on.
+struct WorkerCut {
+  Clock::time_point End{};
+  /// Calls up to this token reach the worker: it is cut off only from holders
+  /// that have not reached it before.
+  std::int64_t HighestToken = 0;
+};
+
 class Emulator {
 public:
   Emulator(asio::io_context &Context, const EmulatorSettings &Settings,
@@ -50,7 +58,8 @@
   void start(const EmulatorOptions &Options);
 
 private:
-  asio::awaitable<Answer> answerStore(StandInServer::Request Incoming);
+  asio::awaitable<Answer> answerStore(int Caller,
+                                      StandInServer::Request Incoming);
   asio::awaitable<Answer> answerWorker(EmulatedWorker &Worker,
                                        StandInServer::Request Incoming);
   asio::awaitable<Answer> answerAdvice(int Caller,
@@ -63,6 +72,10 @@
   /// `key` and `value` as hexadecimal digits, since they may be any bytes; an
   /// empty value deletes the key. Returns false for a key that is too long.
   bool putForeignRecord(const json &Body);
+  /// Cuts a worker off. Returns false for an unknown worker.
+  bool cutWorker(const json &Body, Clock::time_point End);
+  [[nodiscard]] bool isCutOff(const EmulatedWorker &Worker,
+                              const StandInServer::Request &Incoming) const;
   /// Executes a command after a random delay.
   asio::awaitable<void> executeCommandLater(EmulatedWorker &Worker,
                                             StandInServer::Request Incoming);
@@ -96,6 +109,9 @@
   FaultWindow DelayedCommands_;
   FaultWindow ResetCommands_;
   FaultWindow RejectedCommands_;
+  std::map<std::string, WorkerCut> WorkerCuts_; ///< By id.
+  /// Until when callers get no answer from the store.
+  std::map<int, Clock::time_point> StoreCuts_;
   /// Queued and running advice calls, by caller.
   std::map<int, int> OpenAdviceCalls_;
   /// When the adviser has processed all queued calls, by caller.
@@ -194,8 +210,8 @@
   Addresses_ = {{"stores", json::array()}, {"advisers", json::array()}};
   for (int Caller = 0; Caller < Options.Callers; ++Caller) {
     Addresses_["stores"].push_back(
-        listen(0, [this](StandInServer::Request Incoming) {
-          return answerStore(std::move(Incoming));
+        listen(0, [this, Caller](StandInServer::Request Incoming) {
+          return answerStore(Caller, std::move(Incoming));
         }).address());
     Addresses_["advisers"].push_back(
         listen(0, [this, Caller](StandInServer::Request Incoming) {
@@ -229,7 +245,12 @@
     writeFile(Options.PortsFile, Addresses_.dump() + "\n");
 }
 
-asio::awaitable<Answer> Emulator::answerStore(StandInServer::Request Incoming) {
+asio::awaitable<Answer> Emulator::answerStore(int Caller,
+                                              StandInServer::Request Incoming) {
+  if (Timers_.now() < StoreCuts_[Caller]) {
+    co_await Timers_.sleepFor(LostAnswerDelay);
+    co_return Answer();
+  }
   const bool ShouldLoseAnswer = shouldInject(LostAnswers_);
   auto Reply = co_await Store_.handle(std::move(Incoming));
   if (!ShouldLoseAnswer)
@@ -270,6 +291,10 @@
                        StandInServer::Request Incoming) {
   if (Incoming.Method != "POST")
     co_return answerFrom({.Status = NotFound});
+  if (isCutOff(Worker, Incoming)) {
+    co_await Timers_.sleepFor(LostAnswerDelay);
+    co_return Answer();
+  }
   if (Incoming.Path == "/api/hold") {
     json Body = json::parse(Incoming.Body, nullptr, false);
     co_return answerFrom(
@@ -347,6 +372,26 @@
   return true;
 }
 
+bool Emulator::cutWorker(const json &Body, Clock::time_point End) {
+  const EmulatedWorker *Worker = Pool_.find(Body.at("worker"));
+  if (Worker == nullptr)
+    return false;
+  const bool OnlyNewHolders = Body.value("only-new-holders", false);
+  WorkerCuts_[Worker->id()] = {
+      .End = End, .HighestToken = OnlyNewHolders ? Worker->fencingToken() : -1};
+  return true;
+}
+
+bool Emulator::isCutOff(const EmulatedWorker &Worker,
+                        const StandInServer::Request &Incoming) const {
+  const auto It = WorkerCuts_.find(Worker.id());
+  if (It == WorkerCuts_.end() || Timers_.now() >= It->second.End)
+    return false;
+  const json Body = json::parse(Incoming.Body, nullptr, false);
+  return !Body.is_object() ||
+         Body.value("fencing-token", std::int64_t{0}) > It->second.HighestToken;
+}
+
 bool Emulator::injectFault(const json &Body) {
   const auto Kind = Body.value("kind", std::string());
   const milliseconds Duration(
@@ -369,7 +414,12 @@
     Store_.trimAll();
   else if (Kind == "change-routes")
     publishConfiguration();
-  else if (Kind == "put-entry") {
+  else if (Kind == "cut-store")
+    StoreCuts_[Body.at("caller").get<int>()] = Window.End;
+  else if (Kind == "cut-worker") {
+    if (!cutWorker(Body, Window.End))
+      return false;
+  } else if (Kind == "put-entry") {
     if (!putForeignRecord(Body))
       return false;
   } else if (Kind == "restart-worker") {
