Count the longest lease after a restart of a worker

The holder counted 6 s, so that a run could go on beside the next one. Change: After a restart, the holder counts the longest lease that the worker grants. A start is not attempted again once contact is lost. Measured: testLongLeaseOfANewIncarnationIsWaitedFor fails without the count. Conclusion: Open: a holder that takes over before anybody has noticed the restart (docs/guarantees.md).

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -378,6 +378,9 @@
   blameRunsForCrash(true);
   // Orders for the previous incarnation must be fenced by this one.
   ++IncarnationsSeen_;
+  // An order that reached the new incarnation with a time of the former one's
+  // clock, which was ahead, has asked for a far longer lease.
+  recordExtension(Options_.MaximumLease);
   EndNumbers_.restart();
   // The new incarnation may have executed a start after it sent this reply.
   // Such a run ends once its stop is answered.
@@ -650,7 +653,8 @@
                           .CrashSuspect = Order.CrashSuspect};
   bool MayBeRunning = false;
   std::string Refusal = "unreachable";
-  for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
+  // Without contact, another incarnation may receive the next attempt.
+  for (int Attempt = 0; Attempt < StartAttempts && Reachable_; ++Attempt) {
     StartOrder Start{.Task = Order.Task,
                      .Run = Order.Run,
                      .Payload = Order.Payload,
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -26,6 +26,8 @@
   /// The worker kills its runs when no order has extended the lease for this
   /// time.
   std::chrono::milliseconds LeaseDuration{6000};
+  /// Longest lease that a worker grants, whatever an order asks for.
+  std::chrono::milliseconds MaximumLease{10000};
   /// Lease of a draining worker. It is short, as the worker leaves soon, and
   /// its runs can only be started again once their lease has ended.
   std::chrono::milliseconds DrainingLease{3000};
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -119,6 +119,7 @@
   CPPUNIT_TEST(testEndsAcceptedOutOfOrderKeepTheFirstListed);
   CPPUNIT_TEST(testUnacceptedEndIsDueAtGrowingIntervals);
   CPPUNIT_TEST(testRunsOfUnreachableWorkerAreLostOnlyAfterTheirLease);
+  CPPUNIT_TEST(testLongLeaseOfANewIncarnationIsWaitedFor);
   CPPUNIT_TEST(testHolderThatIsNotConfirmedGrantsNoLease);
   CPPUNIT_TEST(testLeaseOfAFormerHolderIsWaitedFor);
   CPPUNIT_TEST(testDrainingWorkerThatIsCutOffKeepsItsRuns);
@@ -287,6 +288,27 @@
     }
   }
 
+  // Guards against a task that runs twice: a start reached the next incarnation
+  // of its worker with a time of the former one's clock, so that the lease was
+  // longer than what the holder counts.
+  void testLongLeaseOfANewIncarnationIsWaitedFor() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    // Beyond the time for leases of a former holder.
+    Bench.run(WorkerAgentOptions{}.OwnershipLease + 2s);
+    Bench.Worker.restart();
+    Bench.run(500ms);
+    Bench.start(Agent, "j.0.0.0");
+    Bench.run(100ms);
+    Bench.Worker.Reachable = false;
+    // The lease that the holder itself has asked for ends before.
+    Bench.run(WorkerAgentOptions{}.LeaseDuration + 2s);
+    CPPUNIT_ASSERT(Bench.Worker.clock() > Bench.Worker.LeaseEnd + 500ms);
+    CPPUNIT_ASSERT(Agent->undeliveredEnds().empty());
+    Bench.run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Agent->undeliveredEnds().size());
+  }
+
   // Guards against a former holder, cut off from the store, that goes on
   // extending leases after the next holder has given up waiting for them.
   void testHolderThatIsNotConfirmedGrantsNoLease() {
