Use what is known of a worker only for the incarnation it is known of

Change: A worker takes no work while its entry and its answers name different starts. An order names the incarnation that the job's owner chose by its labels, and the holder refuses it for another one. Of the adviser's answers about a worker the latest counts: a gang was placed again and again on a worker that was good for it and, back as another kind, got no ticket any more. Conclusion: Left: an executor that starts again between the holder's check and the arrival of the order, under the same id; the protocol gives a caller no means against it.

--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -35,6 +35,9 @@
   /// Term of the worker's shard in which the order is valid; 0 if the sender
   /// runs an earlier release, whose orders are valid in all terms.
   std::uint64_t HolderEpoch = 0;
+  /// Start of the worker's incarnation that the sender chose by its labels and
+  /// capacity, as in the worker's entry; 0 if that is not known.
+  std::int64_t WorkerStartedAtMs = 0;
 };
 
 struct PlaceRequest {
@@ -269,7 +272,7 @@
                                                 Demand, Payload, Checkpoint,
                                                 Ticket, ExpectedMs, Priority,
                                                 Preemptible, CrashSuspect,
-                                                HolderEpoch)
+                                                HolderEpoch, WorkerStartedAtMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -59,7 +59,8 @@
       .Priority = Job.Queue.Priority,
       .Preemptible = isPreemptible(Step),
       .CrashSuspect = Schedulable.Job->Progress.isCrashSuspect(Id.Task),
-      .HolderEpoch = holderEpochOf(Id.Worker)};
+      .HolderEpoch = holderEpochOf(Id.Worker),
+      .WorkerStartedAtMs = Chosen.Worker->StartedAtMs};
   return {.Run = std::move(Id), .Order = std::move(Order)};
 }
 
--- a/Source/Cell/StepAdvice.h
+++ b/Source/Cell/StepAdvice.h
@@ -32,8 +32,12 @@
   /// at ValidFrom.
   void apply(const std::vector<std::string> &Asked, const Advice &Reply,
              Clock::time_point ValidFrom) {
-    for (const std::string &Worker : Asked)
-      Workers_[Worker].Answered = true;
+    // A worker that was good may be back as another kind.
+    for (const std::string &Worker : Asked) {
+      WorkerAdvice &Known = Workers_[Worker];
+      Known.Answered = true;
+      Known.Good = false;
+    }
     for (const Ticket &Each : Reply.Good) {
       WorkerAdvice &Known = Workers_[Each.Worker];
       Known.Answered = true;
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -536,7 +536,12 @@
         return KeyAndRun.second.DemandKnown;
       });
   return Resolved_ && Reachable_ && AcceptsOrders_ && Listed_ && Recorded_ &&
-         WorkerClockKnown_ && AllDemandsKnown && !Entry_.Draining;
+         WorkerClockKnown_ && AllDemandsKnown && !Entry_.Draining &&
+         isCurrentIncarnation(Entry_.StartedAtMs);
+}
+
+bool WorkerAgent::isCurrentIncarnation(std::int64_t StartedAtMs) const {
+  return StartedAtMs == 0 || StartedAtMs_ == 0 || StartedAtMs == StartedAtMs_;
 }
 
 WorkerLoad WorkerAgent::load() const {
@@ -604,6 +609,8 @@
   const WorkerLoad Load = load();
   if (!isUsable())
     return "worker_unusable";
+  if (!isCurrentIncarnation(Order.WorkerStartedAtMs))
+    return nameOf(OrderStatus::WrongWorker);
   if (!Order.Demand.fitsIn(Load.Free))
     return "room";
   if (Tombstones_.covers(Order.Task, Order.Run))
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -248,6 +248,9 @@
   hasJustStartedSuspect(const std::string &ExceptJob = {}) const;
   /// Returns true if the worker accepts orders and its free capacity is known.
   [[nodiscard]] bool isUsable() const;
+  /// Returns false if what is said of the incarnation that started at this time
+  /// may not hold for the one that answers; 0: not known.
+  [[nodiscard]] bool isCurrentIncarnation(std::int64_t StartedAtMs) const;
   /// Returns the time to wait for the answer to the next heartbeat.
   [[nodiscard]] std::chrono::milliseconds answerTime() const;
   /// Reports the worker's runs as lost if the lease has ended and the ownership
--- a/Tests/Cell/WorkerAgentTest.cpp
+++ b/Tests/Cell/WorkerAgentTest.cpp
@@ -130,6 +130,8 @@
   CPPUNIT_TEST(testStartWithoutAnswerIsStopped);
   CPPUNIT_TEST(testStartThatArrivedIsFoundByRepeating);
   CPPUNIT_TEST(testRestartedWorkerLosesItsRunsAndGetsHigherTokens);
+  CPPUNIT_TEST(testWorkerThatIsBackTakesNoWorkUntilItsEntryIsKnown);
+  CPPUNIT_TEST(testOrderForAFormerIncarnationIsRejected);
   CPPUNIT_TEST(testFormerHolderIsFenced);
   CPPUNIT_TEST(testHigherTokenOfTheOwnTermIsNoLaterHolder);
   CPPUNIT_TEST(testUnconfirmedHolderSendsNoFurtherOrders);
@@ -476,6 +478,53 @@
     }
   }
 
+  // Guards against starts by the labels and the capacity of a former
+  // incarnation: the worker is back as another kind, and its entry in the list
+  // is read later than its first answer.
+  void testWorkerThatIsBackTakesNoWorkUntilItsEntryIsKnown() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    WorkerEntry Entry = AgentBench::entry();
+    Entry.StartedAtMs = Bench.Worker.StartedAtMs;
+    Agent->update(Entry);
+    CPPUNIT_ASSERT(Agent->load().Usable);
+    Bench.Worker.restart();
+    Bench.run(500ms);
+    CPPUNIT_ASSERT(!Agent->load().Usable);
+    const auto Early = Bench.start(Agent, "j.0.0.0");
+    Bench.run(50ms);
+    CPPUNIT_ASSERT((**Early).Status == PlaceStatus::Rejected);
+    Entry.StartedAtMs = Bench.Worker.StartedAtMs;
+    Agent->update(Entry);
+    CPPUNIT_ASSERT(Agent->load().Usable);
+  }
+
+  // Guards against the same by a job owner whose list is older than the
+  // holder's.
+  void testOrderForAFormerIncarnationIsRejected() {
+    AgentBench Bench;
+    const auto Agent = Bench.startAgent();
+    const std::int64_t Former = Bench.Worker.StartedAtMs;
+    Bench.Worker.restart();
+    Bench.run(500ms);
+    for (const bool ReserveFirst : {false, true}) {
+      PlaceOrder Order{.Task = ReserveFirst ? "a.0.0.0" : "b.0.0.0",
+                       .Run = 1,
+                       .Worker = "w",
+                       .Demand = {.CpusMilli = 1000},
+                       .WorkerStartedAtMs = Former};
+      if (ReserveFirst) {
+        CPPUNIT_ASSERT(Agent->reserve(Order).Status == PlaceStatus::Rejected);
+        continue;
+      }
+      const auto Result = Bench.begin(Agent->start(Order));
+      Bench.run(50ms);
+      CPPUNIT_ASSERT((**Result).Status == PlaceStatus::Rejected);
+      CPPUNIT_ASSERT_EQUAL(std::string("incarnation"), (**Result).Reason);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Bench.Worker.Starts);
+  }
+
   void testFormerHolderIsFenced() {
     AgentBench Bench;
     const auto Former = Bench.startAgent(Epoch);
