Cut workers off in the simulation of nodes

Change: propertyCutsOfWorkersViolateNoRule: cuts of 0.5 to 9 s, refused or silent, from all or from all but a holder that is cut off from store and processes; entries vanish after 4.5 s; draining workers leave after 8 s and are back under their id. The courses of the other simulations are unchanged. Whether it finds the former faults was not run.

--- a/Tests/Cell/CellNodePropertyTest.cpp
+++ b/Tests/Cell/CellNodePropertyTest.cpp
@@ -29,10 +29,11 @@
   bool WorkerRestarts = false; ///< Workers restart.
   bool ScheduledJobs = false;  ///< Some jobs are scheduled for given times.
   bool CrashingTasks = false;  ///< Some tasks crash each worker.
+  bool WorkerCuts = false;     ///< Workers are cut off, and drain.
 };
 
 /// What a simulation includes besides the faults that its seed chooses.
-enum class Extra { None, ScheduledJobs, CrashingTasks };
+enum class Extra { None, ScheduledJobs, CrashingTasks, WorkerCuts };
 
 /// A simulation, determined by its seed, of some seconds with faults and then a
 /// time without.
@@ -50,6 +51,7 @@
                .BlockedLinks = chance(0.4),
                .WorkerRestarts = chance(0.3)};
     Faults_.ScheduledJobs = Included == Extra::ScheduledJobs;
+    Faults_.WorkerCuts = Included == Extra::WorkerCuts;
     if (Included == Extra::CrashingTasks) {
       // A crash is not counted if the owner of the job and the holder of the
       // worker are both replaced before the owner has stored the suspicion. The
@@ -72,6 +74,7 @@
     const auto End = Bench_.Environment.Timers.now() + 12s;
     while (Bench_.Environment.Timers.now() < End) {
       performRandomAction();
+      updateList();
       Bench_.run(std::chrono::milliseconds(number(20, 500)));
       Bench_.checkWaitingJobs();
     }
@@ -121,6 +124,8 @@
     Bench_.Environment.Network.ChooseFault = [this](const std::string &From,
                                                     const std::string &To,
                                                     const std::string &Call) {
+      if (isIsolated(From) || isIsolated(To))
+        return CallFault{.Type = Kind::LostRequest};
       if (BlockedLinks_.contains({From, To}) ||
           BlockedLinks_.contains({To, From}))
         return CallFault{.Type = Kind::LostRequest};
@@ -135,14 +140,19 @@
     };
     Bench_.Environment.Store.ChooseFault = [this](const std::string &Process,
                                                   const std::string &Call) {
-      if (Call == "join" && ProcessesWithoutJoins_.contains(Process))
+      if (isIsolated(Process) ||
+          (Call == "join" && ProcessesWithoutJoins_.contains(Process)))
         return CallFault{.Type = Kind::LostRequest};
       return randomFault(Faults_.StoreFailures);
     };
-    Bench_.Environment.Workers.ChooseFault =
-        [this](const std::string &, const std::string &, const std::string &) {
-          return randomFault(Faults_.WorkerFailures);
-        };
+    Bench_.Environment.Workers.ChooseFault = [this](const std::string &Process,
+                                                    const std::string &Worker,
+                                                    const std::string &) {
+      const auto Cut = Cuts_.find(Worker);
+      if (Cut != Cuts_.end() && Cut->second.ReachedBy != Process)
+        return CallFault{.Type = Cut->second.Type};
+      return randomFault(Faults_.WorkerFailures);
+    };
     Bench_.Environment.Workers.ChoosePlan = [this](const std::string &Task,
                                                    int) {
       if (CrashingTasks_.contains(Task))
@@ -152,7 +162,73 @@
     };
   }
 
+  /// A worker that runs on and can't be reached.
+  struct WorkerCut {
+    Kind Type = Kind::LostRequest;
+    /// Process that still reaches it, and that is cut off from the store and
+    /// from the other processes; empty if there is none.
+    std::string ReachedBy;
+    Clock::time_point Begin{};
+    Clock::time_point End{};
+  };
+  static constexpr std::chrono::milliseconds EntryLifetime{4500};
+  static constexpr std::chrono::seconds DrainTime{8};
+
+  [[nodiscard]] Clock::time_point now() const {
+    return Bench_.Environment.Timers.now();
+  }
+  [[nodiscard]] bool isIsolated(const std::string &Process) const {
+    return std::ranges::any_of(Cuts_, [&Process](const auto &IdAndCut) {
+      return IdAndCut.second.ReachedBy == Process;
+    });
+  }
+  void cutWorker() {
+    const std::string Worker = fmt::format("w{}", number(0, 5));
+    WorkerCut Cut{.Type = chance(0.5) ? Kind::Refused : Kind::LostRequest,
+                  .Begin = now(),
+                  .End = now() + std::chrono::milliseconds(number(500, 9000))};
+    // One process at a time, so that the others go on.
+    const int Shard = ShardMap(Bench_.Environment.Shards).shardOf(Worker);
+    if (Cuts_.empty() && chance(0.5))
+      for (TestCellNode *Node : Bench_.members())
+        if (Node->shards().heldShards().contains(Shard))
+          Cut.ReachedBy = Node->address();
+    Cuts_.try_emplace(Worker, Cut);
+  }
+  /// Ends cuts and drains, and removes the entries of workers that the store
+  /// has not heard of for a while.
+  void updateList() {
+    if (!Faults_.WorkerCuts)
+      return;
+    std::erase_if(Cuts_, [this](const auto &IdAndCut) {
+      return IdAndCut.second.End <= now();
+    });
+    for (int I = 0; I < 6; ++I) {
+      const std::string Id = fmt::format("w{}", I);
+      const auto Drain = DrainsUntil_.find(Id);
+      if (Drain != DrainsUntil_.end() && Drain->second <= now()) {
+        DrainsUntil_.erase(Drain);
+        Bench_.Environment.Workers.restart(Id);
+      }
+      const auto Cut = Cuts_.find(Id);
+      std::optional<std::string> Entry =
+          DrainsUntil_.contains(Id) ? "draining" : "ready";
+      if (Cut != Cuts_.end() && now() - Cut->second.Begin > EntryLifetime)
+        Entry.reset();
+      if (Listed_.try_emplace(Id, "ready").first->second != Entry)
+        Bench_.Environment.Store.put(TestCellNode::WorkersTopic, Id, Entry);
+      Listed_[Id] = Entry;
+    }
+  }
+
   void performRandomAction() {
+    if (Faults_.WorkerCuts && chance(0.2))
+      return cutWorker();
+    if (Faults_.WorkerCuts && chance(0.1)) {
+      DrainsUntil_.try_emplace(fmt::format("w{}", number(0, 5)),
+                               now() + DrainTime);
+      return;
+    }
     const auto Alive = Bench_.members();
     TestCellNode &Node =
         *Alive[static_cast<std::size_t>(number(0, 1000)) % Alive.size()];
@@ -243,6 +319,11 @@
     Bench_.Environment.Network.ChooseFault = nullptr;
     Bench_.Environment.Store.ChooseFault = nullptr;
     Bench_.Environment.Workers.ChooseFault = nullptr;
+    for (auto &[Id, Cut] : Cuts_)
+      Cut.End = now();
+    for (auto &[Id, Until] : DrainsUntil_)
+      Until = now();
+    updateList();
   }
 
   std::mt19937_64 Random_;
@@ -253,7 +334,11 @@
   int HandoversLeft_ = std::numeric_limits<int>::max(); ///< That may be caused.
   std::set<std::pair<std::string, std::string>> BlockedLinks_;
   std::set<std::string> ProcessesWithoutJoins_;
-  std::set<std::string> CrashingTasks_; ///< Names of tasks.
+  std::set<std::string> CrashingTasks_;                  ///< Names of tasks.
+  std::map<std::string, WorkerCut> Cuts_;                ///< By worker.
+  std::map<std::string, Clock::time_point> DrainsUntil_; ///< By worker.
+  /// State in the list by worker; nothing if it has no entry.
+  std::map<std::string, std::optional<std::string>> Listed_;
 };
 
 /// Runs one simulation. Returns the violations and the seed, or nothing.
@@ -277,6 +362,7 @@
   CPPUNIT_TEST(propertyFaultsViolateNoRule);
   CPPUNIT_TEST(propertyFaultsViolateNoRuleOfScheduledJobs);
   CPPUNIT_TEST(propertyFaultsViolateNoRuleOfCrashingTasks);
+  CPPUNIT_TEST(propertyCutsOfWorkersViolateNoRule);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -319,8 +405,8 @@
   // are killed. With HICKORYPICK_NODE_RUN=SEED, one simulation is run and its
   // events are printed, only those that contain HICKORYPICK_NODE_TRACE if that
   // is set. If HICKORYPICK_NODE_TIMES is set, the simulation includes scheduled
-  // jobs, and if HICKORYPICK_NODE_CRASHES is set, tasks that crash their
-  // workers.
+  // jobs, if HICKORYPICK_NODE_CRASHES is set, tasks that crash their workers,
+  // and if HICKORYPICK_NODE_CUTS is set, workers that are cut off.
   void propertyFaultsViolateNoRule() {
     if (const char *Chosen = std::getenv("HICKORYPICK_NODE_RUN")) {
       const char *Text = std::getenv("HICKORYPICK_NODE_TRACE");
@@ -347,10 +433,19 @@
     runRandomSimulations(Extra::CrashingTasks);
   }
 
+  // Guards against runs that are taken for over while their worker is cut off:
+  // from all, also while it drains and its entry disappears, or from all but a
+  // holder that is cut off with it.
+  void propertyCutsOfWorkersViolateNoRule() {
+    runRandomSimulations(Extra::WorkerCuts);
+  }
+
 private:
   static Extra chosenExtra() {
     if (std::getenv("HICKORYPICK_NODE_CRASHES") != nullptr)
       return Extra::CrashingTasks;
+    if (std::getenv("HICKORYPICK_NODE_CUTS") != nullptr)
+      return Extra::WorkerCuts;
     return std::getenv("HICKORYPICK_NODE_TIMES") != nullptr
                ? Extra::ScheduledJobs
                : Extra::None;
