Take the bound for overdue gangs back

Cause: With overdue gangs take the first claims from gangs that can still be in time. Change: The former order.

--- a/Source/Cell/DispatchOrder.cpp
+++ b/Source/Cell/DispatchOrder.cpp
@@ -13,8 +13,6 @@
 /// A late job still has a value for its caller up to this multiple of its
 /// objective.
 constexpr int LateObjectives = 3;
-/// Longest time for which an overdue gang comes after all other steps.
-constexpr std::chrono::seconds OverdueGangDelay{5};
 
 } // namespace
 
@@ -48,12 +46,9 @@
   const Clock::time_point LateStartBy =
       StartBy + (LateObjectives - 1) * Objective;
   const bool Late = StartBy < Now;
-  const bool PutOffLongEnough =
-      Job.Steps[static_cast<std::size_t>(Step)].Gang &&
-      LateStartBy + OverdueGangDelay < Now;
   return {.Deferrable = Job.Queue.Priority > 0,
           .Late = Late,
-          .Overdue = LateStartBy < Now && !PutOffLongEnough,
+          .Overdue = LateStartBy < Now,
           .StartBy = Late ? LateStartBy : StartBy};
 }
 
--- a/Source/Cell/DispatchOrder.h
+++ b/Source/Cell/DispatchOrder.h
@@ -11,9 +11,7 @@
 struct DispatchRank {
   bool Deferrable = false; ///< The queue is not of the most urgent priority.
   bool Late = false;       ///< The step can't meet its objective any more.
-  /// Nor any multiple of it that still has a value, so that it is put off for
-  /// steps that have one.
-  bool Overdue = false;
+  bool Overdue = false;    ///< Nor any multiple of it that still has a value.
   /// Latest start that meets the objective; for a late step, the multiple of it
   /// up to which its completion still has a value.
   Clock::time_point StartBy{};
@@ -28,8 +26,6 @@
 /// their latest start, then the overdue steps. A late step waits until its
 /// extended objective comes close, so that after a burst it does not make
 /// further steps late, but does not wait for as long as others arrive either.
-/// An overdue gang is put off for a bounded time only: it needs capacity that
-/// is free together, which it never gets while others take each piece.
 DispatchRank rankStep(const JobSpec &Job, int Step,
                       Clock::time_point AcceptedAt, Clock::time_point Now);
 
--- a/Tests/Cell/DispatchOrderTest.cpp
+++ b/Tests/Cell/DispatchOrderTest.cpp
@@ -27,7 +27,6 @@
   CPPUNIT_TEST(testUrgentQueueGoesFirst);
   CPPUNIT_TEST(testStepsInTimeComeBeforeLateSteps);
   CPPUNIT_TEST(testLateStepComesFirstWhenItsLastObjectiveIsClose);
-  CPPUNIT_TEST(testOverdueGangIsPutOffForABoundedTime);
   CPPUNIT_TEST(testEarliestStartByGoesFirst);
   CPPUNIT_TEST(testCriticalPathIsTheLongestChain);
   CPPUNIT_TEST(testPreemptsOnlyForStepsThatCanStillBeInTime);
@@ -66,18 +65,6 @@
     CPPUNIT_ASSERT(InTime < Overdue && Late < Overdue);
   }
 
-  // Guards against a wide gang that never starts (LOST): once overdue it came
-  // after all others, and its claims after all other claims, for as long as
-  // others arrived. Tasks that start alone find room, and stay behind.
-  void testOverdueGangIsPutOffForABoundedTime() {
-    JobSpec Job = jobOf(1, 6200ms, 2.2, 1200ms);
-    const auto InTime = rankStep(Job, 0, Now, Now);
-    CPPUNIT_ASSERT(InTime < rankStep(Job, 0, Now - 60s, Now));
-    Job.Steps[0].Gang = true;
-    CPPUNIT_ASSERT(InTime < rankStep(Job, 0, Now - 42s, Now));
-    CPPUNIT_ASSERT(rankStep(Job, 0, Now - 60s, Now) < InTime);
-  }
-
   void testEarliestStartByGoesFirst() {
     const JobSpec Job = jobOf(1, 6200ms, 2.2, 1200ms);
     CPPUNIT_ASSERT(rankStep(Job, 0, Now - 2s, Now) <
