Let fake workers register again when they start

A worker that started again in the fakes left its entry in the list as it was, with the former start, and was never used again. A worker of the platform writes its entry when it starts. Change: FakeWorkers tells the bench, which writes the entry again. No check is changed.

--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -371,6 +371,9 @@
     QueuePolicy Queue{.Name = "queue", .Service = "pool"};
     Queue.MaximumAttempts = 3;
     Environment.Configuration.Queues.push_back(Queue);
+    Environment.Workers.Register = [this](const std::string &Id) {
+      registerAgain(Id);
+    };
     Environment.Workers.GangSize = [this](const std::string &Task) {
       const auto Name = TaskName::parse(Task);
       const auto Job = Name ? Jobs_.find(Name->Job) : Jobs_.end();
@@ -514,6 +517,22 @@
   CellEnvironment Environment;
 
 protected:
+  /// Writes the worker's entry again, as it is, if the list has one.
+  void registerAgain(const std::string &Id) {
+    FakeGroupStore &Store = Environment.Store;
+    std::string After;
+    while (true) {
+      const NewestPage Page =
+          Store.readNewest(TestCellNode::WorkersTopic, 0, After);
+      for (const KeyedRecord &Record : Page.Records) {
+        After = Record.Key;
+        if (Record.Key == Id)
+          return Store.put(TestCellNode::WorkersTopic, Id, Record.Value);
+      }
+      if (!Page.HasMore)
+        return;
+    }
+  }
   /// Returns the demand of a task of a submitted job.
   [[nodiscard]] const Resources &demandOf(const std::string &Task) const {
     const auto Name = TaskName::parse(Task);
--- a/Tests/Cell/FakeWorkers.h
+++ b/Tests/Cell/FakeWorkers.h
@@ -33,6 +33,8 @@
       ChooseFault;
   /// Called when a run starts.
   std::function<RunPlan(const std::string &Task, int Run)> ChoosePlan;
+  /// Called when a worker starts again: it writes its entry in the list anew.
+  std::function<void(const std::string &Worker)> Register;
   /// Number of members of the gang that the task belongs to; 0 for none.
   std::function<int(const std::string &Task)> GangSize;
 
@@ -52,6 +54,8 @@
     // Incarnations are at least 1 ms apart.
     Workers_[Id].Entry.StartedAtMs = ++LastStartedAtMs_;
     History_.workerUp(Id, Entry.Capacity);
+    if (Register)
+      Register(Id);
   }
   /// Ends the worker's incarnation. The next one starts after DownTime.
   void crash(const std::string &Id) {
