Show that a pipeline that names all earlier steps hangs the cell

A job of 32 steps whose depends-on lists all steps before each makes criticalPathTimeFrom() walk 2^31 paths in each dispatch pass. The owner hangs, its shards move, and the next owners hang as well: no accepted job gets an answer. With only the step before named, the same pipeline is completed. review/rig-2 holds the driver; the platform is the project's own emulator.

--- /dev/null
+++ b/review/rig-2/driver.cpp
@@ -0,0 +1,658 @@
+// Starts the emulated platform and hickory-cell processes on loopback, sends
+// jobs as a client would, and checks what the client has seen. Usage:
+//   driver SCENARIO FOLDER     TROUBLE=0: without the disruption
+// Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+#include <arpa/inet.h>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <poll.h>
+#include <sstream>
+#include <string>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+struct CannotRun : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+Clock::time_point Begin = Clock::now();
+std::ofstream Record;
+std::mutex RecordMutex;
+
+long msSince(Clock::time_point Time) {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - Time).count();
+}
+
+void record(const std::string &Text) {
+  const std::lock_guard Lock(RecordMutex);
+  char Time[32];
+  std::snprintf(Time, sizeof Time, "%8.3f ", msSince(Begin) / 1000.0);
+  Record << Time << Text << "\n" << std::flush;
+}
+
+void sleepMs(long Ms) { std::this_thread::sleep_for(milliseconds(Ms)); }
+
+struct Address {
+  std::string Ip;
+  int Port = 0;
+};
+
+Address parseAddress(const std::string &Text) {
+  const auto Colon = Text.rfind(':');
+  return {Text.substr(0, Colon), std::stoi(Text.substr(Colon + 1))};
+}
+
+/// Returns a socket that is bound to a free port of the address; -1 if the port
+/// is taken.
+int bindPort(const std::string &Ip, int Port) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_port = htons(static_cast<std::uint16_t>(Port));
+  ::inet_pton(AF_INET, Ip.c_str(), &Name.sin_addr);
+  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Name), sizeof Name) == 0)
+    return Socket;
+  ::close(Socket);
+  return -1;
+}
+
+int portOf(int Socket) {
+  sockaddr_in Name{};
+  socklen_t Length = sizeof Name;
+  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Name), &Length);
+  return ntohs(Name.sin_port);
+}
+
+struct Reply {
+  int Status = 0; ///< 0: no answer.
+  json Body;
+};
+
+/// Sends one request on a connection of its own.
+Reply call(const Address &To, const std::string &Method,
+           const std::string &Path, const std::string &Host,
+           const std::string &Body, long TimeoutMs) {
+  const auto Deadline = Clock::now() + milliseconds(TimeoutMs);
+  const auto LeftMs = [&] {
+    return static_cast<int>(std::max<long>(
+        0, std::chrono::duration_cast<milliseconds>(Deadline - Clock::now())
+               .count()));
+  };
+  const int Socket =
+      ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  struct Closer {
+    int Socket;
+    ~Closer() { ::close(Socket); }
+  } const Close{Socket};
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_port = htons(static_cast<std::uint16_t>(To.Port));
+  ::inet_pton(AF_INET, To.Ip.c_str(), &Name.sin_addr);
+  if (::connect(Socket, reinterpret_cast<sockaddr *>(&Name), sizeof Name) !=
+          0 &&
+      errno != EINPROGRESS)
+    return {};
+  std::string Out = Method + " " + Path + " HTTP/1.1\r\nHost: " + Host +
+                    "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " +
+                    std::to_string(TimeoutMs) +
+                    "\r\nContent-Length: " + std::to_string(Body.size()) +
+                    "\r\nConnection: close\r\n\r\n" + Body;
+  std::size_t Sent = 0;
+  while (Sent < Out.size()) {
+    pollfd Wait{Socket, POLLOUT, 0};
+    if (::poll(&Wait, 1, LeftMs()) <= 0 || (Wait.revents & POLLERR) != 0)
+      return {};
+    const auto Count =
+        ::send(Socket, Out.data() + Sent, Out.size() - Sent, MSG_NOSIGNAL);
+    if (Count < 0 && errno != EAGAIN)
+      return {};
+    if (Count > 0)
+      Sent += static_cast<std::size_t>(Count);
+  }
+  std::string In;
+  char Buffer[16384];
+  while (true) {
+    const auto HeaderEnd = In.find("\r\n\r\n");
+    if (HeaderEnd != std::string::npos) {
+      std::string Header = In.substr(0, HeaderEnd);
+      for (char &Character : Header)
+        Character = static_cast<char>(std::tolower(Character));
+      const auto Field = Header.find("content-length:");
+      const std::size_t Length = Field == std::string::npos
+                                     ? 0
+                                     : std::stoul(Header.substr(Field + 15));
+      if (In.size() >= HeaderEnd + 4 + Length)
+        return {std::stoi(In.substr(9, 3)),
+                json::parse(In.substr(HeaderEnd + 4, Length), nullptr, false)};
+    }
+    pollfd Wait{Socket, POLLIN, 0};
+    if (::poll(&Wait, 1, LeftMs()) <= 0)
+      return {};
+    const auto Count = ::recv(Socket, Buffer, sizeof Buffer, 0);
+    if (Count < 0 && errno == EAGAIN)
+      continue;
+    if (Count <= 0)
+      return {};
+    In.append(Buffer, static_cast<std::size_t>(Count));
+  }
+}
+
+struct Cell {
+  std::string Name;
+  Address Front;
+  Address Ready;
+  std::string Settings;
+  pid_t Process = 0;
+  std::atomic<bool> InRotation{true};
+  int Misses = 0;
+};
+
+/// The platform, the cells and a client.
+class Rig {
+public:
+  Rig(std::string Folder, std::string PlatformToml, int Cells)
+      : Folder_(std::move(Folder)) {
+    const std::string Root = std::filesystem::current_path().string();
+    std::ofstream(Folder_ + "/platform.toml") << PlatformToml;
+    Emulator_ = spawn({Root + "/target/rig-2/bin/platform-emulator",
+                       "--settings=" + Folder_ + "/platform.toml",
+                       "--ports-file=" + Folder_ + "/ports.json",
+                       "--history=" + Folder_ + "/workers.jsonl",
+                       "--callers=" + std::to_string(Cells), "--seed=1"},
+                      "emulator.log", "");
+    for (int Try = 0; !std::filesystem::exists(Folder_ + "/ports.json");
+         ++Try) {
+      if (Try > 200)
+        throw CannotRun("the emulated platform did not start");
+      sleepMs(50);
+    }
+    sleepMs(50);
+    std::ifstream File(Folder_ + "/ports.json");
+    Ports_ = json::parse(File);
+    int Next = ::getpid() * 8;
+    for (int Number = 0; Number < Cells; ++Number)
+      addCell(Number, Next);
+    for (auto &Each : Cells_)
+      startCell(*Each);
+    const auto Deadline = Clock::now() + std::chrono::seconds(30);
+    for (auto &Each : Cells_)
+      while (call(Each->Ready, "GET", "/api/readiness", "x", "", 500).Status !=
+             200) {
+        if (Clock::now() > Deadline)
+          throw CannotRun(Each->Name + " did not become ready");
+        sleepMs(100);
+      }
+    record("all processes are ready");
+    Prober_ = std::thread([this] { probe(); });
+  }
+  ~Rig() {
+    Stopping_ = true;
+    if (Prober_.joinable())
+      Prober_.join();
+    for (auto &Each : Cells_)
+      end(Each->Process);
+    end(Emulator_);
+  }
+
+  std::vector<std::unique_ptr<Cell>> &cells() { return Cells_; }
+  const std::string &folder() const { return Folder_; }
+
+  void startCell(Cell &Each) {
+    const std::string Root = std::filesystem::current_path().string();
+    Each.Process = spawn({Root + "/target/bin/hickory-cell"},
+                         Each.Name + ".log", Each.Settings);
+    record("started " + Each.Name);
+  }
+
+  void trouble(const json &Command) {
+    record("trouble " + Command.dump());
+    const Reply Got = call(parseAddress(Ports_.at("control")), "POST",
+                           "/trouble", "x", Command.dump(), 2000);
+    if (Got.Status != 200)
+      throw CannotRun("the platform refused " + Command.dump());
+  }
+
+  /// Returns a front address as the platform's balancer would.
+  Cell &pick(unsigned Number) {
+    std::vector<Cell *> In;
+    for (auto &Each : Cells_)
+      if (Each->InRotation)
+        In.push_back(Each.get());
+    if (2 * In.size() < Cells_.size()) {
+      In.clear();
+      for (auto &Each : Cells_)
+        In.push_back(Each.get());
+    }
+    return *In[Number % In.size()];
+  }
+
+  /// Sends a request of a client with its retries. Each goes to another daemon.
+  /// Returns the last answer.
+  Reply send(const std::string &Method, const std::string &Queue,
+             const std::string &Id, const std::string &Body, int Tries,
+             unsigned First, long DeadlineMs = 3000) {
+    Reply Got;
+    for (int Try = 0; Try < Tries; ++Try) {
+      if (Try > 0)
+        sleepMs(200);
+      Cell &To = pick(First + static_cast<unsigned>(Try));
+      Got = call(To.Front, Method, "/" + Queue + "/" + Id, Queue + ".example",
+                 Body, DeadlineMs);
+      record(Method + " " + Id + " at " + To.Name + " -> " +
+             (Got.Status == 0 ? "no answer" : std::to_string(Got.Status)) +
+             (Got.Body.is_object() && Got.Body.contains("state")
+                  ? " " + Got.Body["state"].get<std::string>()
+                  : ""));
+      if (Got.Status != 0 && Got.Status != 502 && Got.Status != 504 &&
+          Got.Status != 503 && Got.Status != 429)
+        break;
+    }
+    return Got;
+  }
+
+  /// Processor time of the process in seconds.
+  double processorTime(const Cell &Each) {
+    std::ifstream Stat("/proc/" + std::to_string(Each.Process) + "/stat");
+    std::string Field;
+    double Ticks = 0;
+    for (int Number = 1; Number <= 15 && Stat >> Field; ++Number)
+      if (Number >= 14)
+        Ticks += std::stod(Field);
+    return Ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  }
+
+  std::vector<json> history() {
+    std::vector<json> Events;
+    std::ifstream File(Folder_ + "/workers.jsonl");
+    for (std::string Line; std::getline(File, Line);) {
+      json Event = json::parse(Line, nullptr, false);
+      if (Event.is_object())
+        Events.push_back(std::move(Event));
+    }
+    return Events;
+  }
+
+private:
+  pid_t spawn(const std::vector<std::string> &Command, const std::string &Log,
+              const std::string &Settings) {
+    const pid_t Child = ::fork();
+    if (Child < 0)
+      throw CannotRun("fork failed");
+    if (Child > 0)
+      return Child;
+    const int File = ::open((Folder_ + "/" + Log).c_str(),
+                            O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(File, 1);
+    ::dup2(File, 2);
+    if (!Settings.empty())
+      ::setenv("HICKORYPICK_SETTINGS", Settings.c_str(), 1);
+    std::vector<char *> Arguments;
+    for (const std::string &Word : Command)
+      Arguments.push_back(const_cast<char *>(Word.c_str()));
+    Arguments.push_back(nullptr);
+    ::execv(Arguments[0], Arguments.data());
+    ::_exit(127);
+  }
+
+  static void end(pid_t Process) {
+    if (Process <= 0)
+      return;
+    ::kill(Process, SIGCONT);
+    ::kill(Process, SIGKILL);
+    ::waitpid(Process, nullptr, 0);
+  }
+
+  void addCell(int Number, int &Next) {
+    for (int Try = 0; Try < 2000; ++Try, ++Next) {
+      const std::string Ip = "127." + std::to_string(20 + Next / 62500 % 200) +
+                             "." + std::to_string(Next / 250 % 250) + "." +
+                             std::to_string(2 + Next % 250);
+      std::vector<int> Sockets{bindPort(Ip, 9190)};
+      for (int Index = 0; Index < 4; ++Index)
+        Sockets.push_back(bindPort(Ip, 0));
+      std::vector<int> Ports;
+      bool Free = true;
+      for (const int Socket : Sockets) {
+        Free = Free && Socket >= 0;
+        if (Socket >= 0) {
+          Ports.push_back(portOf(Socket));
+          ::close(Socket);
+        }
+      }
+      if (!Free)
+        continue;
+      ++Next;
+      auto New = std::make_unique<Cell>();
+      New->Name = "cell-" + std::to_string(Number);
+      New->Front = {Ip, Ports[1]};
+      New->Ready = {Ip, Ports[2]};
+      const auto At = [&Ip](int Port) {
+        return Ip + ":" + std::to_string(Port);
+      };
+      const json Settings = {
+          {"node", New->Name},
+          {"role", "cell"},
+          {"machine-class", "edge"},
+          {"serves", {"edge"}},
+          {"ip", Ip},
+          {"zone", "zone-a"},
+          {"region", "region-a"},
+          {"zones", {{"zone-a", "region-a"}}},
+          {"bind-addresses",
+           {{"front", At(Ports[1])},
+            {"ready", At(Ports[2])},
+            {"control", At(Ports[3])}}},
+          {"internal-ports", {Ports[4], Ports[4]}},
+          {"seeds", json::array()},
+          {"bootstrap", true},
+          {"loss-counts", false},
+          {"limits",
+           {{"cpu-share", 0.25},
+            {"cores", 1},
+            {"memory-mb", 260},
+            {"max-fds", 4200},
+            {"link-mbps", 1000.0},
+            {"disk-mb", 0}}},
+          {"data-dir", nullptr},
+          {"discovery", "platform"},
+          {"entry", "vip"},
+          {"heartbeat-ms", 1500},
+          {"bounds",
+           {{"contact-ms", 3000},
+            {"ack-ms", 4000},
+            {"drain-ms", 2500},
+            {"grace-s", 6},
+            {"config-apply-ms", 2500},
+            {"recovery-s", 12},
+            {"hold-max-ms", 10000},
+            {"stop-ms", 400},
+            {"gang-timeout-ms", 3000},
+            {"cancel_ms", 3000},
+            {"visible_ms", 3000},
+            {"finish_s", 14},
+            {"status_s", 120},
+            {"fencing-required", true}}},
+          {"orders", "call"},
+          {"advice",
+           Ports_.at("advisers").at(static_cast<std::size_t>(Number))},
+          {"platform",
+           {{"address",
+             Ports_.at("stores").at(static_cast<std::size_t>(Number))},
+            {"form", "log"},
+            {"writes-per-s", 600},
+            {"reads-per-s", 2000},
+            {"parts", 24},
+            {"append-ms", 1.0},
+            {"record-bytes", 262144},
+            {"call-bytes", 2097152},
+            {"ttl-min-ms", 1000}}}};
+      New->Settings = Folder_ + "/" + New->Name + ".json";
+      std::ofstream(New->Settings) << Settings.dump(2);
+      Cells_.push_back(std::move(New));
+      return;
+    }
+    throw CannotRun("no loopback address is free");
+  }
+
+  /// The balancer's probes: once per second, out after two misses.
+  void probe() {
+    while (!Stopping_) {
+      for (auto &Each : Cells_) {
+        const bool Good =
+            call(Each->Ready, "GET", "/api/readiness", "x", "", 500).Status ==
+            200;
+        Each->Misses = Good ? 0 : Each->Misses + 1;
+        const bool In = Each->Misses < 2;
+        if (In != Each->InRotation)
+          record(Each->Name + (In ? " is in rotation" : " is out of rotation"));
+        Each->InRotation = In;
+      }
+      for (int Step = 0; Step < 10 && !Stopping_; ++Step)
+        sleepMs(100);
+    }
+  }
+
+  std::string Folder_;
+  json Ports_;
+  pid_t Emulator_ = 0;
+  std::vector<std::unique_ptr<Cell>> Cells_;
+  std::thread Prober_;
+  std::atomic<bool> Stopping_{false};
+};
+
+std::string idOf(unsigned Kind, unsigned Number) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%08x%08x", 0xc0de0000U + Kind,
+                Number * 2654435761U + 12345U);
+  return Text;
+}
+
+/// A job for the emulated executors: their plan is in the job's spec.
+json makeJob(const std::string &Queue, const json &Steps,
+             std::size_t SpecBytes = 0) {
+  json Plan = {{"queue", Queue}, {"steps", Steps}};
+  // The executors need only the first of many like steps.
+  std::string Spec = Plan.dump();
+  if (SpecBytes > Spec.size()) {
+    Plan["pad"] = std::string(SpecBytes - Spec.size() - 9, 'x');
+    Spec = Plan.dump();
+  }
+  json Wire = json::array();
+  for (json Step : Steps) {
+    Step["estimated-ms"] = Step.value("ms", 100);
+    Step.erase("ms");
+    Wire.push_back(std::move(Step));
+  }
+  return {{"spec", Spec}, {"steps", std::move(Wire)}};
+}
+
+/// Steady traffic of small jobs: one each PeriodMs for Seconds.
+class Traffic {
+public:
+  Traffic(Rig &Platform, double Seconds, long PeriodMs)
+      : Platform_(Platform), Seconds_(Seconds), PeriodMs_(PeriodMs),
+        Thread_([this] { run(); }) {}
+  ~Traffic() { join(); }
+  void join() {
+    if (Thread_.joinable())
+      Thread_.join();
+    for (auto &Each : Clients_)
+      if (Each.joinable())
+        Each.join();
+  }
+  std::vector<std::string> accepted() {
+    const std::lock_guard Lock(Mutex_);
+    return Accepted_;
+  }
+  int sent() const { return Sent_; }
+
+private:
+  void run() {
+    const auto Start = Clock::now();
+    for (unsigned Number = 0; msSince(Start) < Seconds_ * 1000; ++Number) {
+      ++Sent_;
+      Clients_.emplace_back([this, Number] {
+        const std::string Id = idOf(1, Number);
+        const json Job = makeJob(
+            "plain",
+            {{{"count", 1}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}});
+        const Reply Got =
+            Platform_.send("POST", "plain", Id, Job.dump(), 5, Number);
+        if (Got.Status >= 200 && Got.Status < 300) {
+          const std::lock_guard Lock(Mutex_);
+          Accepted_.push_back(Id);
+        }
+      });
+      sleepMs(PeriodMs_);
+    }
+  }
+
+  Rig &Platform_;
+  double Seconds_;
+  long PeriodMs_;
+  std::mutex Mutex_;
+  std::vector<std::string> Accepted_;
+  std::vector<std::thread> Clients_;
+  std::atomic<int> Sent_{0};
+  std::thread Thread_;
+};
+
+/// Asks for the states of the accepted jobs, each at all daemons in turn, as
+/// the users do `finish_s` after the end of the traffic. Returns the number of
+/// jobs that are not known or get no answer (answered with 200 by no daemon).
+int askForJobs(Rig &Platform, const std::string &Queue,
+               const std::vector<std::string> &Ids, int &Completed,
+               int Tries = 5) {
+  std::atomic<int> Lost{0};
+  std::atomic<int> Done{0};
+  std::vector<std::thread> Clients;
+  for (std::size_t I = 0; I < Ids.size(); ++I)
+    Clients.emplace_back([&, I] {
+      const Reply Got = Platform.send("GET", Queue, Ids[I], "", Tries,
+                                      static_cast<unsigned>(I));
+      if (Got.Status != 200)
+        ++Lost;
+      else if (Got.Body.is_object() &&
+               Got.Body.value("state", std::string()) == "completed")
+        ++Done;
+    });
+  for (auto &Each : Clients)
+    Each.join();
+  Completed = Done;
+  return Lost;
+}
+
+const char *const PlainPlatform = R"([platform]
+workers = 8
+cpu = 32000
+mem-mb = 131072
+admission-check = false
+stop-ms = 100
+
+[[platform.routes]]
+name = "plain"
+priority = 0
+max-attempts = 3
+target-latency-ms = 300
+
+[[platform.routes]]
+name = "batch"
+priority = 2
+max-attempts = 4
+target-latency-ms = 3000
+)";
+
+/// A pipeline whose steps name all earlier steps (TROUBLE=0: only the one
+/// before) among steady traffic.
+int runPipeline(const std::string &Folder, bool Trouble) {
+  Rig Platform(Folder, PlainPlatform, 3);
+  const char *Given = std::getenv("STEPS");
+  const int Steps = Given == nullptr ? 32 : std::stoi(Given);
+  json Pipeline = json::array();
+  for (int Number = 0; Number < Steps; ++Number) {
+    json Step = {{"count", 1}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 40}};
+    if (Number > 0) {
+      Step["depends-on"] = json::array();
+      for (int Earlier = Trouble ? 0 : Number - 1; Earlier < Number; ++Earlier)
+        Step["depends-on"].push_back(Earlier);
+    }
+    Pipeline.push_back(std::move(Step));
+  }
+  json Job = makeJob("batch", Pipeline);
+  // The executors read count, cpu, mem-mb and ms only.
+  json Plan = {{"queue", "batch"}, {"steps", json::array()}};
+  for (int Number = 0; Number < Steps; ++Number)
+    Plan["steps"].push_back({{"cpu", 500}, {"mem-mb", 64}, {"ms", 40}});
+  Job["spec"] = Plan.dump();
+  if (Job["spec"].get<std::string>().size() > 4000)
+    throw CannotRun("the spec is too long");
+  Traffic Small(Platform, 20, 150);
+  sleepMs(5000);
+  const std::string Id = idOf(2, 1);
+  record("the pipeline has " + std::to_string(Steps) + " steps, its body " +
+         std::to_string(Job.dump().size()) + " bytes");
+  const Reply Sent = Platform.send("POST", "batch", Id, Job.dump(), 5, 0);
+  Small.join();
+  record("the traffic has ended; finish_s begins");
+  sleepMs(14000);
+  std::vector<std::string> Ids = Small.accepted();
+  std::vector<double> Before;
+  for (auto &Each : Platform.cells())
+    Before.push_back(Platform.processorTime(*Each));
+  const auto MeasuredAt = Clock::now();
+  int Completed = 0;
+  const int Lost = askForJobs(Platform, "plain", Ids, Completed);
+  int PipelineDone = 0;
+  int PipelineLost = 0;
+  if (Sent.Status >= 200 && Sent.Status < 300)
+    PipelineLost = askForJobs(Platform, "batch", {Id}, PipelineDone);
+  for (std::size_t I = 0; I < Platform.cells().size(); ++I) {
+    Cell &Each = *Platform.cells()[I];
+    char Text[160];
+    std::snprintf(Text, sizeof Text,
+                  "%s used %.2f s of processor time in %.2f s",
+                  Each.Name.c_str(), Platform.processorTime(Each) - Before[I],
+                  msSince(MeasuredAt) / 1000.0);
+    record(Text);
+  }
+  record("small jobs: " + std::to_string(Small.sent()) + " sent, " +
+         std::to_string(Ids.size()) + " accepted, " +
+         std::to_string(Completed) + " completed, " + std::to_string(Lost) +
+         " not known or without an answer; pipeline: status " +
+         std::to_string(Sent.Status) +
+         (PipelineDone > 0 ? ", completed" : ", not completed"));
+  if (Ids.empty())
+    throw CannotRun("no job was accepted");
+  return Lost + PipelineLost > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  if (Count != 3) {
+    std::cerr << "usage: driver SCENARIO FOLDER\n";
+    return 2;
+  }
+  const std::string Scenario = Values[1];
+  const std::string Folder = Values[2];
+  const char *Setting = std::getenv("TROUBLE");
+  const bool Trouble = Setting == nullptr || std::string(Setting) != "0";
+  std::signal(SIGPIPE, SIG_IGN);
+  Record.open(Folder + "/record.txt");
+  int Result = 2;
+  try {
+    if (Scenario == "pipeline")
+      Result = runPipeline(Folder, Trouble);
+    else
+      throw CannotRun("unknown scenario " + Scenario);
+  } catch (const std::exception &Failure) {
+    record(std::string("could not run: ") + Failure.what());
+    std::cerr << "driver: " << Failure.what() << "\n";
+    Result = 2;
+  }
+  record("exit status " + std::to_string(Result));
+  return Result;
+}
