--- a/review/rig-2/driver.cpp
+++ b/review/rig-2/driver.cpp
@@ -20,6 +20,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/socket.h>
@@ -170,6 +171,133 @@
   int Misses = 0;
 };
 
+/// Forwards the calls to the platform's store and refuses records that are
+/// longer than `record-bytes`, which the emulated store takes.
+class StoreProxy {
+public:
+  explicit StoreProxy(const Address &Store) : Store_(Store) {
+    Listener_ = bindPort("127.0.0.1", 0);
+    if (Listener_ < 0 || ::listen(Listener_, 128) != 0)
+      throw CannotRun("the proxy cannot listen");
+    std::thread([this] { accept(); }).detach();
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(portOf(Listener_));
+  }
+  static constexpr std::size_t RecordBytes = 262144;
+  static std::atomic<int> Refused;
+  static std::atomic<std::size_t> LongestRecord;
+
+private:
+  void accept() {
+    while (true) {
+      const int Socket = ::accept4(Listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (Socket >= 0)
+        std::thread([this, Socket] { serve(Socket); }).detach();
+    }
+  }
+
+  /// Reads one message with its body. Returns an empty text at the end.
+  static std::string readMessage(int Socket, std::string &Rest) {
+    char Buffer[65536];
+    while (true) {
+      const auto HeaderEnd = Rest.find("\r\n\r\n");
+      if (HeaderEnd != std::string::npos) {
+        std::string Header = Rest.substr(0, HeaderEnd);
+        for (char &Character : Header)
+          Character = static_cast<char>(std::tolower(Character));
+        const auto Field = Header.find("content-length:");
+        const std::size_t Length =
+            HeaderEnd + 4 +
+            (Field == std::string::npos
+                 ? 0
+                 : std::stoul(Header.substr(Field + 15)));
+        if (Rest.size() >= Length) {
+          std::string Message = Rest.substr(0, Length);
+          Rest.erase(0, Length);
+          return Message;
+        }
+      }
+      const auto Count = ::recv(Socket, Buffer, sizeof Buffer, 0);
+      if (Count <= 0)
+        return {};
+      Rest.append(Buffer, static_cast<std::size_t>(Count));
+    }
+  }
+
+  static bool writeAll(int Socket, const std::string &Text) {
+    for (std::size_t Sent = 0; Sent < Text.size();) {
+      const auto Count =
+          ::send(Socket, Text.data() + Sent, Text.size() - Sent, MSG_NOSIGNAL);
+      if (Count <= 0)
+        return false;
+      Sent += static_cast<std::size_t>(Count);
+    }
+    return true;
+  }
+
+  /// Returns the length of the longest record of an append.
+  static std::size_t longestRecord(const std::string &Body) {
+    std::size_t Longest = 0;
+    for (std::size_t At = 0; At + 4 <= Body.size();) {
+      std::size_t Length = 0;
+      for (std::size_t Byte = 0; Byte < 4; ++Byte)
+        Length = (Length << 8U) | static_cast<unsigned char>(Body[At + Byte]);
+      Longest = std::max(Longest, Length);
+      At += 4 + Length;
+    }
+    return Longest;
+  }
+
+  void serve(int Client) {
+    const int Server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Name{};
+    Name.sin_family = AF_INET;
+    Name.sin_port = htons(static_cast<std::uint16_t>(Store_.Port));
+    ::inet_pton(AF_INET, Store_.Ip.c_str(), &Name.sin_addr);
+    const bool Connected =
+        ::connect(Server, reinterpret_cast<sockaddr *>(&Name), sizeof Name) ==
+        0;
+    std::string FromClient;
+    std::string FromServer;
+    while (Connected) {
+      const std::string Request = readMessage(Client, FromClient);
+      if (Request.empty())
+        break;
+      if (Request.starts_with("POST /api/log-append")) {
+        const std::size_t Longest =
+            longestRecord(Request.substr(Request.find("\r\n\r\n") + 4));
+        std::size_t Known = LongestRecord;
+        while (Known < Longest &&
+               !LongestRecord.compare_exchange_weak(Known, Longest)) {
+        }
+        if (Longest > RecordBytes) {
+          if (++Refused == 1)
+            record("the store refuses a record of " + std::to_string(Longest) +
+                   " bytes");
+          if (!writeAll(Client, "HTTP/1.1 400 Bad Request\r\nContent-Type: "
+                                "application/json\r\nContent-Length: "
+                                "2\r\n\r\n{}"))
+            break;
+          continue;
+        }
+      }
+      if (!writeAll(Server, Request))
+        break;
+      const std::string Answer = readMessage(Server, FromServer);
+      if (Answer.empty() || !writeAll(Client, Answer))
+        break;
+    }
+    ::close(Server);
+    ::close(Client);
+  }
+
+  Address Store_;
+  int Listener_ = -1;
+};
+std::atomic<int> StoreProxy::Refused{0};
+std::atomic<std::size_t> StoreProxy::LongestRecord{0};
+
 /// The platform, the cells and a client.
 class Rig {
 public:
@@ -192,6 +320,11 @@
     sleepMs(50);
     std::ifstream File(Folder_ + "/ports.json");
     Ports_ = json::parse(File);
+    for (auto &Store : Ports_["stores"]) {
+      Proxies_.push_back(
+          std::make_unique<StoreProxy>(parseAddress(Store.get<std::string>())));
+      Store = Proxies_.back()->address();
+    }
     int Next = ::getpid() * 8;
     for (int Number = 0; Number < Cells; ++Number)
       addCell(Number, Next);
@@ -215,6 +348,8 @@
     for (auto &Each : Cells_)
       end(Each->Process);
     end(Emulator_);
+    for (auto &Each : Proxies_)
+      (void)Each.release();
   }
 
   std::vector<std::unique_ptr<Cell>> &cells() { return Cells_; }
@@ -437,6 +572,8 @@
 
   std::string Folder_;
   json Ports_;
+  /// Never destroyed, as their threads run on.
+  std::vector<std::unique_ptr<StoreProxy>> Proxies_;
   pid_t Emulator_ = 0;
   std::vector<std::unique_ptr<Cell>> Cells_;
   std::thread Prober_;
@@ -472,8 +609,12 @@
 /// Steady traffic of small jobs: one each PeriodMs for Seconds.
 class Traffic {
 public:
-  Traffic(Rig &Platform, double Seconds, long PeriodMs)
+  Traffic(Rig &Platform, double Seconds, long PeriodMs,
+          const json &Steps =
+              {{{"count", 1}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}},
+          const std::string &Queue = "plain", unsigned Kind = 1)
       : Platform_(Platform), Seconds_(Seconds), PeriodMs_(PeriodMs),
+        Queue_(Queue), Body_(makeJob(Queue, Steps).dump()), Kind_(Kind),
         Thread_([this] { run(); }) {}
   ~Traffic() { join(); }
   void join() {
@@ -495,12 +636,8 @@
     for (unsigned Number = 0; msSince(Start) < Seconds_ * 1000; ++Number) {
       ++Sent_;
       Clients_.emplace_back([this, Number] {
-        const std::string Id = idOf(1, Number);
-        const json Job = makeJob(
-            "plain",
-            {{{"count", 1}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}});
-        const Reply Got =
-            Platform_.send("POST", "plain", Id, Job.dump(), 5, Number);
+        const std::string Id = idOf(Kind_, Number);
+        const Reply Got = Platform_.send("POST", Queue_, Id, Body_, 5, Number);
         if (Got.Status >= 200 && Got.Status < 300) {
           const std::lock_guard Lock(Mutex_);
           Accepted_.push_back(Id);
@@ -513,6 +650,9 @@
   Rig &Platform_;
   double Seconds_;
   long PeriodMs_;
+  std::string Queue_;
+  std::string Body_;
+  unsigned Kind_;
   std::mutex Mutex_;
   std::vector<std::string> Accepted_;
   std::vector<std::thread> Clients_;
@@ -565,6 +705,191 @@
 target-latency-ms = 3000
 )";
 
+/// What the executors have recorded of one job.
+struct JobTrace {
+  std::set<std::string> Done; ///< Tasks.
+  std::map<std::string, int> Running;
+  std::int64_t LastRunUs = 0; ///< When something of it ran last.
+};
+
+/// Returns the jobs of which nothing has run for the last 3 s although a task's
+/// turn had come, while the executors had capacity: rule LOST, asked at the
+/// time of the call. StepTasks: the tasks of each step; each step depends on
+/// the one before. FreeShare: the least share of the capacity that was free.
+std::vector<std::string> stalledJobs(Rig &Platform,
+                                     const std::vector<std::string> &Ids,
+                                     const std::vector<int> &StepTasks,
+                                     double Capacity, double &LeastFree) {
+  const std::int64_t Now =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  constexpr std::int64_t Window = 3'000'000;
+  std::map<std::string, JobTrace> Traces;
+  std::map<std::string, double> RunningCpus; ///< By run.
+  double Used = 0;
+  double MostUsed = 0;
+  bool InWindow = false;
+  for (const json &Event : Platform.history()) {
+    const auto Kind = Event.value("event", std::string());
+    const auto At = Event.value("wall_us", std::int64_t{0});
+    if (At > Now)
+      break;
+    if (At >= Now - Window && !std::exchange(InWindow, true))
+      MostUsed = Used;
+    if (Kind != "started" && Kind != "ended" && Kind != "dropped")
+      continue;
+    const auto Task = Event.at("task").get<std::string>();
+    const std::string Run = Task + "#" + std::to_string(Event.value("run", 0)) +
+                            "@" + Event.value("worker", std::string());
+    JobTrace &Trace = Traces[Task.substr(0, Task.find('.'))];
+    Trace.LastRunUs = At;
+    if (Kind == "started") {
+      ++Trace.Running[Task];
+      RunningCpus[Run] = Event.value("cpus_milli", 0.0);
+      Used += RunningCpus[Run];
+    } else {
+      if (--Trace.Running[Task] <= 0)
+        Trace.Running.erase(Task);
+      Used -= RunningCpus[Run];
+      if (Event.value("how", std::string()) == "done")
+        Trace.Done.insert(Task);
+    }
+    if (InWindow)
+      MostUsed = std::max(MostUsed, Used);
+  }
+  if (!InWindow)
+    MostUsed = Used;
+  LeastFree = 1 - MostUsed / Capacity;
+  std::vector<std::string> Stalled;
+  for (const std::string &Id : Ids) {
+    const JobTrace &Trace = Traces[Id];
+    std::size_t Tasks = 0;
+    for (const int Count : StepTasks)
+      Tasks += static_cast<std::size_t>(Count);
+    if (Trace.Done.size() < Tasks && Trace.Running.empty() &&
+        Trace.LastRunUs < Now - Window)
+      Stalled.push_back(Id);
+  }
+  return Stalled;
+}
+
+std::int64_t unixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// A scheduled job of 10,000 occurrences, all of which are due (TROUBLE=0: 20
+/// of them), among steady jobs of two steps.
+int runSchedule(const std::string &Folder, bool Trouble) {
+  Rig Platform(Folder, PlainPlatform, 3);
+  constexpr double Capacity = 8 * 32000.0;
+  const json SmallSteps = {
+      {{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}},
+      {{"count", 1},
+       {"cpu", 500},
+       {"mem-mb", 64},
+       {"ms", 300},
+       {"depends-on", {0}}}};
+  Traffic Small(Platform, 25, 150, SmallSteps);
+  sleepMs(5000);
+  const char *Given = std::getenv("OCCURRENCES");
+  const int Repetitions = Given == nullptr ? 10000 : std::stoi(Given);
+  constexpr int IntervalMs = 1000;
+  json Job = makeJob("batch",
+                     {{{"count", 1}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 100}},
+                      {{"count", 1},
+                       {"cpu", 500},
+                       {"mem-mb", 64},
+                       {"ms", 100},
+                       {"depends-on", {0}}}});
+  Job["repetitions"] = Repetitions;
+  Job["interval-ms"] = IntervalMs;
+  Job["first-run-ms"] = unixMs() - IntervalMs * static_cast<std::int64_t>(
+                                                    Trouble ? Repetitions : 20);
+  const std::string Id = idOf(3, 1);
+  record("the scheduled job has a body of " +
+         std::to_string(Job.dump().size()) + " bytes");
+  const Reply Sent = Platform.send("POST", "batch", Id, Job.dump(), 5, 0);
+  Small.join();
+  record("the traffic has ended; finish_s begins");
+  sleepMs(14000);
+  const auto Ids = Small.accepted();
+  double Free = 0;
+  const auto Stalled = stalledJobs(Platform, Ids, {2, 1}, Capacity, Free);
+  int Completed = 0;
+  const int Lost = askForJobs(Platform, "plain", Ids, Completed);
+  for (const std::string &Each : Stalled)
+    record("stalled: " + Each);
+  int Running = 0;
+  askForJobs(Platform, "batch", {Id}, Running);
+  char Text[400];
+  std::snprintf(
+      Text, sizeof Text,
+      "small jobs: %d sent, %zu accepted, %d completed, %d not known or "
+      "without an answer, %zu with nothing running for 3 s though a "
+      "task's turn had come; free capacity at least %.0f%%; scheduled "
+      "job: status %d; longest record %zu bytes, %d refused",
+      Small.sent(), Ids.size(), Completed, Lost, Stalled.size(), 100 * Free,
+      Sent.Status, StoreProxy::LongestRecord.load(),
+      StoreProxy::Refused.load());
+  record(Text);
+  if (Ids.empty())
+    throw CannotRun("no job was accepted");
+  return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
+}
+
+/// An executor, alone in its rack, is lost for good (TROUBLE=0: it is not)
+/// while urgent jobs come that need its rack, and other jobs come that run
+/// anywhere.
+int runRack(const std::string &Folder, bool Trouble) {
+  std::string Toml = PlainPlatform;
+  Toml.replace(Toml.find("workers = 8"), 11, "workers = 7");
+  Rig Platform(Folder, Toml, 3);
+  constexpr double Capacity = 6 * 32000.0;
+  sleepMs(1000);
+  if (Trouble) {
+    Platform.trouble(
+        {{"kind", "cut-worker"}, {"worker", "w003"}, {"seconds", 600}});
+    Platform.trouble(
+        {{"kind", "put-entry"}, {"key", "77303033"}, {"value", ""}});
+  }
+  Traffic Urgent(Platform, 36, 40,
+                 {{{"count", 1},
+                   {"cpu", 500},
+                   {"mem-mb", 64},
+                   {"ms", 100},
+                   {"requirements", "rack-3"}}},
+                 "plain", 4);
+  Traffic Other(Platform, 36, 500,
+                {{{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}},
+                "batch", 5);
+  Urgent.join();
+  Other.join();
+  record("the traffic has ended; finish_s begins");
+  sleepMs(14000);
+  const auto Ids = Other.accepted();
+  double Free = 0;
+  const auto Stalled = stalledJobs(Platform, Ids, {2}, Capacity, Free);
+  int Completed = 0;
+  const int Lost = askForJobs(Platform, "batch", Ids, Completed);
+  for (const std::string &Each : Stalled)
+    record("stalled: " + Each);
+  char Text[400];
+  std::snprintf(Text, sizeof Text,
+                "urgent jobs that need the rack: %d sent, %zu accepted; other "
+                "jobs: %d sent, %zu accepted, %d completed, %d not known or "
+                "without an answer, %zu with nothing running for 3 s though "
+                "their turn had come; free capacity at least %.0f%%",
+                Urgent.sent(), Urgent.accepted().size(), Other.sent(),
+                Ids.size(), Completed, Lost, Stalled.size(), 100 * Free);
+  record(Text);
+  if (Ids.empty())
+    throw CannotRun("no job was accepted");
+  return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
+}
+
 /// A pipeline whose steps name all earlier steps (TROUBLE=0: only the one
 /// before) among steady traffic.
 int runPipeline(const std::string &Folder, bool Trouble) {
@@ -646,6 +971,10 @@
   try {
     if (Scenario == "pipeline")
       Result = runPipeline(Folder, Trouble);
+    else if (Scenario == "schedule")
+      Result = runSchedule(Folder, Trouble);
+    else if (Scenario == "rack")
+      Result = runRack(Folder, Trouble);
     else
       throw CannotRun("unknown scenario " + Scenario);
   } catch (const std::exception &Failure) {
