Show that a gang that needs nearly whole executors stops its queue

A task of priority 1 or higher number that needs over 94% of the cores of an executor never starts, as 6% are kept back also on an empty executor.

--- a/review/rig-2/driver.cpp
+++ b/review/rig-2/driver.cpp
@@ -954,6 +954,57 @@
   return Lost + PipelineLost > 0 ? 1 : 0;
 }
 
+/// A gang whose members need 31 of an executor's 32 cores (TROUBLE=0: 29) among
+/// steady small jobs of the same queue.
+int runWholeExecutor(const std::string &Folder, bool Trouble) {
+  Rig Platform(Folder, PlainPlatform, 3);
+  constexpr double Capacity = 8 * 32000.0;
+  const char *Given = std::getenv("MEMBERS");
+  const int Members = Given == nullptr ? 8 : std::stoi(Given);
+  Traffic Small(Platform, 30, 400,
+                {{{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}},
+                "batch", 6);
+  sleepMs(5000);
+  json Job = makeJob("batch", {{{"count", Members},
+                                {"cpu", Trouble ? 31000 : 29000},
+                                {"mem-mb", 1024},
+                                {"ms", 500},
+                                {"gang", true}}});
+  const std::string Id = idOf(7, 1);
+  const Reply Sent = Platform.send("POST", "batch", Id, Job.dump(), 5, 0);
+  Small.join();
+  record("the traffic has ended; finish_s begins");
+  sleepMs(14000);
+  const auto Ids = Small.accepted();
+  double Free = 0;
+  auto Stalled = stalledJobs(Platform, Ids, {2}, Capacity, Free);
+  const std::size_t SmallStalled = Stalled.size();
+  // The rule asks for capacity for the job twice over.
+  if (Sent.Status >= 200 && Sent.Status < 300 && 2 * Members <= 8)
+    for (std::string &Each :
+         stalledJobs(Platform, {Id}, {Members}, Capacity, Free))
+      Stalled.push_back(std::move(Each));
+  int Completed = 0;
+  const int Lost = askForJobs(Platform, "batch", Ids, Completed);
+  int GangDone = 0;
+  askForJobs(Platform, "batch", {Id}, GangDone);
+  for (const std::string &Each : Stalled)
+    record("stalled: " + Each);
+  char Text[400];
+  std::snprintf(
+      Text, sizeof Text,
+      "small jobs: %d sent, %zu accepted, %d completed, %d not known or "
+      "without an answer, %zu with nothing running for 3 s though "
+      "their turn had come; gang: status %d, %s; free capacity at "
+      "least %.0f%%",
+      Small.sent(), Ids.size(), Completed, Lost, SmallStalled, Sent.Status,
+      GangDone > 0 ? "completed" : "not completed", 100 * Free);
+  record(Text);
+  if (Ids.empty())
+    throw CannotRun("no job was accepted");
+  return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -973,6 +1024,8 @@
       Result = runPipeline(Folder, Trouble);
     else if (Scenario == "schedule")
       Result = runSchedule(Folder, Trouble);
+    else if (Scenario == "whole-executor")
+      Result = runWholeExecutor(Folder, Trouble);
     else if (Scenario == "rack")
       Result = runRack(Folder, Trouble);
     else
