Show that a gang that waits for a lasting task stops its queue

A gang of 8 tasks that fits on 7 of 8 executors while a lasting task is at work on the eighth claims all of them; over half of the accepted small jobs of the queue never begin.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# A gang whose 8 members need 31 of the 32 cores of an executor each, on 8 executors, among steady small jobs of its
-# queue, on three hickory-cell processes. TROUBLE=0: 29 cores. Exit status: 0 LOST held, 1 it was broken, 2 not run.
+# A lasting task of 18 cores is at work on one of 8 executors; a gang of 8 tasks of 17 cores waits for it, among steady small
+# jobs of the same queue, on three hickory-cell processes. TROUBLE=0: a gang of 7. Exit: 0 LOST held, 1 broken, 2 not run.
 set -u
 cd "$(dirname "$0")/../.."
 for program in target/bin/hickory-cell target/rig-2/bin/driver target/rig-2/bin/platform-emulator; do
   [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
 folder=$(mktemp -d) || exit 2
-TROUBLE=${TROUBLE:-1} target/rig-2/bin/driver whole-executor "$folder"
+TROUBLE=${TROUBLE:-1} target/rig-2/bin/driver beside-service "$folder"
 status=$?
 cp "$folder/record.txt" review/8/record.txt
 rm -rf "$folder"
--- a/review/rig-2/driver.cpp
+++ b/review/rig-2/driver.cpp
@@ -1005,6 +1005,60 @@
   return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
 }
 
+/// A lasting task of 18 cores is at work on one of 8 executors. A gang of 8
+/// tasks of 17 cores comes, which waits for that executor (TROUBLE=0: of 7
+/// tasks), among steady small jobs of the same queue.
+int runBesideService(const std::string &Folder, bool Trouble) {
+  Rig Platform(Folder, PlainPlatform, 3);
+  constexpr double Capacity = 8 * 32000.0;
+  json Service = makeJob("batch", {{{"count", 1},
+                                    {"cpu", 18000},
+                                    {"mem-mb", 1024},
+                                    {"ms", 600000},
+                                    {"long-running", true}}});
+  const std::string ServiceId = idOf(20, 1);
+  if (Platform.send("POST", "batch", ServiceId, Service.dump(), 5, 0).Status !=
+      200)
+    throw CannotRun("the lasting job was not accepted");
+  Traffic Small(Platform, 30, 400,
+                {{{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"ms", 300}}},
+                "batch", 21);
+  sleepMs(5000);
+  const int Members = Trouble ? 8 : 7;
+  const json Gang = makeJob("batch", {{{"count", Members},
+                                       {"cpu", 17000},
+                                       {"mem-mb", 1024},
+                                       {"ms", 500},
+                                       {"gang", true}}});
+  const std::string GangId = idOf(22, 1);
+  const Reply Sent = Platform.send("POST", "batch", GangId, Gang.dump(), 5, 1);
+  Small.join();
+  record("the traffic has ended; finish_s begins");
+  sleepMs(14000);
+  const auto Ids = Small.accepted();
+  double Free = 0;
+  const auto Stalled = stalledJobs(Platform, Ids, {2}, Capacity, Free);
+  int Completed = 0;
+  const int Lost = askForJobs(Platform, "batch", Ids, Completed);
+  int GangDone = 0;
+  askForJobs(Platform, "batch", {GangId}, GangDone);
+  for (const std::string &Each : Stalled)
+    record("stalled: " + Each);
+  char Text[400];
+  std::snprintf(Text, sizeof Text,
+                "small jobs: %d sent, %zu accepted, %d completed, %d not known "
+                "or without an answer, %zu with nothing running for 3 s though "
+                "their turn had come; gang of %d: status %d, %s; free capacity "
+                "at least %.0f%%",
+                Small.sent(), Ids.size(), Completed, Lost, Stalled.size(),
+                Members, Sent.Status,
+                GangDone > 0 ? "completed" : "not completed", 100 * Free);
+  record(Text);
+  if (Ids.empty())
+    throw CannotRun("no job was accepted");
+  return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -1026,6 +1080,8 @@
       Result = runSchedule(Folder, Trouble);
     else if (Scenario == "whole-executor")
       Result = runWholeExecutor(Folder, Trouble);
+    else if (Scenario == "beside-service")
+      Result = runBesideService(Folder, Trouble);
     else if (Scenario == "rack")
       Result = runRack(Folder, Trouble);
     else
