--- a/review/rig-2/driver.cpp
+++ b/review/rig-2/driver.cpp
@@ -1059,6 +1059,147 @@
   return Lost > 0 || (!Stalled.empty() && Free > 0.5) ? 1 : 0;
 }
 
+std::int64_t unixUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string hexOf(const std::string &Text) {
+  std::string Hex;
+  for (const unsigned char Byte : Text) {
+    char Digits[3];
+    std::snprintf(Digits, sizeof Digits, "%02x", Byte);
+    Hex += Digits;
+  }
+  return Hex;
+}
+
+/// Lasting jobs, an entry of another writer in the list of executors, and
+/// processes that are killed one after the other and start again (TROUBLE=0:
+/// they are not killed; FOREIGN=0: without the entry; STOP=term: they are
+/// stopped as planned work).
+int runForeignEntry(const std::string &Folder, bool Trouble) {
+  const char *Setting = std::getenv("FOREIGN");
+  const bool Foreign = Setting == nullptr || std::string(Setting) != "0";
+  Rig Platform(Folder, PlainPlatform, 3);
+  // Nobody listens there.
+  const int Unused = bindPort("127.0.0.1", 0);
+  if (Foreign) {
+    const json Entry = {
+        {"service", "elsewhere"},
+        {"address", "127.0.0.1:" + std::to_string(portOf(Unused))},
+        {"zone", "zone-a"},
+        {"version", "1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold-remaining-ms", 0},
+        {"sequence", 1},
+        {"born", unixMs()},
+        {"labels", {"a", "rack-0"}},
+        {"capacity", {{"cpu", 32000}, {"mem-mb", 131072}, {"gpu", 0}}}};
+    Platform.trouble({{"kind", "put-entry"},
+                      {"key", hexOf("i-elsewhere")},
+                      {"value", hexOf(Entry.dump())}});
+  }
+  std::set<std::string> Accepted;
+  for (unsigned Number = 0; Number < 24; ++Number) {
+    const json Job = makeJob("plain", {{{"count", 3},
+                                        {"cpu", 500},
+                                        {"mem-mb", 64},
+                                        {"ms", 2500},
+                                        {"long-running", true}}});
+    const std::string Id = idOf(30, Number);
+    if (Platform.send("POST", "plain", Id, Job.dump(), 5, Number).Status == 200)
+      Accepted.insert(Id);
+  }
+  // Longer than a former holder's lease, so that the entry's holder knows that
+  // nothing runs there.
+  sleepMs(14000);
+  struct Disruption {
+    std::int64_t Begin;
+    std::int64_t Back; ///< The process has started again.
+  };
+  std::vector<Disruption> Kills;
+  const char *Stop = std::getenv("STOP");
+  const bool Planned = Stop != nullptr && std::string(Stop) == "term";
+  for (auto &Each : Platform.cells()) {
+    if (Trouble) {
+      record((Planned ? "SIGTERM to " : "SIGKILL to ") + Each->Name);
+      const std::int64_t Begin = unixUs();
+      ::kill(Each->Process, Planned ? SIGTERM : SIGKILL);
+      ::waitpid(Each->Process, nullptr, 0);
+      Each->Process = 0;
+      record(Each->Name + " has ended");
+      sleepMs(1000);
+      Platform.startCell(*Each);
+      Kills.push_back({Begin, unixUs()});
+    }
+    sleepMs(19000);
+  }
+  const std::int64_t End = unixUs();
+  struct Gap {
+    std::int64_t Begin;
+    std::int64_t End;
+  };
+  std::map<std::string, std::vector<Gap>> Gaps;
+  std::map<std::string, int> Running;
+  for (const json &Event : Platform.history()) {
+    const auto Kind = Event.value("event", std::string());
+    if (Kind != "started" && Kind != "ended" && Kind != "dropped")
+      continue;
+    const auto Task = Event.at("task").get<std::string>();
+    const auto At = Event.value("wall_us", std::int64_t{0});
+    auto &Of = Gaps[Task];
+    if (Kind == "started") {
+      if (Running[Task]++ == 0 && !Of.empty())
+        Of.back().End = At;
+    } else if (--Running[Task] == 0) {
+      Of.push_back({At, End});
+    }
+  }
+  int Broken = 0;
+  std::int64_t Longest = 0;
+  for (const auto &[Task, Of] : Gaps)
+    for (const Gap &Each : Of) {
+      Longest = std::max(Longest, Each.End - Each.Begin);
+      // 3 s, from 6 s after the last run on, with 4 s before; all calm.
+      std::int64_t CalmFrom = 0;
+      std::int64_t CalmUntil = End;
+      std::int64_t LatestKill = 0;
+      for (const Disruption &Kill : Kills) {
+        if (Kill.Begin <= Each.Begin + 6'000'000) {
+          CalmFrom = Kill.Back + 500'000;
+          LatestKill = Kill.Begin;
+        } else {
+          CalmUntil = std::min(CalmUntil, Kill.Begin);
+        }
+      }
+      const std::int64_t From =
+          std::max(Each.Begin + 6'000'000, CalmFrom + 4'000'000);
+      if (std::min(Each.End, CalmUntil) >= From + 3'000'000) {
+        ++Broken;
+        char Text[200];
+        std::snprintf(Text, sizeof Text,
+                      "LOST: %s had no run for %.1f s, until %.1f s after the "
+                      "latest kill",
+                      Task.c_str(), (Each.End - Each.Begin) / 1e6,
+                      (Each.End - LatestKill) / 1e6);
+        record(Text);
+      }
+    }
+  char Text[200];
+  std::snprintf(Text, sizeof Text,
+                "%zu lasting jobs of 3 tasks accepted; longest time without a "
+                "run of a task %.1f s; %d times too long in calm time",
+                Accepted.size(), Longest / 1e6, Broken);
+  record(Text);
+  ::close(Unused);
+  if (Accepted.empty())
+    throw CannotRun("no job was accepted");
+  return Broken > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -1082,6 +1223,8 @@
       Result = runWholeExecutor(Folder, Trouble);
     else if (Scenario == "beside-service")
       Result = runBesideService(Folder, Trouble);
+    else if (Scenario == "foreign-entry")
+      Result = runForeignEntry(Folder, Trouble);
     else if (Scenario == "rack")
       Result = runRack(Folder, Trouble);
     else
