--- a/review/rig-2/driver.cpp
+++ b/review/rig-2/driver.cpp
@@ -1102,6 +1102,8 @@
                       {"key", hexOf("i-elsewhere")},
                       {"value", hexOf(Entry.dump())}});
   }
+  // Traffic starts 10 s after the machines do.
+  sleepMs(10000);
   std::set<std::string> Accepted;
   for (unsigned Number = 0; Number < 24; ++Number) {
     const json Job = makeJob("plain", {{{"count", 3},
@@ -1113,9 +1115,8 @@
     if (Platform.send("POST", "plain", Id, Job.dump(), 5, Number).Status == 200)
       Accepted.insert(Id);
   }
-  // Longer than a former holder's lease, so that the entry's holder knows that
-  // nothing runs there.
-  sleepMs(14000);
+  // The entry's holder has waited for a former holder's lease by then.
+  sleepMs(5000);
   struct Disruption {
     std::int64_t Begin;
     std::int64_t Back; ///< The process has started again.
