Complete writes that the store never accepts

PlatformStore took 400 for an unknown outcome, nothing read the limits, and our stand-ins of the store accepted any length, so that no test could find it.

Limits come from the settings; what exceeds them is rejected before it is queued, and a batch stays below call-bytes. A job that can't be stored is answered 413 at once, and one whose progress grows too long fails.

--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -22,6 +22,7 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
+constexpr int StatusTooLarge = 413;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTimeout = 504;
 
@@ -33,6 +34,8 @@
     return StatusUnavailable;
   case JournalOutcome::Unknown:
     return StatusTimeout;
+  case JournalOutcome::Rejected:
+    return StatusTooLarge;
   }
   return StatusTimeout;
 }
@@ -72,6 +75,7 @@
   Owned.Epoch = Epoch;
   ShardJournalOptions Options{
       .Topic = Options_.Topic, .Shard = Number, .Epoch = Epoch};
+  Options.Limits = Options_.Limits;
   Owned.Journal = std::make_shared<ShardJournal>(Executor_, Timers_, Store_,
                                                  std::move(Options));
   Owned.Journal->onFenced([this, Number, Epoch] {
@@ -214,6 +218,11 @@
         WorkerRecorded_(Number, Entry.Id);
       co_return;
     }
+    if (Outcome == JournalOutcome::Rejected) {
+      Events_.emit("jobs", "worker_not_storable",
+                   {{"shard", Number}, {"worker", Entry.Id}});
+      co_return;
+    }
     co_await Timers_.sleepFor(WorkerRecordRetryDelay);
   }
 }
@@ -257,6 +266,12 @@
     co_return StatusOk;
   if (Owned->Journal->isUnavailable())
     co_return Job && Job->MayBeStored ? StatusTimeout : StatusUnavailable;
+  // A repeated submission writes the same record again.
+  std::vector<KeyedRecord> Records;
+  Records.push_back({.Key = JobPrefix + Id,
+                     .Value = json(Job ? Job->Progress.spec() : Spec).dump()});
+  if (!Owned->Journal->allows(Records))
+    co_return StatusTooLarge;
   if (!Job) {
     if (Owned->Jobs.size() >= Options_.MaximumJobsPerShard)
       co_return StatusUnavailable;
@@ -271,10 +286,6 @@
     if (StepsReady_)
       StepsReady_();
   }
-  // A repeated submission writes the same record again.
-  std::vector<KeyedRecord> Records;
-  Records.push_back(
-      {.Key = JobPrefix + Id, .Value = json(Job->Progress.spec()).dump()});
   ++Job->PendingSubmissions;
   const JournalOutcome Outcome = co_await Job->Journal->write(
       std::move(Records), Timers_.now() + Options_.WriteTimeout, true);
@@ -370,34 +381,78 @@
 
 asio::awaitable<void> JobOwner::writeProgress(JournalPointer Journal,
                                               std::vector<JobPointer> Jobs) {
-  std::vector<KeyedRecord> Records;
-  std::vector<std::pair<JobPointer, std::uint64_t>> Versions;
+  std::vector<ProgressWrite> Parts;
+  std::size_t Bytes = 0;
   for (const JobPointer &Job : Jobs) {
     if (Job->WrittenVersion == Job->Version)
       continue;
-    const std::string &Id = Job->Progress.spec().Id;
-    const bool Finished = Job->Progress.isFinished();
-    json Durable = Finished ? json{{"state", nameOf(Job->Progress.state())},
-                                   {"occurrences", 0},
-                                   {"steps", json::array()}}
-                            : Job->Progress.durableState();
-    Records.push_back({.Key = ProgressPrefix + Id, .Value = Durable.dump()});
-    if (Finished)
-      Records.push_back({.Key = JobPrefix + Id});
-    Versions.emplace_back(Job, Job->Version);
+    auto Records = progressRecords(*Journal, Job);
+    Bytes += StoreLimits::sizeOf(Records);
+    if (Parts.empty() || Bytes > Options_.MaximumWriteBytes) {
+      Parts.emplace_back();
+      Bytes = StoreLimits::sizeOf(Records);
+    }
+    std::ranges::move(Records, std::back_inserter(Parts.back().Records));
+    Parts.back().Versions.emplace_back(Job, Job->Version);
   }
-  if (Records.empty())
-    co_return;
-  const JournalOutcome Outcome = co_await write(Journal, std::move(Records));
+  std::vector<asio::awaitable<void>> Writes;
+  Writes.reserve(Parts.size());
+  for (ProgressWrite &Part : Parts)
+    Writes.push_back(writeTogether(Journal, std::move(Part)));
+  co_await waitForAll(Executor_, std::move(Writes));
+}
+
+std::vector<KeyedRecord> JobOwner::progressRecords(const ShardJournal &Journal,
+                                                   const JobPointer &Job) {
+  const std::string &Id = Job->Progress.spec().Id;
+  std::vector<KeyedRecord> Records;
+  if (!Job->Progress.isFinished()) {
+    Records.push_back({.Key = ProgressPrefix + Id,
+                       .Value = Job->Progress.durableState().dump()});
+    if (Journal.allows(Records))
+      return Records;
+    Records.clear();
+    failUnstorable(Job);
+  }
+  const json Final = {{"state", nameOf(Job->Progress.state())},
+                      {"occurrences", 0},
+                      {"steps", json::array()}};
+  Records.push_back({.Key = ProgressPrefix + Id, .Value = Final.dump()});
+  Records.push_back({.Key = JobPrefix + Id});
+  return Records;
+}
+
+void JobOwner::failUnstorable(const JobPointer &Job) {
+  Events_.emit("jobs", "progress_not_storable",
+               {{"job", Job->Progress.spec().Id}, {"shard", Job->Shard}});
+  applyEffect(Job, Job->Progress.fail());
+}
+
+asio::awaitable<void> JobOwner::writeTogether(JournalPointer Journal,
+                                              ProgressWrite Write) {
+  const JournalOutcome Outcome =
+      co_await write(Journal, std::move(Write.Records));
   if (Outcome != JournalOutcome::Written) {
     Events_.emit("jobs", "progress_not_stored",
                  {{"shard", Journal->shard()},
                   {"epoch", Journal->epoch()},
-                  {"jobs", Versions.size()},
+                  {"jobs", Write.Versions.size()},
                   {"outcome", nameOf(Outcome)}});
+    if (Outcome != JournalOutcome::Rejected)
+      co_return;
+    // The limits of the store are smaller than the settings say. The next write
+    // of a job that fails here contains its final state, which is short.
+    if (Write.Versions.size() == 1 &&
+        !Write.Versions.front().first->Progress.isFinished())
+      failUnstorable(Write.Versions.front().first);
+    else if (Write.Versions.size() > 1)
+      for (const auto &[Job, Version] : Write.Versions) {
+        std::vector<JobPointer> One{Job};
+        co_await writeProgress(Journal, std::move(One));
+      }
     co_return;
   }
-  for (const auto &[Job, Version] : Versions) {
+  for (const auto &[Job, Version] : Write.Versions) {
     Job->WrittenVersion = std::max(Job->WrittenVersion, Version);
     if (Job->WrittenVersion == Job->Version)
       Job->MustStore = false;
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -23,6 +23,9 @@
   /// Longest time that a call waits for its journal record to be written.
   std::chrono::milliseconds WriteTimeout{1200};
   std::size_t MaximumJobsPerShard = 20000;
+  StoreLimits Limits;
+  /// The progress of several jobs is written together up to this size.
+  std::size_t MaximumWriteBytes = 64U << 10U;
 };
 
 /// A job of a shard that this process owns, and its run-time state.
@@ -134,7 +137,8 @@
   void revoke(int Shard);
 
   /// Writes the job to the journal and returns the HTTP status for the caller:
-  /// 200 accepted, 503 not accepted and never run, 504 outcome unknown.
+  /// 200 accepted, 413 too long for the store, 503 not accepted and never run,
+  /// 504 outcome unknown.
   asio::awaitable<int> submit(JobSpec Spec);
   /// Cancels the job and returns the HTTP status for the caller: 200 cancelled
   /// or already finished, 410 no such job, 503 not possible now, 504 outcome
@@ -239,9 +243,23 @@
   OwnedShard *readyShard(const std::string &Id);
   asio::awaitable<JournalOutcome> write(JournalPointer Journal,
                                         std::vector<KeyedRecord> Records);
-  /// Writes the changed progress of the jobs as one batch of records.
+  /// Records that are written together, and the version of the progress of
+  /// each job that they contain.
+  struct ProgressWrite {
+    std::vector<KeyedRecord> Records;
+    std::vector<std::pair<JobPointer, std::uint64_t>> Versions;
+  };
+  /// Writes the changed progress of the jobs.
   asio::awaitable<void> writeProgress(JournalPointer Journal,
                                       std::vector<JobPointer> Jobs);
+  /// Returns the records of the job's progress. A job whose progress is longer
+  /// than the store accepts fails, as it could not be continued by a new owner.
+  std::vector<KeyedRecord> progressRecords(const ShardJournal &Journal,
+                                           const JobPointer &Job);
+  asio::awaitable<void> writeTogether(JournalPointer Journal,
+                                      ProgressWrite Write);
+  /// Ends the job as failed, as its progress can't be stored.
+  void failUnstorable(const JobPointer &Job);
   /// Writes the worker's record, retrying until it succeeds or the term ends.
   asio::awaitable<void> writeWorker(int Number, JournalPointer Journal,
                                     WorkerEntry Entry);
--- a/Source/Cell/ShardJournal.cpp
+++ b/Source/Cell/ShardJournal.cpp
@@ -1,20 +1,13 @@
 #include "Cell/ShardJournal.h"
 
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
 
 constexpr std::chrono::milliseconds RetryDelay{100};
 
-/// Returns the approximate size of the records; 8 bytes for each record allow
-/// for the lengths that are stored with it.
-std::size_t bytesOf(const std::vector<KeyedRecord> &Records) {
-  std::size_t Bytes = 0;
-  for (const KeyedRecord &Record : Records)
-    Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0) + 8;
-  return Bytes;
-}
-
 } // namespace
 
 const char *nameOf(JournalOutcome Outcome) {
@@ -25,6 +18,8 @@
     return "not_written";
   case JournalOutcome::Unknown:
     return "unknown";
+  case JournalOutcome::Rejected:
+    return "rejected";
   }
   return "unknown";
 }
@@ -86,12 +81,19 @@
 ShardJournal::Batch ShardJournal::takeBatch() {
   Batch Entries;
   std::size_t Bytes = 0;
-  while (!Queue_.empty() && Bytes < Options_.MaximumBatchBytes) {
+  const std::size_t Limit =
+      std::min(Options_.MaximumBatchBytes, Options_.Limits.CallBytes);
+  while (!Queue_.empty()) {
     auto First = Queue_.front();
-    Queue_.pop_front();
-    if (First->Withdrawn)
+    if (First->Withdrawn) {
+      Queue_.pop_front();
       continue;
-    Bytes += bytesOf(First->Records);
+    }
+    Bytes += StoreLimits::sizeOf(First->Records);
+    if (!Entries.empty() &&
+        (Bytes > Limit || First->Alone || Entries.back()->Alone))
+      break;
+    Queue_.pop_front();
     First->Attempted = true;
     Entries.push_back(std::move(First));
   }
@@ -156,18 +158,17 @@
       fence();
       co_return;
     }
+    if (Reply && Reply->Status == AppendStatus::Invalid && !MayBeAppended) {
+      handleRejected(Entries);
+      co_return;
+    }
     if (!FailingSince_)
       FailingSince_ = Timers_.now();
     const bool NoEffect = Reply ? true : Reply.error().hadNoEffect();
     MayBeAppended = MayBeAppended || !NoEffect;
     if (!MayBeAppended) {
-      // Returns the entries to the queue, so that those whose deadline passes
-      // can be withdrawn.
-      for (auto It = Entries.rbegin(); It != Entries.rend(); ++It) {
-        (*It)->Attempted = false;
-        (*It)->Changed.notify();
-        Queue_.push_front(*It);
-      }
+      // Those whose deadline passes can be withdrawn meanwhile.
+      requeue(Entries);
       if (failingFor() > Options_.FailFastAfter)
         failWaitingFastWrites();
       co_await Timers_.sleepFor(RetryDelay);
@@ -179,6 +180,25 @@
                                   : JournalOutcome::NotWritten);
 }
 
+void ShardJournal::requeue(const Batch &Entries) {
+  for (auto It = Entries.rbegin(); It != Entries.rend(); ++It) {
+    (*It)->Attempted = false;
+    (*It)->Changed.notify();
+    Queue_.push_front(*It);
+  }
+}
+
+void ShardJournal::handleRejected(const Batch &Entries) {
+  if (Entries.size() == 1) {
+    complete(Entries, JournalOutcome::Rejected);
+    return;
+  }
+  // The others must not fail with the entry that the store does not accept.
+  for (const auto &Each : Entries)
+    Each->Alone = true;
+  requeue(Entries);
+}
+
 void ShardJournal::failWaitingFastWrites() {
   Batch Failed;
   std::erase_if(Queue_, [&Failed](const std::shared_ptr<Entry> &Pending) {
@@ -200,6 +220,8 @@
 asio::awaitable<JournalOutcome>
 ShardJournal::write(std::vector<KeyedRecord> Records,
                     Clock::time_point Deadline, bool FailFast) {
+  if (!allows(Records))
+    co_return JournalOutcome::Rejected;
   if (Stopped_)
     co_return JournalOutcome::NotWritten;
   const auto Self = shared_from_this();
--- a/Source/Cell/ShardJournal.h
+++ b/Source/Cell/ShardJournal.h
@@ -17,6 +17,7 @@
   Written,
   NotWritten, ///< The record is not written and never will be.
   Unknown,    ///< The record may be written, now or later.
+  Rejected,   ///< The record is not written: the store never accepts it.
 };
 
 const char *nameOf(JournalOutcome Outcome);
@@ -35,9 +36,10 @@
   std::chrono::milliseconds FirstTimeout{400};
   std::chrono::milliseconds LongestTimeout{1600};
   TransferLimits ReadLimits; ///< For each page of the records.
-  /// Writes are added to a batch until it has at least this size, so that the
-  /// last one may exceed it.
+  /// Writes are added to a batch up to this size; a larger one is a batch of
+  /// its own.
   std::size_t MaximumBatchBytes = 256U << 10U;
+  StoreLimits Limits;
   /// Once appends have failed for this time, waiting writes with FailFast are
   /// given up.
   std::chrono::milliseconds FailFastAfter{250};
@@ -68,6 +70,10 @@
 
   /// Appends queued records until stop() is called.
   asio::awaitable<void> run();
+  /// Returns true if the store can accept the records in one append.
+  [[nodiscard]] bool allows(const std::vector<KeyedRecord> &Records) const {
+    return Options_.Limits.allow(Records);
+  }
   /// Queues the records and waits for their outcome until the deadline. With
   /// FailFast, the write is given up earlier while the store refuses records,
   /// as the caller prefers to retry.
@@ -104,12 +110,18 @@
     bool Attempted = false; ///< The store may have received the records.
     bool Withdrawn = false; ///< The deadline passed before an attempt.
     bool FailFast = false;
+    /// Appended without others, as the store has rejected a batch with it.
+    bool Alone = false;
   };
   using Batch = std::vector<std::shared_ptr<Entry>>;
 
   [[nodiscard]] std::chrono::milliseconds timeoutAfter(int Failures) const;
   Batch takeBatch();
   asio::awaitable<void> appendBatch(Batch Entries);
+  /// Returns the entries, which were not appended, to the front of the queue.
+  void requeue(const Batch &Entries);
+  /// Handles a batch of which the store never accepts at least one record.
+  void handleRejected(const Batch &Entries);
   void complete(const Batch &Entries, JournalOutcome Outcome);
   /// Completes the queued writes with FailFast as not written.
   void failWaitingFastWrites();
--- a/Source/Cell/StoreClient.h
+++ b/Source/Cell/StoreClient.h
@@ -18,6 +18,40 @@
   std::uint64_t Offset = 0;         ///< Set by reads.
 };
 
+/// What the store accepts in one append.
+struct StoreLimits {
+  /// Largest length of a record: one byte, its key and its value.
+  std::size_t RecordBytes = 256U << 10U;
+  /// Largest sum of all records, with the four bytes of the length of each.
+  std::size_t CallBytes = 2U << 20U;
+
+  /// Longest key; its length is stored in one byte.
+  static constexpr std::size_t KeyBytes = 255;
+
+  /// Returns the size of the record in a call.
+  [[nodiscard]] static std::size_t sizeOf(const KeyedRecord &Record) {
+    constexpr std::size_t LengthBytes = 5; // Of the record and of its key.
+    return LengthBytes + Record.Key.size() +
+           (Record.Value ? Record.Value->size() : 0);
+  }
+  [[nodiscard]] static std::size_t
+  sizeOf(const std::vector<KeyedRecord> &Records) {
+    std::size_t Bytes = 0;
+    for (const KeyedRecord &Record : Records)
+      Bytes += sizeOf(Record);
+    return Bytes;
+  }
+  /// Returns true if the store accepts an append of the records.
+  [[nodiscard]] bool allow(const std::vector<KeyedRecord> &Records) const {
+    constexpr std::size_t LengthBytes = 4;
+    for (const KeyedRecord &Record : Records)
+      if (Record.Key.size() > KeyBytes ||
+          sizeOf(Record) > RecordBytes + LengthBytes)
+        return false;
+    return sizeOf(Records) <= CallBytes;
+  }
+};
+
 /// Identifies an append, so that the store fences appends of former owners and
 /// executes a repeated append only once.
 struct AppendStamp {
@@ -32,6 +66,7 @@
   WrongSequence, ///< The store expects another sequence number; see
                  ///< AppendReply::Expected.
   NotDone,       ///< The append had no effect; retry later.
+  Invalid,       ///< The store never accepts these records; no effect.
 };
 
 struct AppendReply {
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -587,6 +587,15 @@
   return Effect;
 }
 
+ProgressEffect JobProgress::fail() {
+  ProgressEffect Effect;
+  if (isFinished())
+    return Effect;
+  Effect.Applied = true;
+  finishAs(JobState::Failed, Effect);
+  return Effect;
+}
+
 void JobProgress::markUnfinishedTasksUnknown() {
   HasUnknownTasks_ = true;
   for (Occurrence &Entry : Occurrences_)
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -193,6 +193,8 @@
   ProgressEffect markNotStarted(const std::vector<RunId> &Members,
                                 Clock::time_point Now);
   ProgressEffect cancel(Clock::time_point Now);
+  /// Ends the job as failed.
+  ProgressEffect fail();
 
   /// After a takeover: marks all tasks that are not done as possibly running.
   void markUnfinishedTasksUnknown();
--- a/Tests/Cell/FakeGroupStore.h
+++ b/Tests/Cell/FakeGroupStore.h
@@ -27,6 +27,7 @@
   /// newest, tail, join, leave, holders.
   std::function<CallFault(const std::string &Process, const std::string &Call)>
       ChooseFault;
+  StoreLimits Limits;
   /// If false, partitions move only when the test calls assignOwners() or
   /// rotateOwners().
   bool AutoRebalance = true;
@@ -74,6 +75,8 @@
     Producer &From = Target.Producers[Stamp.Producer];
     if (Stamp.Epoch < From.Epoch)
       return {.Status = AppendStatus::Fenced};
+    if (!Limits.allow(Records))
+      return {.Status = AppendStatus::Invalid};
     const bool NewEpoch = Stamp.Epoch > From.Epoch;
     if (NewEpoch) {
       From = {.Epoch = Stamp.Epoch};
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -27,6 +27,7 @@
 
   /// Chooses what happens to each append with records.
   std::function<AppendFault()> ChooseFault;
+  StoreLimits Limits;
   /// Appends with records to these partitions are neither carried out nor
   /// answered.
   std::set<int> SilentPartitions;
@@ -76,6 +77,8 @@
       co_return AppendReply{};
     }
     ++Appends;
+    if (!Limits.allow(Records))
+      co_return AppendReply{.Status = AppendStatus::Invalid};
     AppendFault Fault = ChooseFault ? ChooseFault() : AppendFault::None;
     if (SilentPartitions.contains(Number))
       Fault = AppendFault::LostRequest;
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -112,6 +112,8 @@
   CPPUNIT_TEST(testAcceptedJobSurvivesItsOwner);
   CPPUNIT_TEST(testRepeatedSubmissionCreatesOneJob);
   CPPUNIT_TEST(testRefusedJobNeverRuns);
+  CPPUNIT_TEST(testJobThatCannotBeStoredIsRejectedAtOnce);
+  CPPUNIT_TEST(testJobWhoseProgressCannotBeStoredFails);
   CPPUNIT_TEST(testFailingJournalRefusesJobsAtOnce);
   CPPUNIT_TEST(testEndIsAcceptedOnlyOnceItIsStored);
   CPPUNIT_TEST(testCompletedIsReportedOnlyOnceItIsStored);
@@ -157,6 +159,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Owner->activeJobs().size());
   }
 
+  // Guards against a job that is repeated for ever since the store never
+  // accepts its record.
+  void testJobThatCannotBeStoredIsRejectedAtOnce() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    JobSpec Job{.Id = "job", .Payload = std::string(262144, 'x')};
+    const auto Status = Bench.begin(Owner->submit(std::move(Job)));
+    CPPUNIT_ASSERT_EQUAL(413, **Status);
+    CPPUNIT_ASSERT(Owner->activeJobs().empty());
+    CPPUNIT_ASSERT_EQUAL(200, Bench.submit(*Owner));
+  }
+
+  // Guards against progress that is longer than the store accepts and holds up
+  // the other jobs of its shard for ever.
+  void testJobWhoseProgressCannotBeStoredFails() {
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    CPPUNIT_ASSERT_EQUAL(200, Bench.submit(*Owner, 500));
+    Bench.startFirstRun(*Owner);
+    Bench.Store.Limits.RecordBytes = 300;
+    const auto Reply = Bench.endFirstRun(*Owner, "done");
+    Bench.run(1s);
+    Owner->tick();
+    Bench.run(1s);
+    CPPUNIT_ASSERT(Reply->has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("failed"),
+                         Owner->state("0123456789abcdef").State);
+  }
+
   void testRefusedJobNeverRuns() {
     OwnerBench Bench;
     const auto Owner = Bench.owner(1);
--- a/Tests/Cell/ShardJournalTest.cpp
+++ b/Tests/Cell/ShardJournalTest.cpp
@@ -50,6 +50,9 @@
   CPPUNIT_TEST(testFailingJournalIsReportedAsUnavailable);
   CPPUNIT_TEST(testRefusedFailFastRecordIsGivenUpSoon);
   CPPUNIT_TEST(testSlowStoreIsNotUnavailable);
+  CPPUNIT_TEST(testRecordThatIsTooLongIsRejectedAtOnce);
+  CPPUNIT_TEST(testRejectedRecordDoesNotHoldUpOthers);
+  CPPUNIT_TEST(testBatchesStayBelowTheLimitOfACall);
   CPPUNIT_TEST(propertyOutcomesMatchStoredRecords);
   CPPUNIT_TEST_SUITE_END();
 
@@ -64,6 +67,70 @@
     CPPUNIT_ASSERT(Bench.Store.Appends <= 2);
   }
 
+  // Guards against a record that is longer than the store accepts and that is
+  // appended again and again, so that nothing else of the shard is stored.
+  void testRecordThatIsTooLongIsRejectedAtOnce() {
+    JournalBench Bench;
+    const auto Journal = Bench.open(1);
+    std::vector<KeyedRecord> Long;
+    Long.push_back({.Key = "long", .Value = std::string(262144, 'x')});
+    const auto Rejected =
+        Bench.begin(Journal->write(std::move(Long), Bench.Timers.now() + 1s));
+    std::vector<KeyedRecord> LongKey;
+    LongKey.push_back({.Key = std::string(256, 'k'), .Value = "value"});
+    const auto AlsoRejected = Bench.begin(
+        Journal->write(std::move(LongKey), Bench.Timers.now() + 1s));
+    CPPUNIT_ASSERT(*Rejected == JournalOutcome::Rejected);
+    CPPUNIT_ASSERT(*AlsoRejected == JournalOutcome::Rejected);
+    const auto Other = Bench.write(Journal, "a");
+    Bench.run(100ms);
+    CPPUNIT_ASSERT(*Other == JournalOutcome::Written);
+    CPPUNIT_ASSERT_EQUAL(1, Bench.Store.Appends);
+  }
+
+  // The same for a store that accepts less than the settings say. Guards also
+  // against records that fail since they are in a batch with such a record.
+  void testRejectedRecordDoesNotHoldUpOthers() {
+    JournalBench Bench;
+    const auto Journal = Bench.open(1);
+    Bench.Store.Limits.RecordBytes = 1000;
+    std::vector<std::shared_ptr<std::optional<JournalOutcome>>> Others;
+    Others.push_back(Bench.write(Journal, "a"));
+    std::vector<KeyedRecord> Long;
+    Long.push_back({.Key = "long", .Value = std::string(1000, 'x')});
+    const auto Rejected =
+        Bench.begin(Journal->write(std::move(Long), Bench.Timers.now() + 1s));
+    Others.push_back(Bench.write(Journal, "b"));
+    Others.push_back(Bench.write(Journal, "c"));
+    Bench.run(400ms);
+    CPPUNIT_ASSERT(*Rejected == JournalOutcome::Rejected);
+    for (const auto &Other : Others)
+      CPPUNIT_ASSERT(*Other == JournalOutcome::Written);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Bench.Store.values(3).size());
+    const int Appends = Bench.Store.Appends;
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(Appends, Bench.Store.Appends);
+  }
+
+  // Guards against a call that the store does not accept since its records,
+  // each of which is short enough, are too long together.
+  void testBatchesStayBelowTheLimitOfACall() {
+    JournalBench Bench;
+    const auto Journal = Bench.open(1);
+    Bench.Store.Limits.CallBytes = 300U << 10U;
+    std::vector<std::shared_ptr<std::optional<JournalOutcome>>> Written;
+    for (int I = 0; I < 10; ++I) {
+      std::vector<KeyedRecord> Records;
+      Records.push_back(
+          {.Key = std::to_string(I), .Value = std::string(100U << 10U, 'x')});
+      Written.push_back(Bench.begin(
+          Journal->write(std::move(Records), Bench.Timers.now() + 2s)));
+    }
+    Bench.run(1s);
+    for (const auto &Each : Written)
+      CPPUNIT_ASSERT(*Each == JournalOutcome::Written);
+  }
+
   void testRecordWithLostResponseIsWrittenOnce() {
     JournalBench Bench;
     const auto Journal = Bench.open(1);
--- a/Tests/Emulator/CellInstance.h
+++ b/Tests/Emulator/CellInstance.h
@@ -100,6 +100,8 @@
         {"form", "log"},
         {"parts", Platform.Partitions},
         {"append-ms", Platform.AppendDuration.count()},
+        {"record-bytes", Platform.Limits.RecordBytes},
+        {"call-bytes", Platform.Limits.CallBytes},
         {"ttl-min-ms", 1000}}}};
 }
 
--- a/Tests/Emulator/EmulatedStore.cpp
+++ b/Tests/Emulator/EmulatedStore.cpp
@@ -77,7 +77,8 @@
       static_cast<std::size_t>(HasOnePartition ? 1 : Settings_.Partitions);
   Topic &Created = Topics_[Name];
   for (std::size_t Number = 0; Number < PartitionCount; ++Number)
-    Created.Partitions.emplace_back(Name.starts_with(KeyedPrefix));
+    Created.Partitions.emplace_back(Name.starts_with(KeyedPrefix),
+                                    Settings_.Limits);
   Created.BusyUntil.resize(PartitionCount);
   return Created;
 }
--- a/Tests/Emulator/EmulatedStoreTest.cpp
+++ b/Tests/Emulator/EmulatedStoreTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(testAppendWithUnexpectedEndIsRejected);
   CPPUNIT_TEST(testTrimKeepsTheLatestRecordOfEachKey);
   CPPUNIT_TEST(testMalformedBodyAppendsNothing);
+  CPPUNIT_TEST(testTooLongRecordsAppendNothing);
   CPPUNIT_TEST(testPartitionMovesAfterFormerHolderConfirms);
   CPPUNIT_TEST(testExpiredMemberLosesItsPartitions);
   CPPUNIT_TEST(testPartitionsAreAssignedEvenly);
@@ -54,6 +55,19 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Partition.end());
   }
 
+  void testTooLongRecordsAppendNothing() {
+    LogPartition Partition(true, {.RecordBytes = 100, .CallBytes = 250});
+    const auto StatusOf = [&Partition](const std::string &Body) {
+      return Partition.append(Body, std::nullopt, std::nullopt).Status;
+    };
+    const std::string Longest = record("k", std::string(98, 'v'));
+    CPPUNIT_ASSERT(Kind::Malformed ==
+                   StatusOf(record("k", std::string(99, 'v'))));
+    CPPUNIT_ASSERT(Kind::Malformed == StatusOf(Longest + Longest + Longest));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Partition.end());
+    CPPUNIT_ASSERT(Kind::Appended == StatusOf(Longest + Longest));
+  }
+
   void testRepeatedAppendIsStoredOnce() {
     LogPartition Partition(true);
     const auto First =
--- a/Tests/Emulator/EmulatorSettings.h
+++ b/Tests/Emulator/EmulatorSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Emulator/CheckedTable.h"
+#include "Emulator/LogPartition.h"
 
 #include <chrono>
 
@@ -26,6 +27,7 @@
   int ControlPort = 0;
   int Partitions = 24;
   milliseconds AppendDuration{1};
+  AppendLimits Limits;
   int Workers = 8;
   int CpusMilli = 8000;
   int MemoryMb = 16384;
--- a/Tests/Emulator/LogPartition.h
+++ b/Tests/Emulator/LogPartition.h
@@ -24,7 +24,7 @@
     Fenced,
     SequenceMismatch,
     EndMismatch,
-    Malformed
+    Malformed ///< Or too long.
   };
   Kind Status = Kind::Appended;
   std::uint64_t Offset = 0; ///< Offset of the first appended record.
@@ -42,6 +42,12 @@
   return Text;
 }
 
+/// Largest sizes that the store accepts.
+struct AppendLimits {
+  std::size_t RecordBytes = 262144; ///< Without the length.
+  std::size_t CallBytes = 2097152;  ///< Of all records.
+};
+
 /// One partition of a topic of the store. A partition of a keyed topic also
 /// keeps the latest record of each key.
 class LogPartition {
@@ -51,7 +57,8 @@
     std::uint64_t Offset = 0;
   };
 
-  explicit LogPartition(bool Keyed) : Keyed_(Keyed) {}
+  explicit LogPartition(bool Keyed, AppendLimits Limits = {})
+      : Keyed_(Keyed), Limits_(Limits) {}
 
   /// Appends all records of Body, or none. Body holds length-prefixed records.
   /// With ExpectedEnd, fails with EndMismatch unless it is the current end.
@@ -149,8 +156,10 @@
       State.RecentOutcomes.erase(State.RecentOutcomes.begin());
   }
 
-  static bool parseRecords(std::string_view Body,
-                           std::vector<std::string> &Records) {
+  bool parseRecords(std::string_view Body,
+                    std::vector<std::string> &Records) const {
+    if (Body.size() > Limits_.CallBytes)
+      return false;
     while (!Body.empty()) {
       if (Body.size() < 4)
         return false;
@@ -158,7 +167,7 @@
       for (int Index = 0; Index < 4; ++Index)
         Length = (Length << 8) | static_cast<unsigned char>(Body[Index]);
       Body.remove_prefix(4);
-      if (Length > Body.size())
+      if (Length > Body.size() || Length > Limits_.RecordBytes)
         return false;
       Records.emplace_back(Body.substr(0, Length));
       Body.remove_prefix(Length);
@@ -181,6 +190,7 @@
   }
 
   bool Keyed_;
+  AppendLimits Limits_;
   std::uint64_t First_ = 0;
   std::deque<std::string> Records_;
   std::map<std::string, LatestRecord> LatestByKey_;
