Open few due occurrences of a job at once

All due occurrences were added at once and kept for ever; each pass listed and sorted their steps, and each end wrote the state of all of them.

Occurrences are opened in order while the open ones that have not started have few tasks; done ones are forgotten, in memory and in the record. A short record is as before, for a rolling change; occurrences that an earlier release opened are closed again if nothing of them ran. An occurrence is ranked by its own due time.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -96,6 +96,15 @@
   return GoodShare_.try_emplace(Queue, InitialGoodShare).first->second;
 }
 
+Clock::time_point Dispatcher::dueAt(const OwnedJob &Job, int Occurrence) const {
+  if (Job.Progress.spec().Repetitions == 0)
+    return Job.AcceptedAt;
+  const auto SinceEpoch = Timers_.wallNow().time_since_epoch();
+  return Timers_.now() -
+         std::chrono::duration_cast<Clock::duration>(
+             SinceEpoch - Clock::duration(Job.Progress.dueAt(Occurrence)));
+}
+
 std::vector<SchedulableStep>
 Dispatcher::collectReadySteps(bool WithDeferrable) const {
   std::vector<SchedulableStep> Steps;
@@ -109,7 +118,7 @@
         continue;
       const DispatchRank Rank =
           rankStep(Job->Progress.spec().Queue, Job->Progress.graph(), Step.Step,
-                   Job->AcceptedAt, Now);
+                   dueAt(*Job, Step.Occurrence), Now);
       Steps.push_back({.Job = Job, .Step = std::move(Step), .Rank = Rank});
     }
   }
@@ -154,8 +163,9 @@
     for (ReadyStep &Step : Job->Progress.upcomingSteps()) {
       if (!Spec.Steps[static_cast<std::size_t>(Step.Step)].Gang)
         continue;
-      const DispatchRank Rank = rankStep(Spec.Queue, Job->Progress.graph(),
-                                         Step.Step, Job->AcceptedAt, Now);
+      const DispatchRank Rank =
+          rankStep(Spec.Queue, Job->Progress.graph(), Step.Step,
+                   dueAt(*Job, Step.Occurrence), Now);
       const SchedulableStep Schedulable{
           .Job = Job, .Step = std::move(Step), .Rank = Rank};
       learnWorkers(Schedulable, candidatesFor(Schedulable));
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -116,6 +116,10 @@
   /// Returns the cost of a call about the given number of workers.
   [[nodiscard]] AdviceCost costOf(const SchedulableStep &Schedulable,
                                   std::size_t Workers) const;
+  /// Returns the time from which the job's objective counts: its acceptance, or
+  /// the time at which the occurrence of a repeating job was due.
+  [[nodiscard]] Clock::time_point dueAt(const OwnedJob &Job,
+                                        int Occurrence) const;
   /// Returns the worker pool that runs the job, by the present configuration.
   [[nodiscard]] std::string serviceOf(const JobSpec &Job) const;
   /// Returns the estimated share of workers that are good for the queue's
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -69,6 +69,19 @@
     : Executor_(Executor), Timers_(Timers), Store_(Store), Events_(Events),
       Map_(Shards), Options_(std::move(Options)) {}
 
+void OwnedJob::forgetOccurrence(int Occurrence) {
+  const auto Erase = [Occurrence](auto &ByOccurrenceAndStep) {
+    ByOccurrenceAndStep.erase(
+        ByOccurrenceAndStep.lower_bound({Occurrence, 0}),
+        ByOccurrenceAndStep.lower_bound({Occurrence + 1, 0}));
+  };
+  Erase(Advice);
+  Erase(NotBefore);
+  Erase(FailedReservations);
+  Erase(NextPreemptionAt);
+  Erase(NextGangWaitEventAt);
+}
+
 void JobOwner::assign(int Number, std::uint64_t Epoch) {
   revoke(Number);
   OwnedShard &Owned = Shards_[Number];
@@ -360,6 +373,8 @@
                            const ProgressEffect &Effect) {
   if (Effect.MustPersist)
     ++Job->Version;
+  if (Effect.CompletedOccurrence)
+    Job->forgetOccurrence(*Effect.CompletedOccurrence);
   if (Effect.Finished) {
     const std::string &Id = Job->Progress.spec().Id;
     Active_.erase(Id);
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -62,6 +62,9 @@
   /// Earliest time of the next event about a waiting gang, by occurrence and
   /// step.
   std::map<std::pair<int, int>, Clock::time_point> NextGangWaitEventAt;
+
+  /// Erases what the maps have of the occurrence.
+  void forgetOccurrence(int Occurrence);
 };
 
 /// Owns the jobs of the shards that this process holds. Acceptance, progress
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -12,6 +12,15 @@
 /// Starts are not stored, so a new owner skips this many run numbers, which the
 /// previous owner may have used.
 constexpr int RunGapAfterTakeover = 16;
+/// Number of tasks in open occurrences that have not started up to which
+/// another one is opened. An occurrence waits no longer behind this many, as
+/// all occurrences of a job need the same.
+constexpr int MaximumUnstartedTasks = 64;
+/// Size of the stored state of the open occurrences up to which another one is
+/// opened. It leaves space for failed runs in a record of the store.
+constexpr std::size_t MaximumOpenBytes = 160U << 10U;
+constexpr std::size_t BytesPerOccurrence = 8;
+constexpr std::size_t BytesPerStep = 16; ///< And one for each task.
 /// A task that has run for this time does not crash its workers. Longer than it
 /// takes to notice that a worker has crashed.
 constexpr std::chrono::minutes SoundRunTime{1};
@@ -129,17 +138,20 @@
 
 JobProgress::JobProgress(JobSpec Spec)
     : Spec_(std::move(Spec)), Graph_(Spec_.Steps) {
+  for (const StepSpec &Step : Spec_.Steps)
+    TasksPerOccurrence_ += Step.Count;
   if (Spec_.Repetitions == 0)
     addDueOccurrences(std::chrono::milliseconds(0));
 }
 
 bool JobProgress::addDueOccurrences(std::chrono::milliseconds SinceEpoch) {
-  const int Planned = std::max(1, Spec_.Repetitions);
   bool Added = false;
-  while (!isFinished() && static_cast<int>(Occurrences_.size()) < Planned) {
-    const auto Number = static_cast<int>(Occurrences_.size());
-    if (Spec_.Repetitions > 0 &&
-        SinceEpoch < Spec_.FirstRun + Number * Spec_.Interval)
+  if (isFinished() || Opened_ == plannedOccurrences())
+    return false;
+  for (int Unstarted = unstartedOccurrences();
+       Opened_ < plannedOccurrences() && mayOpenBeside(Unstarted);
+       ++Unstarted) {
+    if (Spec_.Repetitions > 0 && SinceEpoch < dueAt(Opened_))
       break;
     addOccurrence();
     Added = true;
@@ -147,18 +159,60 @@
   return Added;
 }
 
-void JobProgress::addOccurrence() {
-  const auto Number = static_cast<int>(Occurrences_.size());
-  Occurrence &New = Occurrences_.emplace_back();
+int JobProgress::unstartedOccurrences() const {
+  return static_cast<int>(
+      std::ranges::count_if(Occurrences_, [](const auto &NumberAndEntry) {
+        return !NumberAndEntry.second.Started;
+      }));
+}
+
+bool JobProgress::mayOpenBeside(int Unstarted) const {
+  if (Occurrences_.empty())
+    return true;
+  const std::size_t Bytes = BytesPerOccurrence +
+                            BytesPerStep * Spec_.Steps.size() +
+                            static_cast<std::size_t>(TasksPerOccurrence_);
+  return (Occurrences_.size() + 1) * Bytes <= MaximumOpenBytes &&
+         (Unstarted == 0 ||
+          (Unstarted + 1) * TasksPerOccurrence_ <= MaximumUnstartedTasks);
+}
+
+void JobProgress::closeUnstarted() {
+  int Unstarted = unstartedOccurrences();
+  while (Spec_.Repetitions > 0 && Unstarted > 1 &&
+         Unstarted * TasksPerOccurrence_ > MaximumUnstartedTasks) {
+    const auto Latest = std::prev(Occurrences_.end());
+    const Occurrence &Entry = Latest->second;
+    const bool HasHistory =
+        Entry.Started || Latest->first != Opened_ - 1 ||
+        std::ranges::any_of(Entry.Steps, [](const StepProgress &Step) {
+          return !Step.FailedRuns.empty() ||
+                 std::ranges::any_of(Step.Tasks, [](const TaskProgress &Task) {
+                   return !Task.FailedRuns.empty() || !Task.Crashes.empty() ||
+                          !Task.RefusedRuns.empty();
+                 });
+        });
+    if (HasHistory)
+      return;
+    Occurrences_.erase(Latest);
+    --Opened_;
+    --Unstarted;
+  }
+}
+
+Occurrence &JobProgress::createOccurrence(int Number) {
+  Occurrence &New = Occurrences_[Number];
   New.Number = Number;
+  New.Started = HasUnknownTasks_;
   for (const StepSpec &Spec : Spec_.Steps) {
     StepProgress &Step = New.Steps.emplace_back();
     // The previous owner may have started tasks of this occurrence.
     Step.addTasks(Spec.Count,
                   HasUnknownTasks_ ? TaskPhase::Unknown : TaskPhase::Waiting);
-    Step.LastRun = HasUnknownTasks_ ? RunGapAfterTakeover : 0;
+    Step.LastRun = SkippedRuns_;
   }
   findOpenSteps(New);
+  return New;
 }
 
 void JobProgress::findOpenSteps(Occurrence &Entry) const {
@@ -171,6 +225,8 @@
       for (const int Next : Graph_.successors(S))
         --Entry.Steps[static_cast<std::size_t>(Next)].OpenDependencies;
   Entry.OpenSteps.clear();
+  Entry.DoneSteps = static_cast<int>(
+      std::ranges::count_if(Entry.Steps, &StepProgress::isDone));
   for (int S = 0; S < Steps; ++S) {
     const StepProgress &Step = Entry.Steps[static_cast<std::size_t>(S)];
     if (Step.OpenDependencies == 0 && !Step.isDone())
@@ -180,6 +236,7 @@
 
 void JobProgress::openSuccessors(Occurrence &Entry, int Step) const {
   Entry.OpenSteps.erase(Step);
+  ++Entry.DoneSteps;
   for (const int Next : Graph_.successors(Step)) {
     StepProgress &Successor = Entry.Steps[static_cast<std::size_t>(Next)];
     if (--Successor.OpenDependencies == 0 && !Successor.isDone())
@@ -189,20 +246,42 @@
 
 void JobProgress::addOccurrencesUpTo(const TaskName &Task) {
   while (!isFinished() && Task.Occurrence < Spec_.Repetitions &&
-         Task.Occurrence >= static_cast<int>(Occurrences_.size()))
+         Task.Occurrence >= Opened_)
     addOccurrence();
 }
 
-StepProgress *JobProgress::stepOf(const TaskName &Task) {
-  if (Task.Occurrence >= static_cast<int>(Occurrences_.size()))
+Occurrence *JobProgress::findOccurrence(int Number) {
+  const auto It = Occurrences_.find(Number);
+  return It == Occurrences_.end() ? nullptr : &It->second;
+}
+
+const Occurrence *JobProgress::findOccurrence(int Number) const {
+  return const_cast<JobProgress *>(this)->findOccurrence(Number);
+}
+
+const StepProgress *JobProgress::findStep(int Occurrence, int Step) const {
+  const auto *Entry = findOccurrence(Occurrence);
+  if (Entry == nullptr || Step >= static_cast<int>(Entry->Steps.size()))
     return nullptr;
-  Occurrence &Entry = Occurrences_[static_cast<std::size_t>(Task.Occurrence)];
-  if (Task.Step >= static_cast<int>(Entry.Steps.size()))
+  return &Entry->Steps[static_cast<std::size_t>(Step)];
+}
+
+StepProgress *JobProgress::stepOf(const TaskName &Task) {
+  Occurrence *Entry = findOccurrence(Task.Occurrence);
+  if (Entry == nullptr || Task.Step >= static_cast<int>(Entry->Steps.size()))
     return nullptr;
-  StepProgress &Step = Entry.Steps[static_cast<std::size_t>(Task.Step)];
+  StepProgress &Step = Entry->Steps[static_cast<std::size_t>(Task.Step)];
   return Task.Index < static_cast<int>(Step.Tasks.size()) ? &Step : nullptr;
 }
 
+void JobProgress::closeIfDone(int Number, ProgressEffect &Effect) {
+  // A job that runs once keeps its tasks until it is forgotten.
+  if (Spec_.Repetitions == 0 || !findOccurrence(Number)->isDone())
+    return;
+  Occurrences_.erase(Number);
+  Effect.CompletedOccurrence = Number;
+}
+
 const TaskProgress *JobProgress::find(const TaskName &Task) const {
   const StepProgress *Step = const_cast<JobProgress *>(this)->stepOf(Task);
   return Step == nullptr ? nullptr
@@ -210,8 +289,9 @@
 }
 
 int JobProgress::tasksDone() const {
-  int Done = 0;
-  for (const Occurrence &Entry : Occurrences_)
+  int Done =
+      (Opened_ - static_cast<int>(Occurrences_.size())) * TasksPerOccurrence_;
+  for (const auto &[Number, Entry] : Occurrences_)
     for (const StepProgress &Step : Entry.Steps)
       Done += Step.DoneTasks;
   return Done;
@@ -221,7 +301,7 @@
   std::vector<ReadyStep> Ready;
   if (isFinished())
     return Ready;
-  for (const Occurrence &Entry : Occurrences_)
+  for (const auto &[Number, Entry] : Occurrences_)
     for (const int S : Entry.OpenSteps) {
       const StepProgress &Step = Entry.Steps[static_cast<std::size_t>(S)];
       if (Step.WaitingTasks == 0)
@@ -243,7 +323,7 @@
   std::vector<ReadyStep> Upcoming;
   if (isFinished())
     return Upcoming;
-  for (const Occurrence &Entry : Occurrences_) {
+  for (const auto &[Number, Entry] : Occurrences_) {
     // Number of dependencies that run, by step. A step whose other
     // dependencies are done is upcoming.
     std::map<int, int> RunningDependencies;
@@ -273,10 +353,8 @@
 }
 
 int JobProgress::nextRun(int Occurrence, int Step) const {
-  return Occurrences_[static_cast<std::size_t>(Occurrence)]
-             .Steps[static_cast<std::size_t>(Step)]
-             .LastRun +
-         1;
+  const StepProgress *Found = findStep(Occurrence, Step);
+  return Found == nullptr ? 1 : Found->LastRun + 1;
 }
 
 std::string JobProgress::checkpointOf(const TaskName &Task) const {
@@ -288,10 +366,7 @@
   // The checkpoint of any member is valid for all; the greatest one has the
   // most progress.
   std::string Latest;
-  for (const TaskProgress &Member :
-       Occurrences_[static_cast<std::size_t>(Task.Occurrence)]
-           .Steps[static_cast<std::size_t>(Task.Step)]
-           .Tasks)
+  for (const TaskProgress &Member : findStep(Task.Occurrence, Task.Step)->Tasks)
     Latest = std::max(Latest, Member.Checkpoint);
   return Latest;
 }
@@ -313,17 +388,16 @@
   if (!Spec_.Steps[static_cast<std::size_t>(Task.Step)].Gang)
     return !Found->Crashes.empty();
   return std::ranges::any_of(
-      Occurrences_[static_cast<std::size_t>(Task.Occurrence)]
-          .Steps[static_cast<std::size_t>(Task.Step)]
-          .Tasks,
+      findStep(Task.Occurrence, Task.Step)->Tasks,
       [](const TaskProgress &Member) { return !Member.Crashes.empty(); });
 }
 
 int JobProgress::countActiveOn(int Occurrence, int Step,
                                const std::string &Worker) const {
-  const auto &Tasks = Occurrences_[static_cast<std::size_t>(Occurrence)]
-                          .Steps[static_cast<std::size_t>(Step)]
-                          .Tasks;
+  const StepProgress *Found = findStep(Occurrence, Step);
+  if (Found == nullptr)
+    return 0;
+  const auto &Tasks = Found->Tasks;
   return static_cast<int>(
       std::ranges::count_if(Tasks, [&](const TaskProgress &Task) {
         return isActive(Task.Phase) && Task.Worker == Worker;
@@ -336,6 +410,7 @@
     return;
   TaskProgress &Task = Step->Tasks[static_cast<std::size_t>(Run.Task.Index)];
   Step->setPhase(Task, TaskPhase::Placing);
+  findOccurrence(Run.Task.Occurrence)->Started = true;
   Task.Run = Run.Run;
   Task.Worker = Run.Worker;
   Task.Begun = false;
@@ -374,6 +449,7 @@
   if (Effect.Applied)
     Task.PhaseSince = Now;
   Step->setPhase(Task, TaskPhase::Running);
+  findOccurrence(Run.Task.Occurrence)->Started = true;
   Task.Run = Run.Run;
   Task.Worker = Run.Worker;
   Task.Begun = Begun || (Current && Task.Begun);
@@ -432,8 +508,7 @@
     Step.setPhase(Task, TaskPhase::Done);
   }
   if (Step.isDone())
-    openSuccessors(Occurrences_[static_cast<std::size_t>(Run.Task.Occurrence)],
-                   Run.Task.Step);
+    openSuccessors(*findOccurrence(Run.Task.Occurrence), Run.Task.Step);
   Step.GangStopping = false;
   Effect.Applied = true;
   Effect.MustPersist = true;
@@ -532,8 +607,9 @@
   if ((AttemptsUsed || Task.Crashes.isConclusive()) &&
       Task.Phase != TaskPhase::Done)
     finishAs(JobState::Failed, Effect);
-  else
-    finishIfComplete(Effect);
+  else if (Outcome == RunOutcome::Done)
+    closeIfDone(Run.Task.Occurrence, Effect);
+  finishIfComplete(Effect);
   return Effect;
 }
 
@@ -560,13 +636,11 @@
 }
 
 void JobProgress::finishIfComplete(ProgressEffect &Effect) {
-  const auto Planned = static_cast<std::size_t>(std::max(1, Spec_.Repetitions));
-  if (isFinished() || Occurrences_.size() < Planned)
+  if (isFinished() || Opened_ < plannedOccurrences())
     return;
-  for (const Occurrence &Entry : Occurrences_)
-    for (const StepProgress &Step : Entry.Steps)
-      if (!Step.isDone())
-        return;
+  for (const auto &[Number, Entry] : Occurrences_)
+    if (!Entry.isDone())
+      return;
   finishAs(JobState::Completed, Effect);
 }
 
@@ -598,19 +672,23 @@
 
 void JobProgress::markUnfinishedTasksUnknown() {
   HasUnknownTasks_ = true;
-  for (Occurrence &Entry : Occurrences_)
+  SkippedRuns_ += RunGapAfterTakeover;
+  for (auto &[Number, Entry] : Occurrences_) {
+    Entry.Started = true;
     for (StepProgress &Step : Entry.Steps) {
       Step.LastRun += RunGapAfterTakeover;
       for (TaskProgress &Task : Step.Tasks)
         if (Task.Phase != TaskPhase::Done)
           Step.setPhase(Task, TaskPhase::Unknown);
     }
+  }
 }
 
 ProgressEffect JobProgress::resolveUnknownTasks(Clock::time_point Now) {
   ProgressEffect Effect;
   HasUnknownTasks_ = false;
-  for (Occurrence &Entry : Occurrences_)
+  for (auto &[Number, Entry] : Occurrences_) {
+    bool HasRun = false;
     for (std::size_t S = 0; S < Entry.Steps.size(); ++S) {
       StepProgress &Step = Entry.Steps[S];
       bool FoundUnknown = false;
@@ -635,13 +713,18 @@
       Effect.Stop.insert(Effect.Stop.end(), GangEffect.Stop.begin(),
                          GangEffect.Stop.end());
     }
+    for (const StepProgress &Step : Entry.Steps)
+      HasRun = HasRun || Step.ActiveTasks > 0 || Step.DoneTasks > 0;
+    Entry.Started = HasRun;
+  }
+  closeUnstarted();
   if (hasTaskToGiveUp())
     finishAs(JobState::Failed, Effect);
   return Effect;
 }
 
 bool JobProgress::hasTaskToGiveUp() const {
-  for (const Occurrence &Entry : Occurrences_)
+  for (const auto &[Number, Entry] : Occurrences_)
     for (const StepProgress &Step : Entry.Steps)
       for (const TaskProgress &Task : Step.Tasks)
         if (Task.Phase == TaskPhase::Waiting && Task.Crashes.isConclusive())
@@ -669,7 +752,7 @@
 
 std::vector<RunId> JobProgress::activeRuns() const {
   std::vector<RunId> Runs;
-  for (const Occurrence &Entry : Occurrences_)
+  for (const auto &[Number, Entry] : Occurrences_)
     appendActiveRuns(Entry, Runs);
   return Runs;
 }
@@ -679,7 +762,7 @@
   std::vector<std::pair<RunId, Clock::time_point>> Runs;
   if (RefusedRuns_ == 0)
     return Runs;
-  for (const Occurrence &Entry : Occurrences_)
+  for (const auto &[Number, Entry] : Occurrences_)
     for (std::size_t S = 0; S < Entry.Steps.size(); ++S)
       for (std::size_t I = 0; I < Entry.Steps[S].Tasks.size(); ++I)
         for (const RefusedRun &Each : Entry.Steps[S].Tasks[I].RefusedRuns)
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -5,6 +5,8 @@
 #include "Work/JobSpec.h"
 #include "Work/StepGraph.h"
 
+#include <algorithm>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
@@ -109,6 +111,12 @@
   std::vector<StepProgress> Steps;
   /// Steps that are not done, and whose dependencies are.
   std::set<int> OpenSteps;
+  int DoneSteps = 0;
+  bool Started = false; ///< A task has been placed, or may have been.
+
+  [[nodiscard]] bool isDone() const {
+    return DoneSteps == static_cast<int>(Steps.size());
+  }
 };
 
 /// Tasks of one step that can be started now.
@@ -124,10 +132,17 @@
   bool MustPersist = false; ///< Store the state before acknowledging the event.
   bool Finished = false;    ///< The event finished the job.
   std::vector<RunId> Stop;  ///< Runs that must be stopped.
+  /// Number of the occurrence that the event completed; it is forgotten.
+  std::optional<int> CompletedOccurrence;
 };
 
 /// State machine for the tasks of one job. It reads no clock and performs no
 /// I/O: callers pass in the time and act on the returned effects.
+///
+/// Of a repeating job it keeps only the open occurrences: those that were due,
+/// were opened, and are not done. Occurrences are opened in order, and only
+/// while few open ones wait for their first start, so that a job costs what it
+/// has at work and not what has ever been due.
 class JobProgress {
 public:
   explicit JobProgress(JobSpec Spec);
@@ -141,14 +156,22 @@
   /// True once a task is known to have begun, and also for a job that was
   /// cancelled while pending.
   [[nodiscard]] bool hasStarted() const { return State_ != JobState::Pending; }
-  [[nodiscard]] const std::vector<Occurrence> &occurrences() const {
-    return Occurrences_;
-  }
+  /// Returns the number of tasks that are done.
   [[nodiscard]] int tasksDone() const;
+  /// Returns the time since the Unix epoch at which the occurrence of a
+  /// repeating job is due.
+  [[nodiscard]] std::chrono::milliseconds dueAt(int Occurrence) const {
+    return Spec_.FirstRun + Occurrence * Spec_.Interval;
+  }
+  /// Returns the number of open occurrences.
+  [[nodiscard]] std::size_t openOccurrences() const {
+    return Occurrences_.size();
+  }
   [[nodiscard]] const TaskProgress *find(const TaskName &Task) const;
 
-  /// Adds the occurrences that are due at the given time since the Unix epoch.
-  /// Returns true if any was added.
+  /// Opens occurrences that are due at the given time since the Unix epoch, as
+  /// long as the open ones that have not started have few tasks. Returns true
+  /// if any was opened.
   bool addDueOccurrences(std::chrono::milliseconds SinceEpoch);
 
   [[nodiscard]] std::vector<ReadyStep> readySteps() const;
@@ -210,8 +233,10 @@
   refusedRuns() const;
 
   /// State that must survive the loss of the owner: an object with the state of
-  /// the job, the number of occurrences and, per step, the done tasks, the last
-  /// run number, the failed runs and those under which workers have crashed.
+  /// the job, the number of occurrences that were opened and, per step, the
+  /// done tasks, the last run number, the failed runs and those under which
+  /// workers have crashed. If many occurrences were opened, it lists the open
+  /// ones and has only their steps; earlier releases don't run such a job.
   [[nodiscard]] nlohmann::json durableState() const;
   /// Restores the result of durableState(). Throws nlohmann::json::exception if
   /// a field is missing or has a wrong type. Steps that are missing at the end
@@ -226,11 +251,29 @@
   /// Returns true if a task has crashed so many workers that it must not be
   /// started again.
   [[nodiscard]] bool hasTaskToGiveUp() const;
-  void addOccurrence();
+  Occurrence &createOccurrence(int Number);
+  /// Opens the next occurrence.
+  void addOccurrence() { createOccurrence(Opened_++); }
   /// Adds the occurrences up to that of Task. A reported run proves that its
   /// occurrence is due, whatever the local clock says.
   void addOccurrencesUpTo(const TaskName &Task);
+  Occurrence *findOccurrence(int Number);
+  [[nodiscard]] const Occurrence *findOccurrence(int Number) const;
   StepProgress *stepOf(const TaskName &Task);
+  [[nodiscard]] const StepProgress *findStep(int Occurrence, int Step) const;
+  /// Returns the number of open occurrences that have not started.
+  [[nodiscard]] int unstartedOccurrences() const;
+  /// Returns true if another occurrence that is due may be opened beside this
+  /// number of open ones that have not started.
+  [[nodiscard]] bool mayOpenBeside(int Unstarted) const;
+  /// Closes the latest occurrences, of which no task has ever run, if more are
+  /// open than are opened at once.
+  void closeUnstarted();
+  /// Forgets the occurrence if all of its steps are done.
+  void closeIfDone(int Number, ProgressEffect &Effect);
+  [[nodiscard]] int plannedOccurrences() const {
+    return std::max(1, Spec_.Repetitions);
+  }
   /// Computes which steps are open from the tasks that are done.
   void findOpenSteps(Occurrence &Entry) const;
   /// Opens the steps that waited only for this step, which is done.
@@ -253,7 +296,11 @@
 
   JobSpec Spec_;
   StepGraph Graph_;
-  std::vector<Occurrence> Occurrences_;
+  int TasksPerOccurrence_ = 0;
+  int Opened_ = 0;      ///< Number of occurrences that were opened.
+  int SkippedRuns_ = 0; ///< Run numbers that previous owners may have used.
+  /// Open occurrences by number. All other opened ones are done.
+  std::map<int, Occurrence> Occurrences_;
   int RefusedRuns_ = 0; ///< Of all tasks.
   JobState State_ = JobState::Pending;
   bool HasUnknownTasks_ = false; ///< From takeover until resolveUnknownTasks().
--- a/Source/Work/JobProgressStorage.cpp
+++ b/Source/Work/JobProgressStorage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace hickory {
 
@@ -17,6 +18,17 @@
 /// Object that is stored only if it is not empty. Earlier releases ignore it.
 constexpr std::size_t DetailsAt = 4;
 
+// Keys of the state of a job.
+constexpr const char *AllSteps = "steps"; ///< Of all occurrences.
+/// Numbers of the occurrences that are not done. With them, the steps of the
+/// others are left out.
+constexpr const char *OpenOccurrences = "open";
+constexpr const char *OpenSteps = "open_steps";
+
+/// Number of steps and tasks of all opened occurrences up to which all of them
+/// are stored, as earlier releases need it.
+constexpr std::size_t MaximumPlainEntries = 2000;
+
 // Keys of the object.
 constexpr const char *TaskCrashes = "crashes";   ///< By task.
 constexpr const char *FailedWorkers = "workers"; ///< Of failed runs, by task.
@@ -71,6 +83,11 @@
   return Stored;
 }
 
+json doneStep(int Tasks) {
+  return json::array({std::string(static_cast<std::size_t>(Tasks), '1'), 0,
+                      json::array(), json::object()});
+}
+
 /// Returns the member of Details[Key] for a task, or null.
 json detailOf(const json &Details, const char *Key, const std::string &Index) {
   const auto All = Details.find(Key);
@@ -113,22 +130,51 @@
 
 json JobProgress::durableState() const {
   json All = json::array();
-  for (const Occurrence &Entry : Occurrences_)
+  json Open = json::array();
+  const std::size_t Entries =
+      Spec_.Steps.size() + static_cast<std::size_t>(TasksPerOccurrence_);
+  const bool OnlyOpen =
+      Spec_.Repetitions > 0 &&
+      static_cast<std::size_t>(Opened_) * Entries > MaximumPlainEntries;
+  const auto Add = [&All](const Occurrence &Entry) {
     for (const StepProgress &Step : Entry.Steps)
       All.push_back(toJson(Step));
-  return json{{"state", nameOf(State_)},
-              {"occurrences", Occurrences_.size()},
-              {"steps", std::move(All)}};
+  };
+  if (OnlyOpen)
+    for (const auto &[Number, Entry] : Occurrences_) {
+      Open.push_back(Number);
+      Add(Entry);
+    }
+  else
+    for (int Number = 0; Number < Opened_; ++Number)
+      if (const Occurrence *Entry = findOccurrence(Number))
+        Add(*Entry);
+      else
+        for (const StepSpec &Step : Spec_.Steps)
+          All.push_back(doneStep(Step.Count));
+  json State = {{"state", nameOf(State_)}, {"occurrences", Opened_}};
+  if (OnlyOpen) {
+    State[OpenOccurrences] = std::move(Open);
+    State[OpenSteps] = std::move(All);
+  } else {
+    State[AllSteps] = std::move(All);
+  }
+  return State;
 }
 
 void JobProgress::restore(const json &Durable) {
-  const auto Count = Durable.at("occurrences").get<std::size_t>();
-  const json &All = Durable.at("steps");
-  while (
-      Occurrences_.size() < Count &&
-      addDueOccurrences(Spec_.FirstRun + static_cast<int>(Occurrences_.size()) *
-                                             Spec_.Interval)) {
+  const int Count =
+      std::min(Durable.at("occurrences").get<int>(), plannedOccurrences());
+  const bool OnlyOpen = Durable.contains(OpenOccurrences);
+  const json &All = Durable.at(OnlyOpen ? OpenSteps : AllSteps);
+  std::vector<int> Numbers;
+  if (OnlyOpen) {
+    Numbers = Durable[OpenOccurrences].get<std::vector<int>>();
+  } else {
+    Numbers.resize(static_cast<std::size_t>(std::max(0, Count)));
+    std::iota(Numbers.begin(), Numbers.end(), 0);
   }
+  Opened_ = std::max(Opened_, Count);
   const auto Name = Durable.at("state").get<std::string>();
   for (const JobState State :
        {JobState::Pending, JobState::Running, JobState::Completed,
@@ -136,11 +182,15 @@
     if (Name == nameOf(State))
       State_ = State;
   std::size_t Next = 0;
-  for (Occurrence &Entry : Occurrences_) {
+  for (const int Number : Numbers) {
+    Occurrence *Known = findOccurrence(Number);
+    Occurrence &Entry = Known == nullptr ? createOccurrence(Number) : *Known;
     for (StepProgress &Step : Entry.Steps)
       if (Next < All.size())
         restoreStep(Step, All[Next++]);
     findOpenSteps(Entry);
+    if (Spec_.Repetitions > 0 && Entry.isDone())
+      Occurrences_.erase(Number);
   }
 }
 
--- a/Tests/Cell/LargeJobTest.cpp
+++ b/Tests/Cell/LargeJobTest.cpp
@@ -82,6 +82,7 @@
 class LargeJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LargeJobTest);
   CPPUNIT_TEST(testGraphWithManyPathsDoesNotBlockItsOwner);
+  CPPUNIT_TEST(testDueOccurrencesDoNotDelayOtherJobs);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +104,24 @@
                          Bench.stateOf(Bench.largeId()));
     Bench.checkSmallJobs();
   }
+
+  // Guards against a job with thousands of due occurrences that keeps its owner
+  // busy and whose progress is longer than the store accepts (incident 49,
+  // review/7).
+  void testDueOccurrencesDoNotDelayOtherJobs() {
+    LargeJobBench Bench;
+    JobSpec Job = Bench.jobOf(Bench.largeId(), {CellNodeBench::step(2, 500)});
+    Job.Repetitions = 10000;
+    Job.Interval = 1s;
+    Bench.submitLarge(Job);
+    Bench.runWithSmallJobs(20s);
+    Bench.run(2s);
+    // Its occurrences go on meanwhile.
+    CPPUNIT_ASSERT(Bench.Starts[Bench.largeId()] > 1000);
+    Bench.cancel(*Bench.alive().front(), Bench.largeId());
+    Bench.run(2s);
+    Bench.checkSmallJobs();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeJobTest);
--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -49,6 +49,32 @@
                   {}, Now);
 }
 
+/// A job whose occurrences are all due.
+JobSpec repeatedJob(int Repetitions, std::vector<StepSpec> Steps = {{}}) {
+  JobSpec Spec = jobWith(std::move(Steps));
+  Spec.Repetitions = Repetitions;
+  Spec.Interval = std::chrono::seconds(1);
+  return Spec;
+}
+
+constexpr std::chrono::hours LongAfter{1000};
+
+RunId runOfOccurrence(const JobProgress &Job, int Occurrence, int Step = 0,
+                      int Index = 0) {
+  return {.Task = {.Job = "job",
+                   .Occurrence = Occurrence,
+                   .Step = Step,
+                   .Index = Index},
+          .Run = Job.nextRun(Occurrence, Step),
+          .Worker = "w"};
+}
+
+void finishOccurrence(JobProgress &Job, int Occurrence) {
+  const RunId Run = runOfOccurrence(Job, Occurrence);
+  startRun(Job, Run);
+  Job.markEnded(Run, RunOutcome::Done, {}, Now);
+}
+
 StepSpec gangOf(int Count) { return {.Count = Count, .Gang = true}; }
 
 } // namespace
@@ -77,6 +103,12 @@
   CPPUNIT_TEST(testDurableStateIsRestored);
   CPPUNIT_TEST(testFinishedJobWithoutSpecIsRestored);
   CPPUNIT_TEST(testOccurrencesAppearWhenDue);
+  CPPUNIT_TEST(testFewDueOccurrencesAreOpenAtOnce);
+  CPPUNIT_TEST(testStartedOccurrencesHoldUpNoOthers);
+  CPPUNIT_TEST(testStateHasNothingOfDoneOccurrences);
+  CPPUNIT_TEST(testFewOccurrencesAreStoredForEarlierReleases);
+  CPPUNIT_TEST(testOccurrencesOpenedByAnEarlierReleaseAreClosedAgain);
+  CPPUNIT_TEST(propertyRestoredOccurrencesAreThoseThatWereStored);
   CPPUNIT_TEST(testLongRunningTaskIsRestartedAfterFailure);
   CPPUNIT_TEST(testTaskThatCrashedTwoWorkersIsNotStartedAgain);
   CPPUNIT_TEST(testTaskBesideACrashIsStartedAgain);
@@ -396,6 +428,109 @@
     CPPUNIT_ASSERT_EQUAL(1, Job.readySteps().front().Occurrence);
   }
 
+  // Guards against a job whose owner lists and sorts the tasks of thousands of
+  // due occurrences in each pass (incident 49, review/7).
+  void testFewDueOccurrencesAreOpenAtOnce() {
+    JobProgress Job(repeatedJob(10000, {{.Count = 2}}));
+    CPPUNIT_ASSERT(Job.addDueOccurrences(LongAfter));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(32), Job.readySteps().size());
+    CPPUNIT_ASSERT(!Job.addDueOccurrences(LongAfter));
+  }
+
+  // Guards against occurrences that wait for ever behind others that last or
+  // that wait for something in a later step.
+  void testStartedOccurrencesHoldUpNoOthers() {
+    JobProgress Job(repeatedJob(1000, {{.LongRunning = true}}));
+    for (int Round = 0; Round < 100; ++Round) {
+      Job.addDueOccurrences(LongAfter);
+      for (const ReadyStep &Step : Job.readySteps())
+        startRun(Job, runOfOccurrence(Job, Step.Occurrence));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1000), Job.activeRuns().size());
+  }
+
+  // Guards against a state that grows with each occurrence until the store does
+  // not accept it any more.
+  void testStateHasNothingOfDoneOccurrences() {
+    constexpr std::size_t RecordBytes = 262144;
+    JobProgress Job(repeatedJob(10000));
+    std::size_t Longest = 0;
+    while (!Job.isFinished()) {
+      Job.addDueOccurrences(LongAfter);
+      for (const ReadyStep &Step : Job.readySteps())
+        finishOccurrence(Job, Step.Occurrence);
+      Longest = std::max(Longest, Job.durableState().dump().size());
+      CPPUNIT_ASSERT(Job.openOccurrences() <= 64);
+    }
+    CPPUNIT_ASSERT(Job.state() == JobState::Completed);
+    CPPUNIT_ASSERT(Longest < RecordBytes / 4);
+  }
+
+  // Guards against a job with few occurrences that a process of the release
+  // before can't read during a rolling change.
+  void testFewOccurrencesAreStoredForEarlierReleases() {
+    JobProgress Job(repeatedJob(20));
+    Job.addDueOccurrences(LongAfter);
+    finishOccurrence(Job, 3);
+    const auto State = Job.durableState();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(20), State.at("steps").size());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         State.at("steps")[3][0].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(20, State.at("occurrences").get<int>());
+  }
+
+  // Guards against thousands of open occurrences of a job whose state an
+  // earlier release has stored.
+  void testOccurrencesOpenedByAnEarlierReleaseAreClosedAgain() {
+    nlohmann::json Steps = nlohmann::json::array();
+    for (int Number = 0; Number < 5000; ++Number)
+      Steps.push_back({Number < 2000 ? "1" : "0", 1,
+                       nlohmann::json::array(), nlohmann::json::object()});
+    JobProgress Job(repeatedJob(10000));
+    Job.restore(
+        {{"state", "running"}, {"occurrences", 5000}, {"steps", Steps}});
+    CPPUNIT_ASSERT_EQUAL(2000, Job.tasksDone());
+    Job.markUnfinishedTasksUnknown();
+    Job.resolveUnknownTasks(Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(64), Job.openOccurrences());
+    CPPUNIT_ASSERT_EQUAL(2000, Job.readySteps().front().Occurrence);
+    int Started = 0;
+    while (!Job.isFinished()) {
+      Job.addDueOccurrences(LongAfter);
+      for (const ReadyStep &Step : Job.readySteps()) {
+        finishOccurrence(Job, Step.Occurrence);
+        ++Started;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(8000, Started);
+  }
+
+  // Guards against an occurrence that runs twice or never after a takeover.
+  void propertyRestoredOccurrencesAreThoseThatWereStored() {
+    CPPUNIT_ASSERT(rc::check("each occurrence is done once", [] {
+      const int Repetitions = *rc::gen::inRange(1, 2500);
+      auto Job = std::make_unique<JobProgress>(repeatedJob(Repetitions));
+      std::set<int> Done;
+      while (!Job->isFinished()) {
+        Job->addDueOccurrences(LongAfter);
+        for (const ReadyStep &Step : Job->readySteps())
+          if (*rc::gen::inRange(0, 8) != 0) {
+            finishOccurrence(*Job, Step.Occurrence);
+            RC_ASSERT(Done.insert(Step.Occurrence).second);
+          }
+        if (Job->isFinished() || *rc::gen::inRange(0, 4) != 0)
+          continue;
+        auto Next = std::make_unique<JobProgress>(repeatedJob(Repetitions));
+        Next->restore(Job->durableState());
+        Next->markUnfinishedTasksUnknown();
+        Next->resolveUnknownTasks(Now);
+        RC_ASSERT(Next->tasksDone() == Job->tasksDone());
+        Job = std::move(Next);
+      }
+      RC_ASSERT(static_cast<int>(Done.size()) == Repetitions);
+    }));
+  }
+
   void testLongRunningTaskIsRestartedAfterFailure() {
     JobProgress Job(jobWith({{.Count = 1, .LongRunning = true}}, 1));
     startRun(Job, runOf(0, 0, 1, "a"));
