Claim only workers that become free

A claim took the workers on which the gang would fit if nothing ran there, and what lasts counted as nothing; it held whole workers for any time.

Orders and reports say whether a run lasts and how long it is expected to take, and the holder of a worker reports the demand of what does not end within 30 s. A gang that does not fit beside that claims nothing. A claim says how much its gang needs, and steps may use the rest of workers that their own process holds.

--- a/Source/Cell/CapacityView.cpp
+++ b/Source/Cell/CapacityView.cpp
@@ -29,6 +29,7 @@
     State.Free = Load.Free.minusClamped(State.InFlight);
     State.Usable = Load.Usable;
     State.Suspect = Load.Suspect;
+    State.Lasting = Load.Lasting;
   }
 }
 
@@ -69,12 +70,12 @@
 }
 
 void CapacityView::markClaimed(const std::string &Worker,
-                               Clock::time_point ClaimStart) {
+                               const WorkerClaim &Claim) {
   const auto It = Workers_.find(Worker);
   if (It == Workers_.end() || It->second.Entry.Draining)
     return;
   const ListedWorker &Listed = It->second;
-  Rows_.at(Listed.Entry.Service)[Listed.RowIndex].ClaimStart_ = ClaimStart;
+  Rows_.at(Listed.Entry.Service)[Listed.RowIndex].Claim_ = Claim;
 }
 
 void CapacityView::Row::setHeld(const WorkerLoad &Load) {
@@ -82,6 +83,7 @@
   Free_ = Load.Free;
   Usable_ = Load.Usable;
   Suspect_ = Load.Suspect;
+  Lasting_ = Load.Lasting;
 }
 
 void CapacityView::refreshHeldWorkers() {
@@ -92,7 +94,7 @@
     for (Row &Each : Rows) {
       const ListedWorker &Listed = Each.listed();
       Each.Local_ = false;
-      Each.ClaimStart_.reset();
+      Each.Claim_.reset();
       if (!IsHeld[static_cast<std::size_t>(Listed.Shard)])
         continue;
       if (const auto *Agent = Pool_.find(Listed.Shard, Listed.Entry.Id))
--- a/Source/Cell/CapacityView.h
+++ b/Source/Cell/CapacityView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/GangClaim.h"
 #include "Cell/PeerMessages.h"
 #include "Cell/ShardMap.h"
 #include "Cell/WorkerClient.h"
@@ -24,6 +25,7 @@
   struct RemoteWorker {
     Resources Free;
     Resources InFlight; ///< Demand of placements without an answer.
+    Resources Lasting;  ///< See WorkerLoad.
     bool Usable = false;
     bool Suspect = false;
   };
@@ -72,9 +74,13 @@
     [[nodiscard]] bool isSuspect() const {
       return Local_ ? Suspect_ : Listed_->Reported->Suspect;
     }
-    /// Returns the earliest StartBy of the gangs that have claimed the worker.
-    [[nodiscard]] const std::optional<Clock::time_point> &claimStart() const {
-      return ClaimStart_;
+    /// Returns the claim of gangs on the worker, if there is one.
+    [[nodiscard]] const std::optional<WorkerClaim> &claim() const {
+      return Claim_;
+    }
+    /// Returns the demand of the runs that do not end soon.
+    [[nodiscard]] const Resources &lasting() const {
+      return Local_ ? Lasting_ : Listed_->Reported->Lasting;
     }
     [[nodiscard]] Resources free() const {
       return Local_ ? Free_.minusClamped(Listed_->Reported->InFlight)
@@ -91,10 +97,11 @@
     bool Local_ = false;
     bool Usable_ = false;
     bool Suspect_ = false;
-    std::optional<Clock::time_point> ClaimStart_;
+    Resources Lasting_;
+    std::optional<WorkerClaim> Claim_;
   };
   /// Marks the worker as claimed until the next refreshHeldWorkers().
-  void markClaimed(const std::string &Worker, Clock::time_point ClaimStart);
+  void markClaimed(const std::string &Worker, const WorkerClaim &Claim);
   /// Returns the workers of the service that are not draining.
   [[nodiscard]] const std::vector<Row> &
   workersOf(const std::string &Service) const;
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -209,6 +209,7 @@
                   .Free =
                       usableFree(Row.free(), Worker.Capacity,
                                  Job.Queue.Priority, Options_.Gangs.Placement),
+                  .Lasting = Row.lasting(),
                   .Local = Row.isLocal(),
                   .Suspect = Row.isSuspect(),
                   .TieBreak = StepHash ^ Listed.Hash};
@@ -221,6 +222,14 @@
         continue;
     }
     New.Blocked = GangClaimManager::isBlocked(Schedulable, Row);
+    if (New.Blocked) {
+      Candidate Spare = New;
+      Spare.Free = GangClaimManager::spareFree(New.Free, Row);
+      Spare.Blocked = false;
+      // Capacity that would be in the way of the gang for long is not given.
+      if (slotsOn(Need, Spare) > 0 && !Step.LongRunning)
+        New = Spare;
+    }
     if (!HasLabels(Worker) || (New.Blocked && !Step.Gang) ||
         !canOrderInPass(Schedulable.Job->Shard, Listed.Shard))
       continue;
--- a/Source/Cell/GangClaim.cpp
+++ b/Source/Cell/GangClaim.cpp
@@ -14,14 +14,18 @@
     RemoteClaims_[Address] = {.Claims = std::move(Claims), .ReceivedAt = Now};
 }
 
-std::unordered_map<std::string, Clock::time_point>
+std::unordered_map<std::string, WorkerClaim>
 GangClaimTable::claimedWorkers(Clock::time_point Now) const {
-  std::unordered_map<std::string, Clock::time_point> Claimed;
+  std::unordered_map<std::string, WorkerClaim> Claimed;
   const auto Add = [&Claimed](const GangClaim &Claim) {
-    for (const std::string &Worker : Claim.Workers) {
-      const auto [It, IsNew] = Claimed.try_emplace(Worker, Claim.StartBy);
-      if (!IsNew)
-        It->second = std::min(It->second, Claim.StartBy);
+    for (std::size_t I = 0; I < Claim.Workers.size(); ++I) {
+      const auto [It, IsNew] = Claimed.try_emplace(
+          Claim.Workers[I], WorkerClaim{.StartBy = Claim.StartBy});
+      WorkerClaim &Sum = It->second;
+      Sum.StartBy = std::min(Sum.StartBy, Claim.StartBy);
+      if (I >= Claim.Reserved.size() ||
+          (Sum.Reserved && !Sum.Reserved->add(Claim.Reserved[I])))
+        Sum.Reserved.reset();
     }
   };
   if (OwnClaim_)
--- a/Source/Cell/GangClaim.h
+++ b/Source/Cell/GangClaim.h
@@ -17,6 +17,16 @@
   std::string Step; ///< JOB.OCCURRENCE.STEP
   std::vector<std::string> Workers;
   Clock::time_point StartBy{}; ///< Claims with an earlier time come first.
+  /// Capacity that the gang needs on each of the workers, in their order. Of a
+  /// worker without an amount, all is claimed.
+  std::vector<Resources> Reserved;
+};
+
+/// What gangs have claimed of one worker.
+struct WorkerClaim {
+  Clock::time_point StartBy{}; ///< Earliest of the claims.
+  /// Sum of what the gangs need; nothing if all of the worker is claimed.
+  std::optional<Resources> Reserved = Resources{};
 };
 
 struct GangClaimTableOptions {
@@ -51,8 +61,8 @@
     return OwnClaim_;
   }
 
-  /// Returns the claimed workers, each with the earliest StartBy of its claims.
-  [[nodiscard]] std::unordered_map<std::string, Clock::time_point>
+  /// Returns the claimed workers.
+  [[nodiscard]] std::unordered_map<std::string, WorkerClaim>
   claimedWorkers(Clock::time_point Now) const;
   /// Returns true if a claim of so many workers may be made beside the claims
   /// of other processes that come before it. CellWorkers is the number of all
@@ -83,7 +93,7 @@
 /// free, so that wide gangs never fit (starvation). Claims as few workers as
 /// possible, each of which is to free capacity for one more member, or for more
 /// if the gang needs that. Returns nothing if the gang would not fit even if
-/// all of them were empty.
+/// only what lasts ran on them: such a claim would only keep others from them.
 std::vector<ClaimedWorker>
 chooseWorkersToClaim(const PlacementNeed &Need,
                      const std::vector<Candidate> &Candidates);
--- a/Source/Cell/GangClaimManager.cpp
+++ b/Source/Cell/GangClaimManager.cpp
@@ -32,8 +32,8 @@
       Counters_(Counters), Options_(Options) {}
 
 void GangClaimManager::markClaimedWorkers() {
-  for (const auto &[Worker, StartBy] : Claims_.claimedWorkers(Timers_.now()))
-    View_.markClaimed(Worker, StartBy);
+  for (const auto &[Worker, Claim] : Claims_.claimedWorkers(Timers_.now()))
+    View_.markClaimed(Worker, Claim);
 }
 
 void GangClaimManager::endPass() {
@@ -50,12 +50,19 @@
 
 bool GangClaimManager::isBlocked(const SchedulableStep &Schedulable,
                                  const CapacityView::Row &Worker) {
-  if (!Schedulable.Rank.Deferrable || !Worker.claimStart())
+  if (!Schedulable.Rank.Deferrable || !Worker.claim())
     return false;
   std::optional<Clock::time_point> GangStart;
   if (Schedulable.step().Gang)
     GangStart = claimRankTime(Schedulable.Rank);
-  return hickory::isBlocked(*Worker.claimStart(), GangStart);
+  return hickory::isBlocked(Worker.claim()->StartBy, GangStart);
+}
+
+Resources GangClaimManager::spareFree(const Resources &Free,
+                                      const CapacityView::Row &Worker) {
+  const std::optional<Resources> &Reserved = Worker.claim()->Reserved;
+  return Worker.isLocal() && Reserved ? Free.minusClamped(*Reserved)
+                                      : Resources{};
 }
 
 bool GangClaimManager::hasClaim(const SchedulableStep &Schedulable) const {
@@ -76,8 +83,14 @@
   if (shouldPreempt(Schedulable.Rank, Timers_.now()))
     requestPreemption(Schedulable, Claimed);
   PassClaim_ = GangClaim{.Step = Schedulable.stepName(), .StartBy = StartBy};
-  for (const ClaimedWorker &Each : Claimed)
+  for (const ClaimedWorker &Each : Claimed) {
     PassClaim_->Workers.push_back(Each.Id);
+    // The product cannot overflow, as it does not exceed the worker's capacity.
+    PassClaim_->Reserved.push_back(
+        Schedulable.step()
+            .Demand.times(static_cast<std::uint64_t>(Each.Members))
+            .value_or(Resources{}));
+  }
 }
 
 void GangClaimManager::requestPreemption(
@@ -136,7 +149,8 @@
     Reports.push_back(
         {.Step = Claim->Step,
          .Workers = Claim->Workers,
-         .StartInMs = toMilliseconds(Claim->StartBy - Timers_.now())});
+         .StartInMs = toMilliseconds(Claim->StartBy - Timers_.now()),
+         .Reserved = Claim->Reserved});
   return Reports;
 }
 
@@ -149,7 +163,8 @@
     Claims.push_back(
         {.Step = Report.Step,
          .Workers = Report.Workers,
-         .StartBy = Now + std::chrono::milliseconds(Report.StartInMs)});
+         .StartBy = Now + std::chrono::milliseconds(Report.StartInMs),
+         .Reserved = Report.Reserved});
   Claims_.setRemoteClaims(Address, std::move(Claims), Now);
 }
 
--- a/Source/Cell/GangClaimManager.h
+++ b/Source/Cell/GangClaimManager.h
@@ -42,9 +42,15 @@
                        const std::vector<Candidate> &Candidates);
   /// Returns true if the current pass has claimed workers for the step.
   [[nodiscard]] bool hasClaim(const SchedulableStep &Schedulable) const;
-  /// Returns true if the step may not use the worker because of a claim.
+  /// Returns true if the step may not use what gangs have claimed of the
+  /// worker.
   [[nodiscard]] static bool isBlocked(const SchedulableStep &Schedulable,
                                       const CapacityView::Row &Worker);
+  /// Returns what a blocked step may use of the worker's free capacity: what
+  /// the gangs do not need. Other processes may use what is free on a worker
+  /// that this process does not hold, so that nothing is left of it.
+  [[nodiscard]] static Resources spareFree(const Resources &Free,
+                                           const CapacityView::Row &Worker);
 
   /// Returns the claim of this process in the form for other processes.
   [[nodiscard]] std::vector<ClaimReport> ownClaims() const;
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -792,7 +792,9 @@
                        .Worker = Report.Worker,
                        .Demand = Step.Demand,
                        .Priority = Job->Progress.spec().Queue.Priority,
-                       .Preemptible = isPreemptible(Step)});
+                       .Preemptible = isPreemptible(Step),
+                       .EstimatedMs = Step.EstimatedDuration.count(),
+                       .LongRunning = Step.LongRunning});
   }
   return Demands;
 }
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -32,6 +32,9 @@
   bool Preemptible = false;
   /// Workers have crashed under earlier runs of the task.
   bool CrashSuspect = false;
+  /// Rough estimate of the run time of the task; 0 if there is none.
+  std::int64_t EstimatedMs = 0;
+  bool LongRunning = false; ///< See StepSpec.
   /// Term of the worker's shard in which the order is valid; 0 if the sender
   /// runs an earlier release, whose orders are valid in all terms.
   std::uint64_t HolderEpoch = 0;
@@ -64,6 +67,8 @@
   bool Resolved = false; ///< All runs on the worker are known.
   bool Usable = false;   ///< The worker accepts new runs.
   bool Suspect = false;  ///< Its runs fail or take too long.
+  /// Demand of the runs that do not end soon. Earlier releases do not send it.
+  Resources Lasting;
 
   bool operator==(const WorkerLoad &) const = default;
 };
@@ -136,6 +141,8 @@
   Resources Demand;
   int Priority = 0;
   bool Preemptible = false;
+  std::int64_t EstimatedMs = 0; ///< See PlaceOrder.
+  bool LongRunning = false;
 };
 
 /// Capacity that a step needs on a worker.
@@ -176,6 +183,9 @@
       0; ///< Time left until the gang must start to meet its target. An
          ///< hour is added for gangs that are overdue, so that their claims
          ///< rank after all others.
+  /// Capacity that the gang needs on each of the workers, in their order.
+  /// Earlier releases do not send it, and claim the whole workers.
+  std::vector<Resources> Reserved;
 };
 
 /// Jobs of an owned shard that have not started.
@@ -272,11 +282,12 @@
                                                 Demand, Payload, Checkpoint,
                                                 Ticket, ExpectedMs, Priority,
                                                 Preemptible, CrashSuspect,
+                                                EstimatedMs, LongRunning,
                                                 HolderEpoch, WorkerStartedAtMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkerLoad, Id, Free, Resolved, Usable,
-                                   Suspect)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerLoad, Id, Free, Resolved,
+                                                Usable, Suspect, Lasting)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReference, Task, Run, Worker,
                                                 HolderEpoch)
@@ -287,15 +298,17 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndsRequest, Ends, Loads,
                                                 Suspects)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted, Owners)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunDemand, Task, Run, Worker, Demand,
-                                   Priority, Preemptible)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunDemand, Task, Run, Worker,
+                                                Demand, Priority, Preemptible,
+                                                EstimatedMs, LongRunning)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptionNeed, Worker, Demand, Priority)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptRequest, Job, Needs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptReply, Stopped)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeldShard, Shard, Epoch, Ready)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ExchangeRequest, Sender, Member, Held,
                                    Demands, Leaving)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReport, Step, Workers, StartInMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimReport, Step, Workers,
+                                                StartInMs, Reserved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ShardWaitingJobs, Shard, Epoch, Jobs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, Task, Run, Worker,
                                                 Checkpoint, DemandKnown, How,
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -132,7 +132,7 @@
 
 int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &Target) {
   Candidate Empty = Target;
-  Empty.Free = Target.Worker->Capacity;
+  Empty.Free = Target.Worker->Capacity.minusClamped(Target.Lasting);
   return slotsOn(Need, Empty);
 }
 
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -13,6 +13,7 @@
 struct Candidate {
   const WorkerEntry *Worker = nullptr;
   Resources Free;
+  Resources Lasting;     ///< Demand of the runs that do not end soon.
   bool Local = false;    ///< This process holds it.
   int AlreadyPlaced = 0; ///< Tasks of the step on it.
   bool Suspect = false;  ///< Its runs fail or are slow.
@@ -42,7 +43,7 @@
 /// Returns the number of tasks of the step that fit on the candidate, at most
 /// Need.Count.
 int slotsOn(const PlacementNeed &Need, const Candidate &Target);
-/// Returns the same number for the candidate if nothing ran on it.
+/// Returns the same number for the candidate if only what lasts ran on it.
 int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &Target);
 
 /// Removes suspect workers. Keeps all if more than a third is suspect, as the
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -59,6 +59,8 @@
       .Priority = Job.Queue.Priority,
       .Preemptible = isPreemptible(Step),
       .CrashSuspect = Schedulable.Job->Progress.isCrashSuspect(Id.Task),
+      .EstimatedMs = Step.EstimatedDuration.count(),
+      .LongRunning = Step.LongRunning,
       .HolderEpoch = holderEpochOf(Id.Worker),
       .WorkerStartedAtMs = Chosen.Worker->StartedAtMs};
   return {.Run = std::move(Id), .Order = std::move(Order)};
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -25,6 +25,8 @@
 /// A worker lists at most this many ends in one reply.
 constexpr std::size_t MaximumListedEnds = 500;
 constexpr int StartAttempts = 3;
+/// A run that is expected to end within this time is waited for by gangs.
+constexpr std::chrono::seconds SoonEnding{30};
 /// More than a few, since a worker runs many small tasks at the same time.
 constexpr std::size_t MaximumVictims = 8;
 /// Reason of a rejection, see mustStartApart().
@@ -522,11 +524,16 @@
     AllEndsAccepted_.notify();
 }
 
-Resources WorkerAgent::committedResources() const {
-  Resources Sum;
-  for (const auto &[Key, Tracked] : Runs_)
-    // The sum does not overflow, as all of it fits in the worker.
-    (void)Sum.add(Tracked.Demand);
+WorkerAgent::CommittedResources WorkerAgent::committedResources() const {
+  CommittedResources Sum;
+  for (const auto &[Key, Tracked] : Runs_) {
+    // The sums do not overflow, as all of it fits in the worker.
+    (void)Sum.All.add(Tracked.Demand);
+    if (Tracked.LongRunning ||
+        (Tracked.Estimated > SoonEnding &&
+         Tracked.ConfirmedAt + Tracked.Estimated > Timers_.now() + SoonEnding))
+      (void)Sum.Lasting.add(Tracked.Demand);
+  }
   return Sum;
 }
 
@@ -545,11 +552,13 @@
 }
 
 WorkerLoad WorkerAgent::load() const {
+  const CommittedResources Committed = committedResources();
   return {.Id = Entry_.Id,
-          .Free = Entry_.Capacity.minusClamped(committedResources()),
+          .Free = Entry_.Capacity.minusClamped(Committed.All),
           .Resolved = Resolved_,
           .Usable = isUsable() && !hasJustStartedSuspect(),
-          .Suspect = Quarantined_};
+          .Suspect = Quarantined_,
+          .Lasting = Committed.Lasting};
 }
 
 std::optional<WorkerLoad>
@@ -596,12 +605,15 @@
     return rejectRun(Key, *Refusal);
   if (hasJustStartedSuspect(TaskName::jobOf(Order.Task)))
     return rejectRun(Key, CrashSuspectPresent);
-  Runs_[Key] = TrackedRun{.State = Phase::Reserved,
-                          .Demand = Order.Demand,
-                          .DemandKnown = true,
-                          .ConfirmedAt = Timers_.now(),
-                          .StartedBy = Timers_.now(),
-                          .CrashSuspect = Order.CrashSuspect};
+  Runs_[Key] =
+      TrackedRun{.State = Phase::Reserved,
+                 .Demand = Order.Demand,
+                 .DemandKnown = true,
+                 .Estimated = std::chrono::milliseconds(Order.EstimatedMs),
+                 .LongRunning = Order.LongRunning,
+                 .ConfirmedAt = Timers_.now(),
+                 .StartedBy = Timers_.now(),
+                 .CrashSuspect = Order.CrashSuspect};
   return {.Status = PlaceStatus::Reserved};
 }
 
@@ -651,13 +663,16 @@
   // The other members of a gang start on their reservations.
   if (!WasReserved && hasJustStartedSuspect(TaskName::jobOf(Order.Task)))
     co_return rejectRun(Key, CrashSuspectPresent);
-  Runs_[Key] = TrackedRun{.State = Phase::Starting,
-                          .Demand = Order.Demand,
-                          .DemandKnown = true,
-                          .Checkpoint = Order.Checkpoint,
-                          .Priority = Order.Priority,
-                          .Preemptible = Order.Preemptible,
-                          .CrashSuspect = Order.CrashSuspect};
+  Runs_[Key] =
+      TrackedRun{.State = Phase::Starting,
+                 .Demand = Order.Demand,
+                 .DemandKnown = true,
+                 .Estimated = std::chrono::milliseconds(Order.EstimatedMs),
+                 .LongRunning = Order.LongRunning,
+                 .Checkpoint = Order.Checkpoint,
+                 .Priority = Order.Priority,
+                 .Preemptible = Order.Preemptible,
+                 .CrashSuspect = Order.CrashSuspect};
   bool MayBeRunning = false;
   std::string Refusal = "unreachable";
   // Without contact, another incarnation may receive the next attempt.
@@ -781,6 +796,8 @@
   It->second.DemandKnown = true;
   It->second.Priority = Update.Priority;
   It->second.Preemptible = Update.Preemptible;
+  It->second.Estimated = std::chrono::milliseconds(Update.EstimatedMs);
+  It->second.LongRunning = Update.LongRunning;
 }
 
 int WorkerAgent::preemptRuns(const Resources &Demand, int Priority) {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -184,6 +184,8 @@
     Phase State = Phase::Starting;
     Resources Demand;
     bool DemandKnown = false;
+    std::chrono::milliseconds Estimated{0}; ///< Run time; 0 if not known.
+    bool LongRunning = false;
     std::string Checkpoint;
     /// When the run was reserved, confirmed as running or, if it is stopping,
     /// confirmed as stopped.
@@ -217,7 +219,12 @@
   /// clock that a worker may have.
   [[nodiscard]] bool
   hasLeaseExpired(std::chrono::milliseconds MinimumAge = {}) const;
-  [[nodiscard]] Resources committedResources() const;
+  /// Demand of the runs on the worker.
+  struct CommittedResources {
+    Resources All;
+    Resources Lasting; ///< Of the runs that do not end soon.
+  };
+  [[nodiscard]] CommittedResources committedResources() const;
 
   void applyHeartbeat(const HeartbeatReply &Reply, Clock::time_point SentAt);
   void applyRunning(const RunningTask &Row);
--- a/Tests/Cell/GangClaimTest.cpp
+++ b/Tests/Cell/GangClaimTest.cpp
@@ -12,6 +12,8 @@
   CPPUNIT_TEST_SUITE(GangClaimTest);
   CPPUNIT_TEST(testClaimsFewestWorkersThatFreeCapacitySoon);
   CPPUNIT_TEST(testNoClaimForAGangThatNeverFits);
+  CPPUNIT_TEST(testNoClaimForAGangThatFitsOnlyWhereOthersLast);
+  CPPUNIT_TEST(testClaimedCapacityIsWhatTheGangNeeds);
   CPPUNIT_TEST(testWideGangClaimsMoreThanOneMemberEach);
   CPPUNIT_TEST(testClaimBlocksOtherSteps);
   CPPUNIT_TEST(testEarlierGangComesFirst);
@@ -62,6 +64,41 @@
         chooseWorkersToClaim({.Step = &Gang, .Count = 7}, Workers.All).empty());
   }
 
+  // Guards against a gang that holds back all others for as long as a task
+  // lasts in whose place it would fit (incident 49, review/8).
+  void testNoClaimForAGangThatFitsOnlyWhereOthersLast() {
+    TestWorkers Workers({16000, 16000, 6000});
+    const StepSpec Gang = gangOf(8);
+    const PlacementNeed Need{.Step = &Gang, .Count = 8};
+    CPPUNIT_ASSERT(!chooseWorkersToClaim(Need, Workers.All).empty());
+    Workers.All[2].Lasting = {.CpusMilli = 10000};
+    CPPUNIT_ASSERT_EQUAL(1, slotsWhenEmpty(Need, Workers.All[2]));
+    CPPUNIT_ASSERT(chooseWorkersToClaim(Need, Workers.All).empty());
+  }
+
+  // Guards against a claim that keeps others from capacity which its gang does
+  // not need.
+  void testClaimedCapacityIsWhatTheGangNeeds() {
+    GangClaimTable Claims;
+    Claims.setOwnClaim(GangClaim{.Step = "a.0.0",
+                                 .Workers = {"v", "w"},
+                                 .StartBy = Now,
+                                 .Reserved = {{.CpusMilli = 9000}, {}}});
+    Claims.setRemoteClaims(
+        "other",
+        {{.Step = "b.0.0",
+          .Workers = {"v"},
+          .StartBy = Now,
+          .Reserved = {{.CpusMilli = 4500}}},
+         {.Step = "c.0.0", .Workers = {"w"}, .StartBy = Now}},
+        Now);
+    const auto Claimed = Claims.claimedWorkers(Now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(13500),
+                         Claimed.at("v").Reserved->CpusMilli);
+    // An earlier release does not say what its gang needs.
+    CPPUNIT_ASSERT(!Claimed.at("w").Reserved);
+  }
+
   // Guards against a gang that waits forever: one more member per worker is not
   // enough for a gang of 8 on 4 full workers, and it made no claim.
   void testWideGangClaimsMoreThanOneMemberEach() {
@@ -79,8 +116,8 @@
         GangClaim{.Step = "a.0.0", .Workers = {"w"}, .StartBy = Now + 1s});
     const auto Claimed = Claims.claimedWorkers(Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Claimed.size());
-    CPPUNIT_ASSERT(!isBlocked(Claimed.at("w"), Now + 1s));
-    CPPUNIT_ASSERT(isBlocked(Claimed.at("w"), std::nullopt));
+    CPPUNIT_ASSERT(!isBlocked(Claimed.at("w").StartBy, Now + 1s));
+    CPPUNIT_ASSERT(isBlocked(Claimed.at("w").StartBy, std::nullopt));
   }
 
   // Guards against a deadlock of two gangs that each hold workers which the
@@ -93,9 +130,9 @@
         "other", {{.Step = "b.0.0", .Workers = {"w"}, .StartBy = Now + 1s}},
         Now);
     const auto Claimed = Claims.claimedWorkers(Now);
-    CPPUNIT_ASSERT(isBlocked(Claimed.at("w"), Now + 2s));
-    CPPUNIT_ASSERT(!isBlocked(Claimed.at("v"), Now + 1s));
-    CPPUNIT_ASSERT(!isBlocked(Claimed.at("w"), Now + 1s));
+    CPPUNIT_ASSERT(isBlocked(Claimed.at("w").StartBy, Now + 2s));
+    CPPUNIT_ASSERT(!isBlocked(Claimed.at("v").StartBy, Now + 1s));
+    CPPUNIT_ASSERT(!isBlocked(Claimed.at("w").StartBy, Now + 1s));
   }
 
   // Guards against claims of many processes that together hold back much of the
--- a/Tests/Cell/LargeJobTest.cpp
+++ b/Tests/Cell/LargeJobTest.cpp
@@ -83,6 +83,10 @@
   CPPUNIT_TEST_SUITE(LargeJobTest);
   CPPUNIT_TEST(testGraphWithManyPathsDoesNotBlockItsOwner);
   CPPUNIT_TEST(testDueOccurrencesDoNotDelayOtherJobs);
+  CPPUNIT_TEST(testGangThatWaitsForALastingTaskHoldsBackNoOthers);
+  CPPUNIT_TEST(testGangOfWholeWorkersThatWaitsHoldsBackNoOthers);
+  CPPUNIT_TEST(testGangThatWaitsForALongTaskHoldsBackNoOthers);
+  CPPUNIT_TEST(testGangStartsOnceTheLastingTaskHasEnded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +126,76 @@
     Bench.run(2s);
     Bench.checkSmallJobs();
   }
+
+  // Guards against a gang whose claim can't come true, as a task lasts on one
+  // of the workers that it needs, and that holds back all other jobs of its
+  // priority (incident 49, review/8).
+  void testGangThatWaitsForALastingTaskHoldsBackNoOthers() {
+    StepSpec Service = CellNodeBench::step(1, 18000);
+    Service.LongRunning = true;
+    checkJobsBeside(Service, GangCpus);
+  }
+
+  // The same for a gang that leaves nothing of a worker to others.
+  void testGangOfWholeWorkersThatWaitsHoldsBackNoOthers() {
+    StepSpec Service = CellNodeBench::step(1, 18000);
+    Service.LongRunning = true;
+    checkJobsBeside(Service, 30000);
+  }
+
+  // The same for a task that takes ten minutes.
+  void testGangThatWaitsForALongTaskHoldsBackNoOthers() {
+    StepSpec Long = CellNodeBench::step(1, 18000);
+    Long.EstimatedDuration = 10min;
+    checkJobsBeside(Long, 30000);
+  }
+
+  // Guards against a gang that is forgotten while it holds no claim.
+  void testGangStartsOnceTheLastingTaskHasEnded() {
+    LargeJobBench Bench;
+    StepSpec Service = CellNodeBench::step(1, 18000);
+    Service.LongRunning = true;
+    Bench.Duration = 10min;
+    const std::string Id = Bench.largeId();
+    Bench.submitLarge(Bench.jobOf(Id, {Service}));
+    Bench.run(1s);
+    Bench.Duration = 100ms;
+    const std::string Gang = submitGang(Bench, GangCpus);
+    Bench.runWithSmallJobs(5s);
+    CPPUNIT_ASSERT(!Bench.StartedAt.contains(Gang));
+    Bench.cancel(*Bench.alive().front(), Id);
+    Bench.runWithSmallJobs(5s);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), Bench.stateOf(Gang));
+    Bench.run(1s);
+    Bench.checkSmallJobs();
+  }
+
+private:
+  static constexpr std::uint64_t GangCpus = 17000;
+
+  /// Submits a gang with a member for each worker.
+  static std::string submitGang(LargeJobBench &Bench, std::uint64_t Cpus) {
+    StepSpec Gang = CellNodeBench::step(LargeJobBench::Workers, Cpus);
+    Gang.Gang = true;
+    const std::string Id = Bench.idIn(0, 100001);
+    Bench.submitLarge(Bench.jobOf(Id, {Gang}));
+    return Id;
+  }
+  static void checkJobsBeside(const StepSpec &Lasting, std::uint64_t Cpus) {
+    LargeJobBench Bench;
+    Bench.Duration = 10min;
+    Bench.submitLarge(Bench.jobOf(Bench.largeId(), {Lasting}));
+    Bench.run(1s);
+    Bench.Duration = 100ms;
+    const std::string Gang = submitGang(Bench, Cpus);
+    Bench.runWithSmallJobs(20s);
+    Bench.run(2s);
+    CPPUNIT_ASSERT(!Bench.StartedAt.contains(Gang));
+    for (const std::string &Id : {Gang, Bench.largeId()})
+      Bench.cancel(*Bench.alive().front(), Id);
+    Bench.run(2s);
+    Bench.checkSmallJobs();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeJobTest);
