Let tasks of a whole worker start on an empty one

The headroom is at most what one task leaves of a worker, and the slots that a gang may wait for count without it.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -205,11 +205,13 @@
       continue;
     const CapacityView::ListedWorker &Listed = Row.listed();
     const WorkerEntry &Worker = Listed.Entry;
+    const Resources Headroom =
+        headroomOf(Worker.Capacity, Step.Demand, Job.Queue.Priority,
+                   Options_.Gangs.Placement);
     Candidate New{.Worker = &Worker,
-                  .Free =
-                      usableFree(Row.free(), Worker.Capacity,
-                                 Job.Queue.Priority, Options_.Gangs.Placement),
+                  .Free = Row.free().minusClamped(Headroom),
                   .Lasting = Row.lasting(),
+                  .Headroom = Headroom,
                   .Local = Row.isLocal(),
                   .Suspect = Row.isSuspect(),
                   .TieBreak = StepHash ^ Listed.Hash};
--- a/Source/Cell/GangClaimManager.cpp
+++ b/Source/Cell/GangClaimManager.cpp
@@ -111,7 +111,8 @@
     const Resources &Capacity = View_.workers().at(Each.Id).Entry.Capacity;
     PreemptionNeed Need{.Worker = Each.Id,
                         .Demand =
-                            headroomOf(Capacity, Priority, Options_.Placement),
+                            headroomOf(Capacity, Schedulable.step().Demand,
+                                       Priority, Options_.Placement),
                         .Priority = Priority};
     // The sum cannot overflow, as it does not exceed the worker's capacity.
     (void)Need.Demand.add(
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -132,7 +132,8 @@
 
 int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &Target) {
   Candidate Empty = Target;
-  Empty.Free = Target.Worker->Capacity.minusClamped(Target.Lasting);
+  Empty.Free = Target.Worker->Capacity.minusClamped(Target.Headroom)
+                   .minusClamped(Target.Lasting);
   return slotsOn(Need, Empty);
 }
 
@@ -158,18 +159,14 @@
                   [](const Candidate &Each) { return Each.Suspect; });
 }
 
-Resources headroomOf(const Resources &Capacity, int Priority,
-                     const PlacementOptions &Options) {
+Resources headroomOf(const Resources &Capacity, const Resources &Demand,
+                     int Priority, const PlacementOptions &Options) {
   if (Priority == 0)
     return {};
-  return {
-      .CpusMilli = static_cast<std::uint64_t>(
-          Options.UrgentHeadroom * static_cast<double>(Capacity.CpusMilli))};
-}
-
-Resources usableFree(const Resources &Free, const Resources &Capacity,
-                     int Priority, const PlacementOptions &Options) {
-  return Free.minusClamped(headroomOf(Capacity, Priority, Options));
+  const auto Headroom = static_cast<std::uint64_t>(
+      Options.UrgentHeadroom * static_cast<double>(Capacity.CpusMilli));
+  return {.CpusMilli =
+              std::min(Headroom, Capacity.minusClamped(Demand).CpusMilli)};
 }
 
 std::vector<std::size_t> placeStep(const PlacementNeed &Need,
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -13,8 +13,9 @@
 struct Candidate {
   const WorkerEntry *Worker = nullptr;
   Resources Free;
-  Resources Lasting;     ///< Demand of the runs that do not end soon.
-  bool Local = false;    ///< This process holds it.
+  Resources Lasting;  ///< Demand of the runs that do not end soon.
+  Resources Headroom; ///< Part of the capacity that the step must leave free.
+  bool Local = false; ///< This process holds it.
   int AlreadyPlaced = 0; ///< Tasks of the step on it.
   bool Suspect = false;  ///< Its runs fail or are slow.
   bool Blocked = false;  ///< An earlier gang has claimed it.
@@ -50,14 +51,11 @@
 /// cause is then more likely in the estimates or the jobs.
 void dropSuspects(std::vector<Candidate> &Candidates);
 
-/// Returns the part of a worker's capacity that queues of this priority must
-/// leave free.
-Resources headroomOf(const Resources &Capacity, int Priority,
-                     const PlacementOptions &Options);
-
-/// Returns the part of a worker's free capacity that queues of this priority
-/// may use.
-Resources usableFree(const Resources &Free, const Resources &Capacity,
+/// Returns the part of a worker's capacity that tasks with this demand, of a
+/// queue of this priority, must leave free. Of a worker that only one task fits
+/// on, it is at most the rest, so that each task that fits on an empty worker
+/// can start there.
+Resources headroomOf(const Resources &Capacity, const Resources &Demand,
                      int Priority, const PlacementOptions &Options);
 
 /// Chooses a candidate for each task and returns an index into Candidates for
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(testSameRackGangIsPlacedInOneRack);
   CPPUNIT_TEST(testAntiAffinityLimitsTasksOfOneWorker);
   CPPUNIT_TEST(testOnlyUrgentQueuesUseTheHeadroom);
+  CPPUNIT_TEST(testTaskOfAWholeWorkerFitsOnAnEmptyOne);
   CPPUNIT_TEST(testAsksAboutEnoughWorkersForTheGoodShare);
   CPPUNIT_TEST(testAsksOnceForAGangThatDoesNotFit);
   CPPUNIT_TEST(testDoesNotAskForGangThatNeverFits);
@@ -113,12 +114,34 @@
   }
 
   void testOnlyUrgentQueuesUseTheHeadroom() {
-    const Resources Free{.CpusMilli = 3000, .MemoryMb = 100};
+    const Resources Small{.CpusMilli = 500, .MemoryMb = 100};
     const Resources All{.CpusMilli = 32000, .MemoryMb = 131072};
     const PlacementOptions Options{.UrgentHeadroom = 0.1};
-    CPPUNIT_ASSERT(Free == usableFree(Free, All, 0, Options));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
-                         usableFree(Free, All, 1, Options).CpusMilli);
+    CPPUNIT_ASSERT(headroomOf(All, Small, 0, Options).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3200),
+                         headroomOf(All, Small, 1, Options).CpusMilli);
+  }
+
+  // Guards against a task that fits on no worker since it needs a part of the
+  // headroom of an empty one (review/10).
+  void testTaskOfAWholeWorkerFitsOnAnEmptyOne() {
+    const Resources All{.CpusMilli = 32000, .MemoryMb = 131072};
+    const PlacementOptions Options{.UrgentHeadroom = 0.1};
+    TestWorkers Workers({32000});
+    for (const std::uint64_t Cpus : {28000, 29000, 31000, 32000, 33000}) {
+      const StepSpec Step = stepOf(1, Cpus);
+      const PlacementNeed Need{.Step = &Step, .Count = 1};
+      Candidate &Worker = Workers.Candidates[0];
+      Worker.Headroom = headroomOf(All, Step.Demand, 1, Options);
+      Worker.Free = All.minusClamped(Worker.Headroom);
+      CPPUNIT_ASSERT_EQUAL(Cpus <= 32000 ? 1 : 0, slotsOn(Need, Worker));
+      CPPUNIT_ASSERT_EQUAL(Cpus <= 32000 ? 1 : 0, slotsWhenEmpty(Need, Worker));
+    }
+    // A gang does not wait for the headroom of its queue either.
+    const StepSpec Half = stepOf(2, 16000, true);
+    const PlacementNeed Need{.Step = &Half, .Count = 2};
+    Workers.Candidates[0].Headroom = headroomOf(All, Half.Demand, 1, Options);
+    CPPUNIT_ASSERT_EQUAL(1, slotsWhenEmpty(Need, Workers.Candidates[0]));
   }
 
   void testAsksAboutEnoughWorkersForTheGoodShare() {
