Give less urgent steps a turn in each pass

A quarter of the places now goes to the other steps in turn, so that each is tried within a time that grows with their number.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -106,7 +106,7 @@
 }
 
 std::vector<SchedulableStep>
-Dispatcher::collectReadySteps(bool WithDeferrable) const {
+Dispatcher::collectReadySteps(bool WithDeferrable) {
   std::vector<SchedulableStep> Steps;
   const Clock::time_point Now = Timers_.now();
   for (const auto &[Id, Job] : Jobs_.activeJobs()) {
@@ -125,11 +125,31 @@
   std::ranges::sort(
       Steps, std::less<>(),
       [](const SchedulableStep &Schedulable) { return Schedulable.Rank; });
-  if (Steps.size() > Options_.MaximumStepsPerPass)
-    Steps.resize(Options_.MaximumStepsPerPass);
+  chooseForPass(Steps, WithDeferrable ? NextInTurn_ : NextUrgentInTurn_);
   return Steps;
 }
 
+void Dispatcher::chooseForPass(std::vector<SchedulableStep> &Steps,
+                               std::size_t &NextInTurn) const {
+  const std::size_t Maximum = Options_.MaximumStepsPerPass;
+  if (Steps.size() <= Maximum)
+    return;
+  const auto InTurn = static_cast<std::size_t>(Options_.ShareInTurn *
+                                               static_cast<double>(Maximum));
+  const std::size_t First = Maximum - InTurn;
+  const std::size_t Others = Steps.size() - First;
+  const auto Begin = Steps.begin() + static_cast<std::ptrdiff_t>(First);
+  NextInTurn %= Others;
+  std::rotate(Begin, Begin + static_cast<std::ptrdiff_t>(NextInTurn),
+              Steps.end());
+  Steps.resize(Maximum);
+  NextInTurn += InTurn;
+  // The rotation may have put less urgent steps first.
+  std::ranges::sort(
+      Steps, std::less<>(),
+      [](const SchedulableStep &Schedulable) { return Schedulable.Rank; });
+}
+
 void Dispatcher::beginPass(bool WithDeferrable) {
   OrderableInPass_.clear();
   View_.refreshHeldWorkers();
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -23,8 +23,11 @@
   /// Minimum time between passes over deferrable steps, as a pass over many
   /// steps and workers takes milliseconds.
   std::chrono::milliseconds DeferrableInterval{40};
-  /// Maximum number of steps in one pass; the ones left out are less urgent.
+  /// Maximum number of steps in one pass.
   std::size_t MaximumStepsPerPass = 200;
+  /// Share of them that goes to the less urgent steps in turn, so that steps
+  /// that can't be placed do not hide all others.
+  double ShareInTurn = 0.25;
   /// Delay before a step asks for advice again after a failed call.
   std::chrono::milliseconds ShortCallRetryDelay{15};
   std::chrono::milliseconds LongCallRetryDelay{120};
@@ -62,10 +65,14 @@
   /// Reads what the steps of one pass share. Claims bind only deferrable steps.
   void beginPass(bool WithDeferrable);
   void runPass();
-  /// Returns the most urgent ready steps in dispatch order, with deferrable
+  /// Returns the ready steps of this pass in dispatch order, with deferrable
   /// ones only if asked for.
   [[nodiscard]] std::vector<SchedulableStep>
-  collectReadySteps(bool WithDeferrable) const;
+  collectReadySteps(bool WithDeferrable);
+  /// Of too many steps for one pass, keeps the most urgent ones and, from
+  /// NextInTurn on, some of the others.
+  void chooseForPass(std::vector<SchedulableStep> &Steps,
+                     std::size_t &NextInTurn) const;
   /// Asks for advice about gangs that become ready once the tasks before them
   /// are done, so that they do not wait for it then.
   void learnForUpcomingGangs();
@@ -141,6 +148,8 @@
   GangClaimManager Gangs_;
   /// By shard of the job, then by shard of the worker; empty if not asked yet.
   std::map<int, std::vector<std::optional<bool>>> OrderableInPass_;
+  std::size_t NextInTurn_ = 0; ///< See chooseForPass().
+  std::size_t NextUrgentInTurn_ = 0;
   Clock::time_point DeferrableDueAt_{};
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
--- a/Tests/Cell/LargeJobTest.cpp
+++ b/Tests/Cell/LargeJobTest.cpp
@@ -87,6 +87,8 @@
   CPPUNIT_TEST(testGangOfWholeWorkersThatWaitsHoldsBackNoOthers);
   CPPUNIT_TEST(testGangThatWaitsForALongTaskHoldsBackNoOthers);
   CPPUNIT_TEST(testGangStartsOnceTheLastingTaskHasEnded);
+  CPPUNIT_TEST(testGangOfWholeWorkersStarts);
+  CPPUNIT_TEST(testStepsThatFitNowhereDoNotHideOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +172,38 @@
     Bench.checkSmallJobs();
   }
 
+  // Guards against a gang that never starts since its members need a part of
+  // the headroom of a worker, which its queue never gets (review/10).
+  void testGangOfWholeWorkersStarts() {
+    LargeJobBench Bench;
+    StepSpec Gang = CellNodeBench::step(3, 31000);
+    Gang.Gang = true;
+    Bench.submitLarge(Bench.jobOf(Bench.largeId(), {Gang}));
+    Bench.runWithSmallJobs(10s);
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                         Bench.stateOf(Bench.largeId()));
+    Bench.checkSmallJobs();
+  }
+
+  // Guards against steps that can't be placed and take all places of a pass, so
+  // that no other step of their owner starts (case rack of review/rig-2).
+  void testStepsThatFitNowhereDoNotHideOthers() {
+    LargeJobBench Bench;
+    StepSpec Nowhere = CellNodeBench::step(1, 500);
+    Nowhere.RequiredLabels = {"none"};
+    JobSpec Job =
+        Bench.jobOf(Bench.largeId(), std::vector<StepSpec>(1000, Nowhere));
+    Job.Queue.Priority = 0;
+    Bench.submitLarge(Job);
+    Bench.runWithSmallJobs(20s);
+    Bench.run(2s);
+    CPPUNIT_ASSERT(!Bench.StartedAt.contains(Bench.largeId()));
+    Bench.cancel(*Bench.alive().front(), Bench.largeId());
+    Bench.run(2s);
+    Bench.checkSmallJobs(3s);
+  }
+
 private:
   static constexpr std::uint64_t GangCpus = 17000;
 
