--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -344,6 +344,8 @@
   LastContactAt_ = Timers_.now();
   Replaced_ = false;
   Reachable_ = true;
+  if (!std::exchange(HasAnswered_, true) && Listener_.Contacted)
+    Listener_.Contacted();
   AcceptsOrders_ = true;
   setWorkerClock(Reply.ClockNow);
   std::set<RunKey> Listed;
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -98,6 +98,8 @@
     /// that this process owns the shard. Nothing before the shard's journal
     /// refuses the former owner.
     std::function<std::optional<Clock::time_point>()> OwnershipConfirmedAt;
+    /// Called when the worker has answered for the first time in this term.
+    std::function<void()> Contacted;
   };
 
   WorkerAgent(const asio::any_io_executor &Executor, TimerService &Timers,
@@ -123,6 +125,11 @@
   /// finds it even if the platform's list lacks it. Nothing is started on the
   /// worker before.
   void markRecorded() { Recorded_ = true; }
+  /// Called if the shard's journal, which was read, does not name the worker:
+  /// no former holder has started anything there.
+  void markNeverUsed() { Resolved_ = true; }
+  /// Returns true if the worker has answered in this term.
+  [[nodiscard]] bool hasAnswered() const { return HasAnswered_; }
   [[nodiscard]] bool isRecorded() const { return Recorded_; }
 
   /// Applies the worker's entry in the platform's list.
@@ -313,6 +320,7 @@
   bool WorkerClockKnown_ = false;
   bool LeaseWithheld_ = false; ///< By the latest call of extendLease().
   bool Resolved_ = false;
+  bool HasAnswered_ = false;
   bool Reachable_ = false;
   bool AcceptsOrders_ = true; ///< By the worker's latest reply.
   bool Listed_ = true;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -44,8 +44,20 @@
     Added->markUnlisted();
   }
   for (const auto &[Id, Agent] : Held.Agents)
-    if (!Agent->isRecorded() && RecordWorker_)
-      RecordWorker_(ShardNumber, Agent->entry());
+    if (!Agent->isRecorded())
+      Agent->markNeverUsed();
+  for (const auto &[Id, Agent] : Held.Agents)
+    recordIfAnswered(ShardNumber, Id);
+}
+
+void WorkerPool::recordIfAnswered(int ShardNumber, const std::string &Worker) {
+  const auto It = Shards_.find(ShardNumber);
+  if (It == Shards_.end() || !It->second.Restored || !RecordWorker_)
+    return;
+  const auto Agent = It->second.Agents.find(Worker);
+  if (Agent != It->second.Agents.end() && Agent->second->hasAnswered() &&
+      !Agent->second->isRecorded())
+    RecordWorker_(ShardNumber, Agent->second->entry());
 }
 
 void WorkerPool::markRecorded(int ShardNumber, const std::string &Worker) {
@@ -97,7 +109,9 @@
             return Ownership_.ConfirmedAt
                        ? Ownership_.ConfirmedAt(ShardNumber, Epoch)
                        : std::nullopt;
-          }};
+          },
+      .Contacted = [this, ShardNumber,
+                    Id = Entry.Id] { recordIfAnswered(ShardNumber, Id); }};
   auto Agent =
       std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
                                     Held.Epoch, std::move(Listener), Options_);
@@ -135,9 +149,9 @@
       continue;
     const auto Agent = It->second.Agents.find(Id);
     if (Agent == It->second.Agents.end()) {
-      addAgent(ShardNumber, Entry);
-      if (It->second.Restored && RecordWorker_)
-        RecordWorker_(ShardNumber, Entry);
+      const auto Added = addAgent(ShardNumber, Entry);
+      if (It->second.Restored)
+        Added->markNeverUsed();
     } else
       Agent->second->update(Entry);
   }
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -127,6 +127,10 @@
   asio::awaitable<bool> confirmOwnership(int ShardNumber, std::uint64_t Epoch);
   std::shared_ptr<WorkerAgent> addAgent(int ShardNumber,
                                         const WorkerEntry &Entry);
+  /// Adds the worker to the shard's journal once it has answered. An entry that
+  /// nobody answers for, such as one of another service, must not delay the
+  /// next holder, which waits for the runs on recorded workers.
+  void recordIfAnswered(int ShardNumber, const std::string &Worker);
   void removeAgent(int ShardNumber, Shard &Held, WorkerAgent &Agent);
   /// Forgets removed workers whose next agent can begin anew.
   void dropRemoved(Shard &Held);
--- a/Tests/Cell/WorkerPoolTest.cpp
+++ b/Tests/Cell/WorkerPoolTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 
 namespace hickory {
 
@@ -17,6 +18,7 @@
 struct PoolBench : CellTestBench {
   PoolBench() {
     Pool.onRecordWorker([this](int Shard, const WorkerEntry &Entry) {
+      Recorded.insert(Entry.Id);
       Pool.markRecorded(Shard, Entry.Id);
     });
     Pool.onFenced([this](int /*Shard*/) { Fenced = true; });
@@ -58,6 +60,7 @@
   }
 
   bool Fenced = false;
+  std::set<std::string> Recorded;
   WorkerPool Pool{
       Context.get_executor(), Timers, Worker, Events, ShardMap(1), {}};
 };
@@ -69,6 +72,8 @@
   CPPUNIT_TEST(testStopOnAnUnlistedWorkerIsConfirmedAndKept);
   CPPUNIT_TEST(testOnlyTheTermInForceConfirmsAStop);
   CPPUNIT_TEST(testRemovedWorkerThatIsListedAgainIsNotFenced);
+  CPPUNIT_TEST(testEntryThatNobodyAnswersForDelaysNoTakeover);
+  CPPUNIT_TEST(testRecordedWorkerThatDoesNotAnswerMayHaveRuns);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +126,42 @@
     CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Rejected);
     CPPUNIT_ASSERT(Bench.place(2).Status == PlaceStatus::Started);
   }
+
+  // Guards against an entry of another service for which each takeover of the
+  // cell waits until a lease must have ended that was never granted (review/9).
+  void testEntryThatNobodyAnswersForDelaysNoTakeover() {
+    PoolBench Bench;
+    Bench.Worker.Reachable = false;
+    Bench.listWorker();
+    Bench.run(2s);
+    CPPUNIT_ASSERT(Bench.Pool.loads().front().Resolved);
+    CPPUNIT_ASSERT(Bench.Recorded.empty());
+    // The next term finds no record of it.
+    Bench.Pool.revoke(0);
+    Bench.Pool.assign(0, Epoch + 1);
+    CPPUNIT_ASSERT(!Bench.Pool.loads().front().Resolved);
+    Bench.Pool.restore(0, {});
+    CPPUNIT_ASSERT(Bench.Pool.loads().front().Resolved);
+    Bench.Worker.Reachable = true;
+    Bench.run(2s);
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    CPPUNIT_ASSERT(Bench.Pool.loads().front().Usable);
+  }
+
+  // Guards against a takeover that ignores runs on a worker that is out of
+  // reach.
+  void testRecordedWorkerThatDoesNotAnswerMayHaveRuns() {
+    PoolBench Bench;
+    Bench.listWorker();
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    const WorkerEntry Entry = Bench.Pool.find(0, "w")->entry();
+    Bench.Worker.Reachable = false;
+    Bench.Pool.revoke(0);
+    Bench.Pool.assign(0, Epoch + 1);
+    Bench.Pool.restore(0, {Entry});
+    Bench.run(1s);
+    CPPUNIT_ASSERT(!Bench.Pool.loads().front().Resolved);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerPoolTest);
