--- a/Tests/Work/JobProgressTest.cpp
+++ b/Tests/Work/JobProgressTest.cpp
@@ -484,8 +484,8 @@
   void testOccurrencesOpenedByAnEarlierReleaseAreClosedAgain() {
     nlohmann::json Steps = nlohmann::json::array();
     for (int Number = 0; Number < 5000; ++Number)
-      Steps.push_back({Number < 2000 ? "1" : "0", 1,
-                       nlohmann::json::array(), nlohmann::json::object()});
+      Steps.push_back({Number < 2000 ? "1" : "0", 1, nlohmann::json::array(),
+                       nlohmann::json::object()});
     JobProgress Job(repeatedJob(10000));
     Job.restore(
         {{"state", "running"}, {"occurrences", 5000}, {"steps", Steps}});
