Show that a job of many tasks lets small jobs be refused

Suspected, not traced: each end writes the whole progress of the large job. Found with a trial that limits a pass to 100 tasks of a step, which did not mend it and was left out.

--- a/Tests/Cell/LargeJobTest.cpp
+++ b/Tests/Cell/LargeJobTest.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-/// One process with eight workers, on which small jobs arrive steadily while it
-/// also owns a large job.
+/// Processes with eight workers, on which small jobs arrive steadily beside a
+/// large one.
 struct LargeJobBench : CellNodeBench {
   static constexpr int Workers = 8;
   static constexpr std::chrono::milliseconds SmallJobInterval{200};
   static constexpr std::chrono::milliseconds Tick{20};
 
-  explicit LargeJobBench(std::uint64_t Cpus = 32000) : CellNodeBench(1) {
+  explicit LargeJobBench(int Processes = 1) : CellNodeBench(Processes) {
     Environment.Configuration.Queues.front().Priority = 2;
     Environment.Workers.ChoosePlan = [this](const std::string &Task, int) {
       const auto Name = TaskName::parse(Task);
@@ -26,8 +26,9 @@
       return RunPlan{.Duration = Duration};
     };
     for (int I = 0; I < Workers; ++I)
-      addWorker(fmt::format("w{}", I), Cpus);
-    startNode("p:1");
+      addWorker(fmt::format("w{}", I), 32000);
+    for (int I = 0; I < Processes; ++I)
+      startNode(fmt::format("p{}:1", I));
     run(4s);
   }
 
@@ -89,6 +90,7 @@
   CPPUNIT_TEST(testGangStartsOnceTheLastingTaskHasEnded);
   CPPUNIT_TEST(testGangOfWholeWorkersStarts);
   CPPUNIT_TEST(testStepsThatFitNowhereDoNotHideOthers);
+  CPPUNIT_TEST(testManyTasksDoNotDelayOtherJobs);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +206,23 @@
     Bench.checkSmallJobs(3s);
   }
 
+  // Guards against a job of thousands of tasks during which small jobs of its
+  // shard are refused.
+  void testManyTasksDoNotDelayOtherJobs() {
+    LargeJobBench Bench(2);
+    StepSpec Many = CellNodeBench::step(5000, 10);
+    Many.Demand.MemoryMb = 1;
+    Many.MaximumPerWorker = 1000;
+    JobSpec Job = Bench.jobOf(Bench.largeId(), {Many});
+    Job.Payload = std::string(4000, 'x');
+    Bench.submitLarge(Job);
+    Bench.runWithSmallJobs(10s);
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"),
+                         Bench.stateOf(Bench.largeId()));
+    Bench.checkSmallJobs();
+  }
+
 private:
   static constexpr std::uint64_t GangCpus = 17000;
 
