Nest objects as deep as a record of the store can have

Objects are now nested 43,000 deep, 258,001 bytes; the other values are nested 100,000 deep as before.

--- a/Tests/Emulator/OddEntryTest.cpp
+++ b/Tests/Emulator/OddEntryTest.cpp
@@ -29,6 +29,8 @@
 constexpr int JobsPerCell = 4;
 constexpr std::size_t CellCount = 2;
 constexpr std::size_t NestingDepth = 100000;
+/// Six bytes a level: about as many as a record of the store can have.
+constexpr std::size_t ObjectNestingDepth = 43000;
 constexpr std::size_t LongText = 60000;
 constexpr std::size_t LongestKey = 255;
 
@@ -172,11 +174,11 @@
           .Key = nextKey(),
           .Value = std::string(NestingDepth, '[')});
     std::string Objects;
-    for (std::size_t Depth = 0; Depth < NestingDepth; ++Depth)
+    for (std::size_t Depth = 0; Depth < ObjectNestingDepth; ++Depth)
       Objects += "{\"a\":";
-    play({.Name = "objects nested 100000 deep",
+    play({.Name = "objects nested 43000 deep",
           .Key = nextKey(),
-          .Value = Objects + "1" + std::string(NestingDepth, '}')});
+          .Value = Objects + "1" + std::string(ObjectNestingDepth, '}')});
     for (const char *Member : {"unknown", "labels", "capacity", "born"})
       play(with(fmt::format("{} nested 100000 deep", Member), Member,
                 nested(NestingDepth)));
