Add client accounts to the configuration and to jobs

Accounts, the account of a job, the public flag of a queue and the Authorization header are read by the parts that follow; nothing uses them yet.

--- a/Source/Cell/CellConfiguration.cpp
+++ b/Source/Cell/CellConfiguration.cpp
@@ -20,4 +20,14 @@
   return nullptr;
 }
 
+const ClientAccount *
+CellConfiguration::findAccount(const std::string &Name) const {
+  if (!Accounts)
+    return nullptr;
+  for (const ClientAccount &Account : *Accounts)
+    if (Account.Name == Name)
+      return &Account;
+  return nullptr;
+}
+
 } // namespace hickory
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -162,7 +162,8 @@
         .Path = std::string(Request->header().path()),
         .Query = std::string(Request->header().query()),
         .Host = Request->header().get_field_or(restinio::http_field::host, ""),
-
+        .Authorization = Request->header().get_field_or(
+            restinio::http_field::authorization, ""),
         .Body = Request->body()};
     InFlight_[Number] = {.Handle = Request,
                          .Call = Incoming.Method + " " + Incoming.Path,
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -15,9 +15,10 @@
 
 struct HttpServerRequest {
   std::string Method;
-  std::string Path;  ///< Without the query; not percent-decoded.
-  std::string Query; ///< Text after '?', not decoded.
-  std::string Host;  ///< Host header, with the port if present.
+  std::string Path;          ///< Without the query; not percent-decoded.
+  std::string Query;         ///< Text after '?', not decoded.
+  std::string Host;          ///< Host header, with the port if present.
+  std::string Authorization; ///< Authorization header; empty if absent.
   std::string Body;
 };
 
--- a/Source/Work/JobSpec.cpp
+++ b/Source/Work/JobSpec.cpp
@@ -138,6 +138,7 @@
 
 void to_json(json &Json, const JobSpec &Value) {
   Json = json{{"id", Value.Id}, {"queue", Value.Queue}, {"steps", Value.Steps}};
+  put(Json, "account", Value.Account);
   put(Json, "payload", Value.Payload);
   put(Json, "repeat", Value.Repetitions);
   put<std::int64_t>(Json, "first_ms", Value.FirstRun.count());
@@ -148,6 +149,7 @@
   Value.Id = Json.at("id").get<std::string>();
   Value.Queue = Json.at("queue").get<QueuePolicy>();
   Value.Steps = Json.at("steps").get<std::vector<StepSpec>>();
+  Value.Account = get<std::string>(Json, "account");
   Value.Payload = get<std::string>(Json, "payload");
   Value.Repetitions = get<int>(Json, "repeat");
   Value.FirstRun = getMs(Json, "first_ms");
--- a/Source/Work/JobSpec.h
+++ b/Source/Work/JobSpec.h
@@ -27,7 +27,10 @@
   std::string Host;
   std::string PathPrefix;
   std::string Service; ///< Pool of workers that run the queue's tasks.
-  int Priority = 0;    ///< 0 is the highest.
+  /// Calls need no API key. Of no effect on accepted jobs, so it is not stored
+  /// with them.
+  bool Public = false;
+  int Priority = 0; ///< 0 is the highest.
   int MaximumAttempts = 1;
   /// The target time from the acceptance of a job to its completion is Stretch
   /// times the duration of its longest chain of steps, plus TargetLatency.
@@ -58,6 +61,9 @@
 struct JobSpec {
   std::string Id;
   QueuePolicy Queue; ///< Policy when the job was accepted.
+  /// Name of the client account that submitted it; empty if the configuration
+  /// had no accounts, the queue is public or an earlier release accepted it.
+  std::string Account;
   std::string Payload;
   std::vector<StepSpec> Steps;
   int Repetitions = 0;                   ///< 0 runs the job once, immediately.
