Write a large job's progress twice at a time at most

Next to a job of 5,000 tasks, a small job of the shard was answered 503 after 1.2 s.

Traced: appends of 48 records, 47 of them repetitions of one key, with 404 writes (24.5 MB) behind them; the oldest write of an append had waited for 1,000 ms. Writes that missed their deadline were withdrawn, and the ends delivered again.

Change: writeProgress() takes each job once, and at most two writes of a job's progress are pending, one in flight and one queued. Later ends wait for the next write. An end is accepted once a write that contains it has succeeded, also if later ends have changed the progress since.

The new test of JobOwner sends 40 requests of 10 ends.

--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <unordered_set>
 
 namespace hickory {
 
@@ -19,6 +20,11 @@
 /// leave no record behind.
 constexpr const char *ConfirmationKey = "t/";
 constexpr std::chrono::milliseconds WorkerRecordRetryDelay{200};
+/// Writes of a job's progress that may be pending at a time: one in flight, and
+/// one that is queued and goes with the next append. Each contains the whole
+/// progress, so that without a limit the ends of a job of 5,000 tasks put 24 MB
+/// into the queue of its journal, and other records of the shard were late.
+constexpr int MaximumPendingWrites = 2;
 
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
@@ -40,6 +46,13 @@
   return StatusTimeout;
 }
 
+/// Returns true if a write of the job's progress would add nothing to the
+/// pending ones, or has to wait until one of them has ended.
+bool mustAwaitPendingWrites(const OwnedJob &Job) {
+  return Job.PendingWrites >= MaximumPendingWrites ||
+         (Job.PendingWrites > 0 && Job.PendingVersion == Job.Version);
+}
+
 /// Returns the id after the two characters of the key's prefix.
 std::string idOf(const KeyedRecord &Record) { return Record.Key.substr(2); }
 
@@ -395,28 +408,53 @@
 }
 
 asio::awaitable<void> JobOwner::writeProgress(JournalPointer Journal,
-                                              std::vector<JobPointer> Jobs) {
+                                              std::vector<JobPointer> Jobs,
+                                              Clock::time_point Deadline) {
   std::vector<ProgressWrite> Parts;
+  std::vector<asio::awaitable<void>> Writes;
+  std::unordered_set<const OwnedJob *> Seen;
   std::size_t Bytes = 0;
   for (const JobPointer &Job : Jobs) {
-    if (Job->WrittenVersion == Job->Version)
+    if (Job->WrittenVersion == Job->Version || !Seen.insert(Job.get()).second)
       continue;
+    if (mustAwaitPendingWrites(*Job)) {
+      Writes.push_back(writeAfterPending(Journal, Job, Deadline));
+      continue;
+    }
     auto Records = progressRecords(*Journal, Job);
     Bytes += StoreLimits::sizeOf(Records);
     if (Parts.empty() || Bytes > Options_.MaximumWriteBytes) {
-      Parts.emplace_back();
+      Parts.emplace_back().Deadline = Deadline;
       Bytes = StoreLimits::sizeOf(Records);
     }
     std::ranges::move(Records, std::back_inserter(Parts.back().Records));
     Parts.back().Versions.emplace_back(Job, Job->Version);
+    ++Job->PendingWrites;
+    Job->PendingVersion = Job->Version;
   }
-  std::vector<asio::awaitable<void>> Writes;
-  Writes.reserve(Parts.size());
   for (ProgressWrite &Part : Parts)
     Writes.push_back(writeTogether(Journal, std::move(Part)));
   co_await waitForAll(Executor_, std::move(Writes));
 }
 
+asio::awaitable<void> JobOwner::writeAfterPending(JournalPointer Journal,
+                                                  JobPointer Job,
+                                                  Clock::time_point Deadline) {
+  const std::uint64_t Version = Job->Version;
+  if (!Job->WriteEnded)
+    Job->WriteEnded = std::make_unique<Notifier>(Executor_);
+  while (Job->WrittenVersion < Version && mustAwaitPendingWrites(*Job)) {
+    const auto Left = Deadline - Timers_.now();
+    if (Left <= Clock::duration::zero())
+      co_return;
+    co_await Job->WriteEnded->waitFor(Timers_, Left);
+  }
+  if (Job->WrittenVersion >= Version)
+    co_return;
+  std::vector<JobPointer> One{Job};
+  co_await writeProgress(std::move(Journal), std::move(One), Deadline);
+}
+
 std::vector<KeyedRecord> JobOwner::progressRecords(const ShardJournal &Journal,
                                                    const JobPointer &Job) {
   const std::string &Id = Job->Progress.spec().Id;
@@ -446,7 +484,14 @@
 asio::awaitable<void> JobOwner::writeTogether(JournalPointer Journal,
                                               ProgressWrite Write) {
   const JournalOutcome Outcome =
-      co_await write(Journal, std::move(Write.Records));
+      co_await Journal->write(std::move(Write.Records), Write.Deadline);
+  for (const auto &[Job, Version] : Write.Versions) {
+    --Job->PendingWrites;
+    if (Outcome == JournalOutcome::Written)
+      Job->WrittenVersion = std::max(Job->WrittenVersion, Version);
+    if (Job->WriteEnded)
+      Job->WriteEnded->notify();
+  }
   if (Outcome != JournalOutcome::Written) {
     Events_.emit("jobs", "progress_not_stored",
                  {{"shard", Journal->shard()},
@@ -468,7 +513,6 @@
     co_return;
   }
   for (const auto &[Job, Version] : Write.Versions) {
-    Job->WrittenVersion = std::max(Job->WrittenVersion, Version);
     if (Job->WrittenVersion == Job->Version)
       Job->MustStore = false;
     Job->FinalStateWritten =
@@ -538,8 +582,12 @@
   };
   std::map<JournalPointer, std::vector<JobPointer>> Changed;
   std::map<JournalPointer, UnconfirmedEnds> UnknownEnds;
-  /// For each end its job, or for an unknown job whether the end is accepted.
-  std::vector<std::pair<JobPointer, std::shared_ptr<bool>>> Answers;
+  struct Answer {
+    JobPointer Job;                 ///< Null if it is unknown.
+    std::uint64_t Version = 0;      ///< Of the job's progress with the end.
+    std::shared_ptr<bool> Accepted; ///< Of an unknown job.
+  };
+  std::vector<Answer> Answers;
   for (const RunReference &Suspect : Request.Suspects)
     suspectRun(Suspect);
   for (const EndReport &End : Request.Ends) {
@@ -555,7 +603,9 @@
       Unknown.Records.push_back({.Key = ProgressPrefix + Task->Job});
       Accepted = Unknown.Confirmed;
     }
-    Answers.emplace_back(Job, std::move(Accepted));
+    Answers.push_back({.Job = Job,
+                       .Version = Job ? Job->Version : 0,
+                       .Accepted = std::move(Accepted)});
   }
   std::vector<asio::awaitable<void>> Writes;
   Writes.reserve(Changed.size() + UnknownEnds.size());
@@ -566,8 +616,8 @@
                                         Unknown.Confirmed));
   co_await waitForAll(Executor_, std::move(Writes));
   EndsReply Reply;
-  for (const auto &[Job, Accepted] : Answers) {
-    Reply.Accepted.push_back(Job ? isEndSettled(*Job) : *Accepted);
+  for (const auto &[Job, Version, Accepted] : Answers) {
+    Reply.Accepted.push_back(Job ? isEndSettled(*Job, Version) : *Accepted);
     if (Job && Reply.Accepted.back())
       Reply.Owners.push_back(
           {.Shard = Job->Shard, .Epoch = Job->Journal->epoch()});
@@ -575,13 +625,13 @@
   co_return Reply;
 }
 
-bool JobOwner::isEndSettled(const OwnedJob &Job) const {
+bool JobOwner::isEndSettled(const OwnedJob &Job, std::uint64_t Version) const {
   const auto It = Shards_.find(Job.Shard);
   const bool Current = It != Shards_.end() && It->second.Journal == Job.Journal;
   // The holder of the worker forgets an accepted end. A previous owner that has
   // not noticed the takeover would take the run for lost and start the task
   // again on a worker whose holder does not know of the takeover either.
-  return Job.WrittenVersion == Job.Version && Current &&
+  return Job.WrittenVersion >= Version && Current &&
          (It->second.Resolved || !Job.Inherited);
 }
 
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -50,6 +50,9 @@
   bool MustStore = false;    ///< A write of its progress is due or in progress.
   std::uint64_t Version = 0; ///< Number of durable changes.
   std::uint64_t WrittenVersion = 0; ///< Version that the journal contains.
+  int PendingWrites = 0; ///< Writes of its progress without an outcome.
+  std::uint64_t PendingVersion = 0;     ///< Version in the latest of them.
+  std::unique_ptr<Notifier> WriteEnded; ///< Set by the first wait for them.
   /// Advice by occurrence and step.
   std::map<std::pair<int, int>, StepAdvice> Advice;
   /// Earliest time of the next attempt to place a step, by occurrence and step.
@@ -251,10 +254,22 @@
   struct ProgressWrite {
     std::vector<KeyedRecord> Records;
     std::vector<std::pair<JobPointer, std::uint64_t>> Versions;
+    Clock::time_point Deadline{};
   };
-  /// Writes the changed progress of the jobs.
+  /// Writes the changed progress of the jobs, each of which may be given
+  /// several times.
   asio::awaitable<void> writeProgress(JournalPointer Journal,
-                                      std::vector<JobPointer> Jobs);
+                                      std::vector<JobPointer> Jobs) {
+    return writeProgress(std::move(Journal), std::move(Jobs),
+                         Timers_.now() + Options_.WriteTimeout);
+  }
+  asio::awaitable<void> writeProgress(JournalPointer Journal,
+                                      std::vector<JobPointer> Jobs,
+                                      Clock::time_point Deadline);
+  /// Writes the progress of a job for which mustAwaitPendingWrites() is true.
+  asio::awaitable<void> writeAfterPending(JournalPointer Journal,
+                                          JobPointer Job,
+                                          Clock::time_point Deadline);
   /// Returns the records of the job's progress. A job whose progress is longer
   /// than the store accepts fails, as it could not be continued by a new owner.
   std::vector<KeyedRecord> progressRecords(const ShardJournal &Journal,
@@ -276,9 +291,10 @@
                                            std::vector<KeyedRecord> Records,
                                            std::shared_ptr<bool> Confirmed);
   [[nodiscard]] JournalPointer journalOf(int Number) const;
-  /// Returns true if the journal contains the job's progress and no previous
-  /// owner can start a task of the job any more.
-  [[nodiscard]] bool isEndSettled(const OwnedJob &Job) const;
+  /// Returns true if the journal contains the version of the job's progress and
+  /// no previous owner can start a task of the job any more.
+  [[nodiscard]] bool isEndSettled(const OwnedJob &Job,
+                                  std::uint64_t Version) const;
   void applyEffect(const JobPointer &Job, const ProgressEffect &Effect);
   /// Records the end of a run. The caller applies the effect.
   [[nodiscard]] ProgressEffect endRun(OwnedJob &Job, const RunId &Run,
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -37,6 +37,7 @@
   std::vector<ShardHolder> Holders;
   std::vector<std::string> Left; ///< Members that left or were removed.
   int Appends = 0;
+  int AppendedRecords = 0;
   int NewestReads = 0;
   int TailReads = 0;
   /// Records that readTail() returns, for all topics and partitions.
@@ -94,6 +95,7 @@
         co_return AppendReply{.Status = AppendStatus::WrongSequence,
                               .Expected = *Target.Sequence + 1};
       Target.Sequence = Stamp.Sequence;
+      AppendedRecords += static_cast<int>(Records.size());
       for (const KeyedRecord &Record : Records)
         if (Record.Value)
           Target.Values[Record.Key] = *Record.Value;
--- a/Tests/Cell/JobOwnerTest.cpp
+++ b/Tests/Cell/JobOwnerTest.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(testJobWhoseProgressCannotBeStoredFails);
   CPPUNIT_TEST(testFailingJournalRefusesJobsAtOnce);
   CPPUNIT_TEST(testEndIsAcceptedOnlyOnceItIsStored);
+  CPPUNIT_TEST(testManyEndsOfAJobAreStoredInFewWrites);
   CPPUNIT_TEST(testCompletedIsReportedOnlyOnceItIsStored);
   CPPUNIT_TEST(testNewOwnerStartsNothingBeforeAllWorkersReported);
   CPPUNIT_TEST(testTakeoverStartsNoDueOccurrenceBeforeAllWorkersReported);
@@ -238,6 +239,53 @@
     CPPUNIT_ASSERT((**Stored).Accepted.at(0));
   }
 
+  // Guards against a queue of the journal that grows with the ends of a large
+  // job, as each end writes the progress of the whole job once more.
+  void testManyEndsOfAJobAreStoredInFewWrites() {
+    constexpr int Calls = 40;
+    constexpr int EndsPerCall = 10;
+    OwnerBench Bench;
+    const auto Owner = Bench.owner(1);
+    Bench.submit(*Owner, Calls * EndsPerCall);
+    const std::string Id = Owner->activeJobs().begin()->first;
+    for (int Index = 0; Index < Calls * EndsPerCall; ++Index)
+      Owner->activeJobs().at(Id)->Progress.markPlacing(
+          {.Task = {.Job = Id, .Index = Index}, .Run = 1, .Worker = "w"},
+          Bench.Timers.now());
+    Bench.Store.AppendTime = 100ms;
+    Bench.Store.AppendedRecords = 0;
+    std::vector<std::shared_ptr<std::optional<EndsReply>>> Replies;
+    for (int Call = 0; Call < Calls; ++Call) {
+      EndsRequest Request;
+      for (int I = 0; I < EndsPerCall; ++I)
+        Request.Ends.push_back(
+            OwnerBench::completionOf(Id, Call * EndsPerCall + I));
+      Replies.push_back(Bench.begin(Owner->acceptEnds(std::move(Request))));
+      Bench.run(10ms);
+      // An end is accepted only once the journal contains it.
+      const std::string Stored = Bench.Store.values(0)["p/" + Id];
+      const auto Done =
+          Stored.empty()
+              ? std::string()
+              : nlohmann::json::parse(Stored)["steps"][0][0].get<std::string>();
+      const auto InJournal = std::ranges::count(Done, '1');
+      for (int Earlier = 0; Earlier <= Call; ++Earlier)
+        CPPUNIT_ASSERT(
+            !Replies[static_cast<std::size_t>(Earlier)]->has_value() ||
+            InJournal >= (Earlier + 1) * EndsPerCall);
+    }
+    Bench.run(300ms);
+    for (const auto &Reply : Replies) {
+      CPPUNIT_ASSERT(Reply->has_value());
+      CPPUNIT_ASSERT_EQUAL(EndsPerCall, static_cast<int>(std::ranges::count(
+                                            (**Reply).Accepted, true)));
+    }
+    // One for each append of 100 ms, the ones pending at the end, and the
+    // deletion of the job's record.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Bench.Store.AppendedRecords),
+                           Bench.Store.AppendedRecords <= 8);
+  }
+
   void testCompletedIsReportedOnlyOnceItIsStored() {
     OwnerBench Bench;
     const auto Owner = Bench.owner(1);
