Answer all received requests before a connection closes

RESTinio closes the connection with the first response that says connection_close(), and does not tell whether more has been received. Reading ahead in RESTinio loses the response to a client that ends its side of the connection. Change: HttpServer no longer uses RESTinio. One coroutine serves each connection on Asio, and http_parser, which RESTinio used as well, parses (RequestParser). Requests of a connection are handled one after the other; a closing server says "close" in the response after which nothing more has been received. Then it ends its side and reads until the client has ended its own, for at most 1 s, as closing with unread bytes resets the connection and can cost the response. An error of accept (no descriptor left) is retried; RESTinio stopped accepting. Considered: closing in RESTinio only when no request is buffered; its connection shows neither its buffer nor its socket to the handler, and it has no limit on the bodies of all connections (section 6 of docs/design/hard-load.md).

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,100 +1,122 @@
 #include "Http/HttpServer.h"
 
+#include "Http/RequestParser.h"
+
+#include <array>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
 #include <cctype>
 #include <fmt/format.h>
 #include <glog/logging.h>
+#include <http_parser.h>
+#include <list>
 #include <map>
-#include <restinio/all.hpp>
 
 namespace hickory {
 
 namespace {
 
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
 constexpr int InternalServerError = 500;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
+/// Bytes that are read from a connection at a time.
+constexpr std::size_t ReadBytes = 16 << 10;
+/// Time for which a closing connection reads what the client still sends. A
+/// connection that is closed with unread bytes is reset, and the client may
+/// lose the response.
+constexpr std::chrono::milliseconds LingerTime = 1s;
+/// Time after which accepting goes on after an error, as when the process has
+/// no descriptor left.
+constexpr std::chrono::milliseconds AcceptPause = 100ms;
 
-/// All handlers run on one thread, so no strands are needed.
-struct ServerTraits : restinio::default_single_thread_traits_t {
-  // RESTinio requires this name.
-  // NOLINTNEXTLINE(readability-identifier-naming)
-  static constexpr bool use_connection_count_limiter = true;
-};
+/// Completes with a value of its own, so that no call throws.
+auto resume(std::error_code &Error) {
+  return asio::redirect_error(asio::use_awaitable, Error);
+}
 
-restinio::http_status_line_t statusLine(int Status) {
-  const auto Code =
-      restinio::http_status_code_t(static_cast<std::uint16_t>(Status));
-  switch (Status) {
-  case 200:
-    return restinio::status_ok();
-  case 202:
-    return restinio::status_accepted();
-  case 400:
-    return restinio::status_bad_request();
-  case 404:
-    return restinio::status_not_found();
-  case 410:
-    return restinio::status_gone();
-  case 409:
-    return restinio::status_conflict();
-  case 413:
-    return restinio::status_payload_too_large();
-  case 429:
-    return restinio::status_too_many_requests();
-  case 503:
-    return restinio::status_service_unavailable();
-  case 504:
-    return restinio::status_gateway_time_out();
-  default:
-    return {Code, Status < 400 ? "OK" : "Error"};
-  }
+std::string responseHead(const HttpServerResponse &Reply, bool Closes) {
+  std::string Head = fmt::format(
+      "HTTP/1.1 {} {}\r\nConnection: {}\r\nContent-Length: {}\r\n"
+      "Content-Type: {}\r\n",
+      Reply.Status, http_status_str(static_cast<http_status>(Reply.Status)),
+      Closes ? "close" : "keep-alive", Reply.Body.size(), Reply.ContentType);
+  if (Reply.RetryAfter)
+    Head += fmt::format("Retry-After: {}\r\n", Reply.RetryAfter->count());
+  return Head + "\r\n";
 }
 
+/// A connection of a client. Its requests are handled one after the other.
+struct Connection {
+  Connection(tcp::socket Accepted, RequestSizeLimits Limits)
+      : Socket(std::move(Accepted)), Timer(Socket.get_executor()),
+        Answered(Socket.get_executor()), Parser(Limits) {}
+
+  /// Closes the socket after Limit, which ends what waits for it.
+  static void limitTime(const std::shared_ptr<Connection> &Self,
+                        std::chrono::milliseconds Limit) {
+    Self->Timer.expires_after(Limit);
+    Self->Timer.async_wait([Weak = std::weak_ptr(Self)](std::error_code Error) {
+      const auto Locked = Weak.lock();
+      // A timer that was set anew may still deliver its earlier end.
+      if (!Error && Locked != nullptr &&
+          Locked->Timer.expiry() <= asio::steady_timer::clock_type::now())
+        Locked->close();
+    });
+  }
+
+  void close() {
+    std::error_code Ignored;
+    Timer.cancel();
+    Socket.close(Ignored);
+  }
+
+  /// More has been received than the request that is answered.
+  [[nodiscard]] bool hasUnreadRequest() {
+    // The parser skips the end of a line before a request.
+    Unparsed.erase(
+        0, std::min(Unparsed.find_first_not_of("\r\n"), Unparsed.size()));
+    std::error_code Error;
+    return !Unparsed.empty() || (Socket.available(Error) > 0 && !Error);
+  }
+
+  tcp::socket Socket;
+  asio::steady_timer Timer;    ///< Ends the present phase of the connection.
+  asio::steady_timer Answered; ///< Cancelled when Reply is set.
+  RequestParser Parser;
+  std::string Unparsed; ///< Bytes after the latest request.
+  std::optional<HttpServerResponse> Reply;
+};
+
+using ConnectionHandle = std::shared_ptr<Connection>;
+
 } // namespace
 
-class HttpServer::Implementation {
+class HttpServer::Implementation
+    : public std::enable_shared_from_this<HttpServer::Implementation> {
 public:
   Implementation(asio::io_context &Context, HttpServerOptions Options,
                  Handler OnRequest)
       : Context_(Context), Options_(std::move(Options)),
-        OnRequest_(std::move(OnRequest)) {}
+        OnRequest_(std::move(OnRequest)), Acceptor_(Context),
+        AcceptTimer_(Context) {}
 
   void start() {
-    using namespace restinio;
-    Server_ = std::make_unique<http_server_t<ServerTraits>>(
-        external_io_context(Context_),
-        server_settings_t<ServerTraits>{}
-            .address(Options_.Address)
-            .port(Options_.Port)
-            .concurrent_accepts_count(4)
-            .max_parallel_connections(Options_.MaximumConnections)
-            .read_next_http_message_timelimit(Options_.IdleTimeout)
-            // Requests have timeouts of their own, which the gateway limits.
-            .handle_request_timeout(std::chrono::hours(1))
-            .write_http_response_timelimit(Options_.IdleTimeout)
-            // With more, RESTinio reads while a request is handled, and drops
-            // its response if the client has ended its side of the connection.
-            .max_pipelined_requests(1)
-            .incoming_http_msg_limits(
-                incoming_http_msg_limits_t{}
-                    .max_url_size(4096)
-                    .max_field_name_size(256)
-                    .max_field_value_size(Options_.MaximumHeaderBytes)
-                    .max_field_count(64)
-                    .max_body_size(Options_.MaximumBodyBytes))
-            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &Acceptor) {
-              Port_ = Acceptor.local_endpoint().port();
-            })
-            .request_handler([this](request_handle_t Request) {
-              asio::co_spawn(Context_, handle(std::move(Request)),
-                             asio::detached);
-              return request_accepted();
-            }));
-    Server_->open_sync();
-    IsOpen_ = true;
+    const tcp::endpoint Local(asio::ip::make_address(Options_.Address),
+                              Options_.Port);
+    Acceptor_.open(Local.protocol());
+    Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor_.bind(Local);
+    Acceptor_.listen();
+    Port_ = Acceptor_.local_endpoint().port();
+    asio::co_spawn(Context_, accept(shared_from_this()), asio::detached);
   }
 
   void closeAfterResponse() { CloseAfterResponse_ = true; }
@@ -102,21 +124,22 @@
   void answerRemaining() {
     IsRefusing_ = true;
     CloseAfterResponse_ = true;
-    // A response to a closed connection removes its entry at once.
-    std::vector<std::uint64_t> Unanswered;
-    for (const auto &[Number, Received] : InFlight_)
-      if (Received.Handle != nullptr)
-        Unanswered.push_back(Number);
-    for (const std::uint64_t Number : Unanswered)
-      respond(Number, InFlight_.at(Number),
+    for (auto &[Number, Received] : InFlight_)
+      respond(Number,
               {.Status = GatewayTimeout, .Body = Options_.UnansweredBody});
   }
 
   void stop() {
-    if (!IsOpen_)
-      return;
-    IsOpen_ = false;
-    Server_->close_sync();
+    std::error_code Ignored;
+    Acceptor_.close(Ignored);
+    AcceptTimer_.cancel();
+  }
+
+  /// Ends all connections. Responses of handlers that go on are dropped.
+  void abandon() {
+    stop();
+    for (const ConnectionHandle &Client : Connections_)
+      Client->close();
   }
 
   [[nodiscard]] std::uint16_t port() const { return Port_; }
@@ -136,85 +159,201 @@
 
 private:
   using SteadyClock = std::chrono::steady_clock;
+  /// Keeps the server alive in coroutines that outlive HttpServer.
+  using Self = std::shared_ptr<Implementation>;
 
   struct ReceivedRequest {
-    restinio::request_handle_t Handle;
+    ConnectionHandle Client;
     std::string Call;
     SteadyClock::time_point ReceivedAt;
   };
 
+  asio::awaitable<void> accept(Self /*Keep*/) {
+    while (Acceptor_.is_open()) {
+      std::error_code Error;
+      tcp::socket Accepted = co_await Acceptor_.async_accept(resume(Error));
+      if (!Acceptor_.is_open())
+        break;
+      if (Error) {
+        AcceptTimer_.expires_after(AcceptPause);
+        co_await AcceptTimer_.async_wait(resume(Error));
+      } else if (Connections_.size() < Options_.MaximumConnections) {
+        asio::co_spawn(Context_, serve(shared_from_this(), std::move(Accepted)),
+                       asio::detached);
+      }
+    }
+  }
+
+  asio::awaitable<void> serve(Self /*Keep*/, tcp::socket Accepted) {
+    std::error_code Ignored;
+    Accepted.non_blocking(true, Ignored);
+    const auto Client = std::make_shared<Connection>(
+        std::move(Accepted),
+        RequestSizeLimits{.HeaderBytes = Options_.MaximumHeaderBytes,
+                          .BodyBytes = Options_.MaximumBodyBytes});
+    const auto Entry = Connections_.insert(Connections_.end(), Client);
+    // Not one condition: g++ 12 awaits the second call although the first has
+    // returned false.
+    bool IsOpen = true;
+    while (IsOpen) {
+      IsOpen = co_await receiveRequest(Client);
+      if (IsOpen)
+        IsOpen = co_await answerRequest(Client);
+    }
+    Client->close();
+    Connections_.erase(Entry);
+  }
+
+  /// Returns false if there is none to be answered.
+  asio::awaitable<bool> receiveRequest(ConnectionHandle Client) {
+    Client->Parser.reset();
+    Connection::limitTime(Client, Options_.IdleTimeout);
+    while (!Client->Parser.isComplete()) {
+      if (Client->Unparsed.empty()) {
+        if (!co_await read(*Client))
+          co_return false;
+      }
+      const std::string Bytes = std::exchange(Client->Unparsed, {});
+      const std::size_t Used = Client->Parser.parse(Bytes);
+      if (const auto Failure = Client->Parser.failure()) {
+        // A variable: g++ 12 destroys an aggregate in a co_await twice.
+        HttpServerResponse Refusal{.Status = *Failure, .Body = "{}"};
+        co_await write(Client, std::move(Refusal), true);
+        co_await linger(Client);
+        co_return false;
+      }
+      Client->Unparsed = Bytes.substr(Used);
+      if (!Client->Parser.isComplete() && Client->Parser.takeExpectation())
+        co_await writeContinue(Client);
+    }
+    Client->Timer.cancel();
+    co_return true;
+  }
+
+  /// Reads into Unparsed. Returns false if the connection has ended.
+  asio::awaitable<bool> read(Connection &Client) {
+    while (true) {
+      std::error_code Error;
+      co_await Client.Socket.async_wait(tcp::socket::wait_read, resume(Error));
+      if (Error)
+        co_return false;
+      // One buffer for all connections, as there may be a thousand idle ones.
+      const std::size_t Size =
+          Client.Socket.read_some(asio::buffer(ReadBuffer_), Error);
+      if (Error == asio::error::would_block)
+        continue;
+      if (Error)
+        co_return false;
+      Client.Unparsed.assign(ReadBuffer_.data(), Size);
+      co_return true;
+    }
+  }
+
+  /// Returns false if the connection takes no further request.
+  asio::awaitable<bool> answerRequest(ConnectionHandle Client) {
+    const std::uint64_t Number = NextRequest_++;
+    HttpServerRequest Request = Client->Parser.takeRequest();
+    const bool HasBody = Request.Method != "HEAD";
+    InFlight_[Number] = {.Client = Client,
+                         .Call = Request.Method + " " + Request.Path,
+                         .ReceivedAt = SteadyClock::now()};
+    Client->Reply.reset();
+    if (IsRefusing_)
+      respond(Number, {.Status = ServiceUnavailable, .Body = "{}"});
+    else
+      asio::co_spawn(Context_,
+                     handle(shared_from_this(), Number, std::move(Request)),
+                     asio::detached);
+    while (!Client->Reply) {
+      std::error_code Cancelled;
+      Client->Answered.expires_at(SteadyClock::time_point::max());
+      co_await Client->Answered.async_wait(resume(Cancelled));
+    }
+    // A client may send requests before the response to the first; all that
+    // have been received are answered before the connection closes.
+    const bool Closes = !Client->Parser.keepsAlive() ||
+                        (CloseAfterResponse_ && !Client->hasUnreadRequest());
+    HttpServerResponse Reply = std::move(*Client->Reply);
+    const bool IsWritten =
+        co_await write(Client, std::move(Reply), Closes, HasBody);
+    InFlight_.erase(Number);
+    if (IsWritten && Closes)
+      co_await linger(Client);
+    co_return IsWritten && !Closes;
+  }
+
   /// Calls the handler. An exception is answered with 500, as the caller would
   /// otherwise wait until its timeout.
-  asio::awaitable<HttpServerResponse> answer(HttpServerRequest Request) {
+  asio::awaitable<void> handle(Self /*Keep*/, std::uint64_t Number,
+                               HttpServerRequest Request) {
     const std::string Call = Request.Method + " " + Request.Path;
+    HttpServerResponse Reply{.Status = InternalServerError, .Body = "{}"};
     try {
-      co_return co_await OnRequest_(std::move(Request));
+      Reply = co_await OnRequest_(std::move(Request));
     } catch (const std::exception &Failure) {
       LOG(ERROR) << Call << " failed: " << Failure.what();
     }
-    co_return HttpServerResponse{.Status = InternalServerError, .Body = "{}"};
+    respond(Number, std::move(Reply));
   }
 
-  asio::awaitable<void> handle(restinio::request_handle_t Request) {
-    const std::uint64_t Number = NextRequest_++;
-    HttpServerRequest Incoming{
-        .Method = Request->header().method().c_str(),
-        .Path = std::string(Request->header().path()),
-        .Query = std::string(Request->header().query()),
-        .Host = Request->header().get_field_or(restinio::http_field::host, ""),
-        .Authorization = Request->header().get_field_or(
-            restinio::http_field::authorization, ""),
-        .Body = Request->body()};
-    InFlight_[Number] = {.Handle = Request,
-                         .Call = Incoming.Method + " " + Incoming.Path,
-                         .ReceivedAt = SteadyClock::now()};
-    if (IsRefusing_) {
-      respond(Number, InFlight_.at(Number),
-              {.Status = ServiceUnavailable, .Body = "{}"});
-      co_return;
-    }
-    const HttpServerResponse Reply = co_await answer(std::move(Incoming));
-    // Empty if answerRemaining() has answered the request.
-    if (const auto It = InFlight_.find(Number);
-        It != InFlight_.end() && It->second.Handle != nullptr)
-      respond(Number, It->second, Reply);
+  /// Sets the response of a request that has none yet.
+  void respond(std::uint64_t Number, HttpServerResponse Reply) {
+    const auto It = InFlight_.find(Number);
+    if (It == InFlight_.end() || It->second.Client->Reply)
+      return;
+    It->second.Client->Reply = std::move(Reply);
+    It->second.Client->Answered.cancel();
   }
 
-  void respond(std::uint64_t Number, ReceivedRequest &Received,
-               const HttpServerResponse &Reply) {
-    const auto Request = std::exchange(Received.Handle, nullptr);
-    auto Response = Request->create_response(statusLine(Reply.Status));
-    Response.append_header(restinio::http_field::content_type,
-                           Reply.ContentType);
-    if (Reply.RetryAfter)
-      Response.append_header(restinio::http_field::retry_after,
-                             std::to_string(Reply.RetryAfter->count()));
-    if (CloseAfterResponse_)
-      Response.connection_close();
-    Response.set_body(Reply.Body);
-    // The response is only queued here; the request is in flight until the
-    // response has been written.
-    Response.done(
-        [this, Number](const asio::error_code &) { InFlight_.erase(Number); });
+  /// Returns false if the client did not take it.
+  asio::awaitable<bool> write(ConnectionHandle Client, HttpServerResponse Reply,
+                              bool Closes, bool HasBody = true) {
+    const std::string Head = responseHead(Reply, Closes);
+    const std::array<asio::const_buffer, 2> Parts{
+        asio::buffer(Head),
+        HasBody ? asio::buffer(Reply.Body) : asio::const_buffer()};
+    Connection::limitTime(Client, Options_.IdleTimeout);
+    std::error_code Error;
+    co_await asio::async_write(Client->Socket, Parts, resume(Error));
+    Client->Timer.cancel();
+    co_return !Error;
+  }
+
+  asio::awaitable<void> writeContinue(ConnectionHandle Client) {
+    static constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::error_code Error;
+    co_await asio::async_write(Client->Socket, asio::buffer(Text),
+                               resume(Error));
+  }
+
+  /// Waits until the client has closed its side.
+  asio::awaitable<void> linger(ConnectionHandle Client) {
+    std::error_code Ignored;
+    Client->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    Connection::limitTime(Client, LingerTime);
+    while (co_await read(*Client)) {
+    }
   }
 
   asio::io_context &Context_;
   HttpServerOptions Options_;
   Handler OnRequest_;
-  std::unique_ptr<restinio::http_server_t<ServerTraits>> Server_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer AcceptTimer_;
   std::uint16_t Port_ = 0;
   std::uint64_t NextRequest_ = 0;
+  std::list<ConnectionHandle> Connections_;
   std::map<std::uint64_t, ReceivedRequest> InFlight_; ///< In order of arrival.
-  bool IsOpen_ = false;
+  std::array<char, ReadBytes> ReadBuffer_{};
   bool CloseAfterResponse_ = false;
   bool IsRefusing_ = false; ///< Requests are answered without being handled.
 };
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
                        Handler OnRequest)
-    : Implementation_(std::make_unique<Implementation>(
+    : Implementation_(std::make_shared<Implementation>(
           Context, std::move(Options), std::move(OnRequest))) {}
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() { Implementation_->abandon(); }
 void HttpServer::start() { Implementation_->start(); }
 void HttpServer::closeAfterResponse() { Implementation_->closeAfterResponse(); }
 void HttpServer::stop() { Implementation_->stop(); }
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -41,8 +41,8 @@
   std::string UnansweredBody = "{}";
 };
 
-/// HTTP server on RESTinio. It runs on the given Asio context and handles each
-/// request in a coroutine of its own.
+/// HTTP server on http_parser. It runs on the given Asio context, which has one
+/// thread, and handles each request in a coroutine of its own.
 class HttpServer final : public DrainableServer {
 public:
   using Handler =
@@ -64,7 +64,7 @@
 
 private:
   class Implementation;
-  std::unique_ptr<Implementation> Implementation_;
+  std::shared_ptr<Implementation> Implementation_;
 };
 
 /// Returns the percent-decoded value of a query parameter; empty if absent.
--- a/Tests/ToolTests/PortReserverTest.cpp
+++ b/Tests/ToolTests/PortReserverTest.cpp
@@ -36,7 +36,7 @@
 
 public:
   // Guards against a reservation that prevents the daemons from listening.
-  // Covers listeners of Asio, RESTinio and gRPC.
+  // Covers listeners of Asio, HttpServer and gRPC.
   void daemonsCanListenOnReservedPorts() {
     ChildProcess Reserver({Program, "--count=3"});
     const auto Ports = readReservedPorts(Reserver);
