Require the key of a client account for calls on queues

Cause: any client could submit, read and cancel jobs of every queue.

Change: a configuration with a list of accounts requires a key for each queue that is not public. The parser keeps digests only, ignores or corrects malformed entries one by one, and reports them as configuration/account_rejected.

--- a/Source/Cell/CellConfiguration.cpp
+++ b/Source/Cell/CellConfiguration.cpp
@@ -20,10 +20,23 @@
   return nullptr;
 }
 
+void CellConfiguration::indexAccounts() {
+  AccountIndex.clear();
+  if (!Accounts)
+    return;
+  AccountIndex.reserve(Accounts->size());
+  for (std::size_t I = 0; I < Accounts->size(); ++I)
+    AccountIndex.emplace((*Accounts)[I].Name, I);
+}
+
 const ClientAccount *
 CellConfiguration::findAccount(const std::string &Name) const {
   if (!Accounts)
     return nullptr;
+  if (AccountIndex.size() == Accounts->size()) {
+    const auto Found = AccountIndex.find(Name);
+    return Found == AccountIndex.end() ? nullptr : &(*Accounts)[Found->second];
+  }
   for (const ClientAccount &Account : *Accounts)
     if (Account.Name == Name)
       return &Account;
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::seconds UnchangedListPeriod{1};
 /// Short, as other processes rely on a read that has ended recently.
 constexpr std::chrono::milliseconds ConfigurationPollWait{700};
+/// Largest number of events about the accounts of one configuration. Standard
+/// output takes 200 lines a second, and other events need some of them.
+constexpr std::size_t LoggedRejections = 50;
 
 } // namespace
 
@@ -21,7 +24,7 @@
                        CellDaemonOptions Options)
     : Context_(Context), Services_(Services), Options_(std::move(Options)),
       Timers_(Context), Events_(Timers_, Options_.Events),
-      Map_(Options_.Shards),
+      Map_(Options_.Shards), Accounts_(Timers_, Events_, Metrics_),
       Shards_(Context.get_executor(), Timers_, Services.Store, Events_,
               Options_.Membership),
       Pool_(Context.get_executor(), Timers_, Services.Workers, Events_, Map_,
@@ -157,13 +160,31 @@
     if (!Read || Read->Version <= Configuration_.Version)
       continue;
     Configuration_ = std::move(*Read);
+    updateAccounts();
     Events_.emit("configuration", "in_force",
                  {{"version", Configuration_.Version},
-                  {"queues", Configuration_.Queues.size()}});
+                  {"queues", Configuration_.Queues.size()},
+                  {"accounts_required", Accounts_.isRequired()},
+                  {"accounts", Accounts_.accounts()},
+                  {"keys", Accounts_.keys()}});
   }
   Dispatcher_.wake();
 }
 
+void CellDaemon::updateAccounts() {
+  Accounts_.update(Configuration_);
+  const auto &Rejected = Configuration_.RejectedAccounts;
+  if (Rejected.empty())
+    return;
+  Metrics_.count("accounts_rejected_total",
+                 static_cast<double>(Rejected.size()));
+  for (std::size_t I = 0; I < std::min(Rejected.size(), LoggedRejections); ++I)
+    Events_.emit("configuration", "account_rejected",
+                 {{"name", Rejected[I].Name},
+                  {"reason", Rejected[I].Reason},
+                  {"rejected", Rejected.size()}});
+}
+
 bool CellDaemon::isReady() const {
   return !Draining_ && Configuration_.Version > 0 &&
          (Workers_.isReady() || !Shards_.isParticipating()) &&
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -9,6 +9,7 @@
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
 #include "Cell/CellRecords.h"
+#include "Cell/ClientAccounts.h"
 #include "Cell/ConfigurationRelay.h"
 #include "Cell/Dispatcher.h"
 #include "Cell/HttpCellPeer.h"
@@ -63,6 +64,7 @@
   /// Returns true if the process can serve client requests.
   [[nodiscard]] bool isReady() const;
   [[nodiscard]] CellGateway &gateway() { return Gateway_; }
+  [[nodiscard]] ClientAccounts &accounts() { return Accounts_; }
   [[nodiscard]] CellHandler &handler() { return Node_; }
   [[nodiscard]] Metrics &metrics() { return Metrics_; }
   [[nodiscard]] TimerService &timers() { return Timers_; }
@@ -72,6 +74,8 @@
   void updateWorkers(const std::map<std::string, std::string> &Values,
                      const std::set<std::string> &Changed);
   void updateConfiguration(const std::map<std::string, std::string> &Values);
+  /// Puts the accounts of Configuration_ into force.
+  void updateAccounts();
 
   asio::io_context &Context_;
   CellServices Services_;
@@ -81,6 +85,7 @@
   Metrics Metrics_;
   ShardMap Map_;
   CellConfiguration Configuration_;
+  ClientAccounts Accounts_;
   ShardMembership Shards_;
   WorkerPool Pool_;
   JobOwner Jobs_;
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -34,6 +34,8 @@
     return restinio::status_accepted();
   case 400:
     return restinio::status_bad_request();
+  case 401:
+    return restinio::status_unauthorized();
   case 404:
     return restinio::status_not_found();
   case 410:
@@ -189,6 +191,9 @@
     if (Reply.RetryAfter)
       Response.append_header(restinio::http_field::retry_after,
                              std::to_string(Reply.RetryAfter->count()));
+    if (!Reply.Challenge.empty())
+      Response.append_header(restinio::http_field::www_authenticate,
+                             Reply.Challenge);
     if (CloseAfterResponse_)
       Response.connection_close();
     Response.set_body(Reply.Body);
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -28,6 +28,9 @@
   std::string ContentType = "application/json";
   /// Adds a Retry-After header if set.
   std::optional<std::chrono::seconds> RetryAfter = std::nullopt;
+  /// Adds a WWW-Authenticate header unless empty; a response with status 401
+  /// must have one.
+  std::string Challenge = {};
 };
 
 struct HttpServerOptions {
