--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -50,6 +50,8 @@
       Closes ? "close" : "keep-alive", Reply.Body.size(), Reply.ContentType);
   if (Reply.RetryAfter)
     Head += fmt::format("Retry-After: {}\r\n", Reply.RetryAfter->count());
+  if (!Reply.Challenge.empty())
+    Head += fmt::format("WWW-Authenticate: {}\r\n", Reply.Challenge);
   return Head + "\r\n";
 }
 
