Carry long advice calls on channels without short calls

Change: the channel of a process carries its own long calls once no short call has used it for a second. While urgent jobs arrive, nothing changes.

--- a/Source/Cell/AdviceRouter.cpp
+++ b/Source/Cell/AdviceRouter.cpp
@@ -8,6 +8,7 @@
                            CellPeer &Peers, AdviceRouterOptions Options)
     : Timers_(Timers), Adviser_(Adviser), Peers_(Peers),
       Options_(std::move(Options)), Channel_(Options_.Channel),
+      LastShortCallAt_(Timers.now()),
       // Processes start with different peers, to spread the load.
       NextPeer_(std::hash<std::string>()(Options_.Address)) {}
 
@@ -17,7 +18,7 @@
   if (!Cost.Long || !Owners_)
     return true;
   const Carriers &ForLong = carriersOf(Cost);
-  return ForLong.Own || ForLong.Peers.empty();
+  return ForLong.Own || ForLong.Peers.empty() || isFreeOfShortCalls();
 }
 
 const AdviceRouter::Carriers &
@@ -78,6 +79,8 @@
 
 asio::awaitable<Result<Advice>> AdviceRouter::askOnOwnChannel(AdviceCall Call) {
   Channel_.beginCall(Call.Cost, Timers_.now());
+  if (!Call.Cost.Long)
+    LastShortCallAt_ = Timers_.now();
   const auto Timeout =
       2 * (Call.Cost.Time + Options_.Channel.MaximumUrgentWait) +
       Options_.TimeoutMargin;
--- a/Source/Cell/AdviceRouter.h
+++ b/Source/Cell/AdviceRouter.h
@@ -36,6 +36,10 @@
   std::chrono::milliseconds UnansweredPeerPause{1000};
   /// Time for which the processes that carry calls are taken as known.
   std::chrono::milliseconds CarrierListLifetime{100};
+  /// The channel of a process carries its own long calls, whatever it is
+  /// assigned to, once no short call has used it for this time. While only
+  /// gangs wait, half of the channels would be idle otherwise.
+  std::chrono::milliseconds ShortCallMemory{1000};
   /// Added to twice the sum of the call's estimated time and of
   /// AdviserChannelOptions::MaximumUrgentWait.
   std::chrono::milliseconds TimeoutMargin{700};
@@ -77,6 +81,10 @@
   };
 
   [[nodiscard]] bool canOwnChannelAccept(const AdviceCost &Cost) const;
+  /// Returns true if no short call has used the own channel for a while.
+  [[nodiscard]] bool isFreeOfShortCalls() const {
+    return Timers_.now() - LastShortCallAt_ >= Options_.ShortCallMemory;
+  }
   [[nodiscard]] const Carriers &carriersOf(const AdviceCost &Cost) const;
   /// Returns the next peer for the call whose channel is not known to be busy;
   /// null if there is none.
@@ -97,7 +105,8 @@
   mutable Carriers ShortCarriers_;
   int LongThroughPeers_ = 0;
   int ShortThroughPeers_ = 0;
-  mutable std::size_t NextPeer_; ///< Round-robin counter.
+  Clock::time_point LastShortCallAt_; ///< On the own channel.
+  mutable std::size_t NextPeer_;      ///< Round-robin counter.
   /// Times until which peers are known to take no further call. A peer carries
   /// one long call at a time.
   mutable std::unordered_map<std::string, Clock::time_point> PeerBusyUntil_;
--- a/Tests/Cell/AdviceRouterTest.cpp
+++ b/Tests/Cell/AdviceRouterTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(AdviceRouterTest);
   CPPUNIT_TEST(testUrgentCallUsesAPeerDuringALongCall);
   CPPUNIT_TEST(testLongCallDoesNotUseAChannelForShortCalls);
+  CPPUNIT_TEST(testLongCallUsesAChannelWithoutShortCalls);
   CPPUNIT_TEST(testTriesTheNextPeerWhenAChannelIsBusy);
   CPPUNIT_TEST(testBusyPeersAreNotAskedAgainAtOnce);
   CPPUNIT_TEST(testCannotAskWithABusyChannelAndNoPeers);
@@ -68,6 +69,22 @@
     CPPUNIT_ASSERT(At.Peers.Calls[0].Long);
   }
 
+  // Guards against gangs that wait for advice on half of the channels while
+  // nothing else asks for any.
+  void testLongCallUsesAChannelWithoutShortCalls() {
+    Cell At("c");
+    At.Bench.run(1s);
+    const auto First = At.ask("gang", LongCall);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), At.Adviser.Asked.size());
+    CPPUNIT_ASSERT(At.Peers.Called.empty());
+    At.Bench.run(1s);
+    At.ask("urgent", Urgent);
+    At.Bench.run(999ms);
+    At.ask("gang", LongCall);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), At.Adviser.Asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), At.Peers.Called.size());
+  }
+
   void testTriesTheNextPeerWhenAChannelIsBusy() {
     Cell At("c");
     At.Peers.Busy = {"a"};
