--- a/Tests/Emulator/EmulatedCells.h
+++ b/Tests/Emulator/EmulatedCells.h
@@ -25,9 +25,10 @@
   ~EmulatedCells() { stop(); }
 
   /// Starts the platform with the given settings file (TOML) and the processes,
-  /// and returns once all are ready.
+  /// and returns once all are ready. Limits overrides those of each process.
   void start(const std::string &PlatformSettings, int Partitions,
-             std::size_t Count) {
+             std::size_t Count, const json &Limits = json::object()) {
+    Limits_ = Limits;
     Folder_ = "/tmp/hickorypick-cells-XXXXXX";
     if (::mkdtemp(Folder_.data()) == nullptr)
       throw std::runtime_error("cannot create a folder in /tmp");
@@ -82,6 +83,17 @@
     const auto Reply = runCoroutine(Context_, Client_.send(Request));
     require(Reply && Reply->Status == 200, "the fault is not accepted");
   }
+  [[nodiscard]] pid_t processId(std::size_t Number) const {
+    return Cells_[Number].Process->id();
+  }
+  [[nodiscard]] bool hasExited(std::size_t Number) const {
+    return Cells_[Number].Process->exitsWithin(std::chrono::milliseconds(0));
+  }
+  [[nodiscard]] asio::ip::tcp::endpoint endpoint(std::size_t Number,
+                                                 PortIndex Port) const {
+    return {asio::ip::make_address(Cells_[Number].Ip),
+            Cells_[Number].Ports[Port]};
+  }
   void signal(std::size_t Number, int Kind) {
     ::kill(Cells_[Number].Process->id(), Kind);
   }
@@ -134,8 +146,9 @@
     Instance Cell = findAddress(Context_, NextAddress);
     Cell.Name = fmt::format("cell-{}", Number);
     const std::string Settings = path(Cell.Name + ".json");
-    writeFile(Settings,
-              cellSettings(Cell, Addresses_, Number, Platform).dump());
+    json Document = cellSettings(Cell, Addresses_, Number, Platform);
+    Document["limits"].update(Limits_);
+    writeFile(Settings, Document.dump());
     Cell.Process = startWithLog(
         path(Cell.Name + ".log"),
         {std::string(TOOL_FOLDER) + "/hickory-cell", "--settings=" + Settings});
@@ -176,6 +189,7 @@
   std::unique_ptr<ChildProcess> Emulator_;
   std::vector<Instance> Cells_;
   json Addresses_;
+  json Limits_;
 };
 
 } // namespace hickory::emulator
