Limit the requests of all clients together

Cause: unfinished bodies of many clients took more memory than a process has, and connections more descriptors (section 6 of docs/design/hard-load.md). Change: HttpServer limits the memory of all bodies that are received or handled, its connections, the time of the headers and of the whole request, and the bytes of a chunked body on the wire; a body whose announced length or chunk sizes are too long is refused before it is received. What is refused has not reached the handler: 413, 414, 431, or 503 with Retry-After 1. If memory or connections are used up, the oldest unfinished request that is at least 1 s old is refused for the new one, so that clients that have stopped do not keep ordinary ones out. hickory-cell derives the limits from memory-mb and max-fds (limitedOptions), more for its internal server, and counts requests_refused_total by server and reason; the gauges client_connections and client_body_bytes show the use.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -29,6 +29,11 @@
 constexpr int GatewayTimeout = 504;
 /// Bytes that are read from a connection at a time.
 constexpr std::size_t ReadBytes = 16 << 10;
+/// A request that has not arrived by then may be refused for the sake of
+/// another one. Ordinary requests take milliseconds.
+constexpr std::chrono::milliseconds MinimumAge = 1s;
+/// Time after which a refused client may try again.
+constexpr std::chrono::seconds RefusalRetry{1};
 /// Time for which a closing connection reads what the client still sends. A
 /// connection that is closed with unread bytes is reset, and the client may
 /// lose the response.
@@ -53,30 +58,26 @@
   return Head + "\r\n";
 }
 
+struct Connection;
+using ConnectionHandle = std::shared_ptr<Connection>;
+
+/// What a connection waits for.
+enum class Phase : std::size_t {
+  Idle,      ///< The first byte of a request.
+  Receiving, ///< The rest of a request.
+  Handling,  ///< The response, or the client that takes it.
+  Closing,   ///< The end of the client's side.
+  Closed,    ///< The end of its coroutine; it has no descriptor.
+  Count
+};
+
 /// A connection of a client. Its requests are handled one after the other.
 struct Connection {
-  Connection(tcp::socket Accepted, RequestSizeLimits Limits)
+  Connection(tcp::socket Accepted, RequestSizeLimits Limits,
+             RequestParser::BodyReserver ReserveBody)
       : Socket(std::move(Accepted)), Timer(Socket.get_executor()),
-        Answered(Socket.get_executor()), Parser(Limits) {}
-
-  /// Closes the socket after Limit, which ends what waits for it.
-  static void limitTime(const std::shared_ptr<Connection> &Self,
-                        std::chrono::milliseconds Limit) {
-    Self->Timer.expires_after(Limit);
-    Self->Timer.async_wait([Weak = std::weak_ptr(Self)](std::error_code Error) {
-      const auto Locked = Weak.lock();
-      // A timer that was set anew may still deliver its earlier end.
-      if (!Error && Locked != nullptr &&
-          Locked->Timer.expiry() <= asio::steady_timer::clock_type::now())
-        Locked->close();
-    });
-  }
-
-  void close() {
-    std::error_code Ignored;
-    Timer.cancel();
-    Socket.close(Ignored);
-  }
+        Answered(Socket.get_executor()),
+        Parser(Limits, std::move(ReserveBody)) {}
 
   /// More has been received than the request that is answered.
   [[nodiscard]] bool hasUnreadRequest() {
@@ -93,10 +94,14 @@
   RequestParser Parser;
   std::string Unparsed; ///< Bytes after the latest request.
   std::optional<HttpServerResponse> Reply;
+  /// Response to a request that is refused while it is received.
+  std::optional<HttpServerResponse> Refusal;
+  std::size_t ReservedBytes = 0; ///< Memory of the body.
+  Phase Now = Phase::Idle;
+  std::chrono::steady_clock::time_point Since; ///< Begin of the phase.
+  std::list<ConnectionHandle>::iterator Place; ///< In the list of its phase.
 };
 
-using ConnectionHandle = std::shared_ptr<Connection>;
-
 } // namespace
 
 class HttpServer::Implementation
@@ -113,6 +118,9 @@
                               Options_.Port);
     Acceptor_.open(Local.protocol());
     Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (Options_.ReceiveBufferBytes > 0)
+      Acceptor_.set_option(
+          tcp::acceptor::receive_buffer_size(Options_.ReceiveBufferBytes));
     Acceptor_.bind(Local);
     Acceptor_.listen();
     Port_ = Acceptor_.local_endpoint().port();
@@ -138,11 +146,20 @@
   /// Ends all connections. Responses of handlers that go on are dropped.
   void abandon() {
     stop();
-    for (const ConnectionHandle &Client : Connections_)
-      Client->close();
+    for (const auto &List : Connections_)
+      for (const ConnectionHandle &Client : List)
+        closeSocket(*Client);
   }
 
   [[nodiscard]] std::uint16_t port() const { return Port_; }
+  [[nodiscard]] std::size_t openConnections() const {
+    std::size_t Open = 0;
+    for (const Phase In :
+         {Phase::Idle, Phase::Receiving, Phase::Handling, Phase::Closing})
+      Open += Connections_[static_cast<std::size_t>(In)].size();
+    return Open;
+  }
+  [[nodiscard]] std::size_t bodyBytesInProgress() const { return BodyBytes_; }
   [[nodiscard]] std::size_t requestsInFlight() const {
     return InFlight_.size();
   }
@@ -168,6 +185,142 @@
     SteadyClock::time_point ReceivedAt;
   };
 
+  std::list<ConnectionHandle> &connections(Phase In) {
+    return Connections_[static_cast<std::size_t>(In)];
+  }
+
+  static void enter(Connection &Client, Phase Next,
+                    std::list<ConnectionHandle> &From,
+                    std::list<ConnectionHandle> &To) {
+    To.splice(To.end(), From, Client.Place);
+    Client.Now = Next;
+    Client.Since = SteadyClock::now();
+  }
+  void enter(Connection &Client, Phase Next) {
+    if (Client.Now != Phase::Closed && Client.Now != Next)
+      enter(Client, Next, connections(Client.Now), connections(Next));
+  }
+
+  /// Ends the phase of the connection at the given time.
+  void limitTime(const ConnectionHandle &Client, SteadyClock::time_point End) {
+    Client->Timer.expires_at(End);
+    Client->Timer.async_wait(
+        [Weak = std::weak_ptr(Client),
+         Server = weak_from_this()](std::error_code Error) {
+          const ConnectionHandle Locked = Weak.lock();
+          const Self Keep = Server.lock();
+          // A timer that was set anew may still deliver its earlier end.
+          if (Error || Locked == nullptr || Keep == nullptr ||
+              Locked->Timer.expiry() > SteadyClock::now())
+            return;
+          if (Locked->Now == Phase::Receiving)
+            Keep->refuse(*Locked, "time");
+          else
+            Keep->close(*Locked);
+        });
+  }
+  void limitTime(const ConnectionHandle &Client,
+                 std::chrono::milliseconds Limit) {
+    limitTime(Client, SteadyClock::now() + Limit);
+  }
+
+  /// Also if the end has come, but has not been delivered.
+  static void clearTime(Connection &Client) {
+    Client.Timer.expires_at(SteadyClock::time_point::max());
+  }
+
+  static void closeSocket(Connection &Client) {
+    std::error_code Ignored;
+    Client.Timer.cancel();
+    Client.Socket.close(Ignored);
+  }
+  /// Ends what the connection waits for.
+  void close(Connection &Client) {
+    closeSocket(Client);
+    releaseBody(Client);
+    enter(Client, Phase::Closed);
+  }
+
+  void releaseBody(Connection &Client) {
+    BodyBytes_ -= std::exchange(Client.ReservedBytes, 0);
+  }
+
+  void countRefusal(const char *Reason) {
+    if (Options_.OnRefused)
+      Options_.OnRefused(Reason);
+  }
+
+  static HttpServerResponse refusal(int Status) {
+    HttpServerResponse Reply{.Status = Status, .Body = "{}"};
+    if (Status == ServiceUnavailable)
+      Reply.RetryAfter = RefusalRetry;
+    return Reply;
+  }
+
+  /// Ends a request that is being received.
+  void refuse(Connection &Client, const char *Reason) {
+    countRefusal(Reason);
+    Client.Refusal = refusal(ServiceUnavailable);
+    Client.Parser.reset();
+    releaseBody(Client);
+    enter(Client, Phase::Closing);
+    std::error_code Ignored;
+    Client.Socket.cancel(Ignored);
+  }
+
+  /// Makes room for the body of a request by refusing those that have not
+  /// arrived for longest. Returns false if that does not suffice.
+  bool reserveBody(Connection &Client, std::size_t Bytes) {
+    while (BodyBytes_ + Bytes > Options_.MaximumBodyBytesInProgress)
+      if (!refuseOldestBody(Client))
+        return false;
+    BodyBytes_ += Bytes;
+    Client.ReservedBytes += Bytes;
+    return true;
+  }
+  bool refuseOldestBody(const Connection &Except) {
+    const auto Latest = SteadyClock::now() - MinimumAge;
+    for (const ConnectionHandle &Client : connections(Phase::Receiving)) {
+      if (Client->Since > Latest)
+        return false;
+      if (Client.get() != &Except && Client->ReservedBytes > 0) {
+        refuse(*ConnectionHandle(Client), "memory");
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /// Sends the refusal if the client takes it at once.
+  static void sendRefusal(tcp::socket &Socket) {
+    std::error_code Ignored;
+    const HttpServerResponse Reply = refusal(ServiceUnavailable);
+    const std::string Text = responseHead(Reply, true) + Reply.Body;
+    Socket.non_blocking(true, Ignored);
+    Socket.write_some(asio::buffer(Text), Ignored);
+    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  }
+
+  /// Closes the connection that is needed least. Returns false if there is none
+  /// that may be closed.
+  bool closeOneConnection() {
+    const auto Latest = SteadyClock::now() - MinimumAge;
+    for (const Phase In : {Phase::Closing, Phase::Receiving, Phase::Idle}) {
+      const auto &Candidates = connections(In);
+      if (Candidates.empty() ||
+          (In != Phase::Closing && Candidates.front()->Since > Latest))
+        continue;
+      const ConnectionHandle Chosen = Candidates.front();
+      if (In == Phase::Receiving) {
+        countRefusal("connections");
+        sendRefusal(Chosen->Socket);
+      }
+      close(*Chosen);
+      return true;
+    }
+    return false;
+  }
+
   asio::awaitable<void> accept(Self /*Keep*/) {
     while (Acceptor_.is_open()) {
       std::error_code Error;
@@ -175,23 +328,37 @@
       if (!Acceptor_.is_open())
         break;
       if (Error) {
+        closeOneConnection();
         AcceptTimer_.expires_after(AcceptPause);
         co_await AcceptTimer_.async_wait(resume(Error));
-      } else if (Connections_.size() < Options_.MaximumConnections) {
-        asio::co_spawn(Context_, serve(shared_from_this(), std::move(Accepted)),
-                       asio::detached);
+      } else if (openConnections() < Options_.MaximumConnections ||
+                 closeOneConnection()) {
+        addConnection(std::move(Accepted));
+      } else {
+        countRefusal("connections");
+        sendRefusal(Accepted);
       }
     }
   }
 
-  asio::awaitable<void> serve(Self /*Keep*/, tcp::socket Accepted) {
+  void addConnection(tcp::socket Accepted) {
     std::error_code Ignored;
     Accepted.non_blocking(true, Ignored);
-    const auto Client = std::make_shared<Connection>(
+    auto &Idle = connections(Phase::Idle);
+    const auto Place = Idle.emplace(Idle.end());
+    *Place = std::make_shared<Connection>(
         std::move(Accepted),
         RequestSizeLimits{.HeaderBytes = Options_.MaximumHeaderBytes,
-                          .BodyBytes = Options_.MaximumBodyBytes});
-    const auto Entry = Connections_.insert(Connections_.end(), Client);
+                          .BodyBytes = Options_.MaximumBodyBytes},
+        [this, Place](std::size_t Bytes) {
+          return reserveBody(**Place, Bytes);
+        });
+    (*Place)->Place = Place;
+    (*Place)->Since = SteadyClock::now();
+    asio::co_spawn(Context_, serve(shared_from_this(), *Place), asio::detached);
+  }
+
+  asio::awaitable<void> serve(Self /*Keep*/, ConnectionHandle Client) {
     // Not one condition: g++ 12 awaits the second call although the first has
     // returned false.
     bool IsOpen = true;
@@ -200,34 +367,59 @@
       if (IsOpen)
         IsOpen = co_await answerRequest(Client);
     }
-    Client->close();
-    Connections_.erase(Entry);
+    close(*Client);
+    connections(Phase::Closed).erase(Client->Place);
   }
 
   /// Returns false if there is none to be answered.
   asio::awaitable<bool> receiveRequest(ConnectionHandle Client) {
     Client->Parser.reset();
-    Connection::limitTime(Client, Options_.IdleTimeout);
-    while (!Client->Parser.isComplete()) {
-      if (Client->Unparsed.empty()) {
-        if (!co_await read(*Client))
-          co_return false;
-      }
-      const std::string Bytes = std::exchange(Client->Unparsed, {});
-      const std::size_t Used = Client->Parser.parse(Bytes);
-      if (const auto Failure = Client->Parser.failure()) {
-        // A variable: g++ 12 destroys an aggregate in a co_await twice.
-        HttpServerResponse Refusal{.Status = *Failure, .Body = "{}"};
-        co_await write(Client, std::move(Refusal), true);
-        co_await linger(Client);
-        co_return false;
-      }
-      Client->Unparsed = Bytes.substr(Used);
-      if (!Client->Parser.isComplete() && Client->Parser.takeExpectation())
+    enter(*Client, Phase::Idle);
+    limitTime(Client, Options_.IdleTimeout);
+    bool IsReadable = true;
+    while (IsReadable && !Client->Parser.isComplete()) {
+      if (Client->Unparsed.empty())
+        IsReadable = co_await read(*Client);
+      if (IsReadable && parse(Client))
         co_await writeContinue(Client);
+      IsReadable = IsReadable && !Client->Refusal;
+    }
+    if (Client->Refusal) {
+      HttpServerResponse Reply = std::move(*Client->Refusal);
+      Client->Refusal.reset();
+      const bool IsWritten = co_await write(Client, std::move(Reply), true);
+      if (IsWritten)
+        co_await linger(Client);
+      co_return false;
+    }
+    clearTime(*Client);
+    co_return IsReadable;
+  }
+
+  /// Parses what has been read. Returns true if the client waits for a 100.
+  bool parse(const ConnectionHandle &Client) {
+    RequestParser &Parser = Client->Parser;
+    const std::string Bytes = std::exchange(Client->Unparsed, {});
+    const bool HadHeaders = Parser.hasHeaders();
+    const std::size_t Used = Parser.parse(Bytes);
+    if (const auto Failure = Parser.failure()) {
+      countRefusal(Failure->Reason);
+      Client->Refusal = refusal(Failure->Status);
+      Parser.reset();
+      releaseBody(*Client);
+      enter(*Client, Phase::Closing);
+      return false;
     }
-    Client->Timer.cancel();
-    co_return true;
+    Client->Unparsed = Bytes.substr(Used);
+    if (Parser.isComplete() || !Parser.hasBegun())
+      return false;
+    if (Client->Now == Phase::Idle) {
+      enter(*Client, Phase::Receiving);
+      limitTime(Client, Client->Since + Options_.HeaderTimeout);
+    }
+    if (Parser.hasHeaders() && !HadHeaders)
+      limitTime(Client, Client->Since + Options_.RequestTimeout);
+    return Parser.takeExpectation();
   }
 
   /// Reads into Unparsed. Returns false if the connection has ended.
@@ -235,7 +427,8 @@
     while (true) {
       std::error_code Error;
       co_await Client.Socket.async_wait(tcp::socket::wait_read, resume(Error));
-      if (Error)
+      // A request may be refused after its next bytes have been received.
+      if (Error || Client.Refusal)
         co_return false;
       // One buffer for all connections, as there may be a thousand idle ones.
       const std::size_t Size =
@@ -258,6 +451,7 @@
                          .Call = Request.Method + " " + Request.Path,
                          .ReceivedAt = SteadyClock::now()};
     Client->Reply.reset();
+    enter(*Client, Phase::Handling);
     if (IsRefusing_)
       respond(Number, {.Status = ServiceUnavailable, .Body = "{}"});
     else
@@ -269,6 +463,7 @@
       Client->Answered.expires_at(SteadyClock::time_point::max());
       co_await Client->Answered.async_wait(resume(Cancelled));
     }
+    releaseBody(*Client);
     // A client may send requests before the response to the first; all that
     // have been received are answered before the connection closes.
     const bool Closes = !Client->Parser.keepsAlive() ||
@@ -312,10 +507,10 @@
     const std::array<asio::const_buffer, 2> Parts{
         asio::buffer(Head),
         HasBody ? asio::buffer(Reply.Body) : asio::const_buffer()};
-    Connection::limitTime(Client, Options_.IdleTimeout);
+    limitTime(Client, Options_.IdleTimeout);
     std::error_code Error;
     co_await asio::async_write(Client->Socket, Parts, resume(Error));
-    Client->Timer.cancel();
+    clearTime(*Client);
     co_return !Error;
   }
 
@@ -329,9 +524,13 @@
   /// Waits until the client has closed its side.
   asio::awaitable<void> linger(ConnectionHandle Client) {
     std::error_code Ignored;
+    enter(*Client, Phase::Closing);
     Client->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-    Connection::limitTime(Client, LingerTime);
-    while (co_await read(*Client)) {
+    limitTime(Client, LingerTime);
+    bool IsReadable = true;
+    while (IsReadable) {
+      IsReadable = co_await read(*Client);
+      Client->Unparsed.clear();
     }
   }
 
@@ -342,7 +541,10 @@
   asio::steady_timer AcceptTimer_;
   std::uint16_t Port_ = 0;
   std::uint64_t NextRequest_ = 0;
-  std::list<ConnectionHandle> Connections_;
+  std::array<std::list<ConnectionHandle>,
+             static_cast<std::size_t>(Phase::Count)>
+      Connections_;           ///< By phase, each in the order of its beginning.
+  std::size_t BodyBytes_ = 0; ///< Memory of all bodies.
   std::map<std::uint64_t, ReceivedRequest> InFlight_; ///< In order of arrival.
   std::array<char, ReadBytes> ReadBuffer_{};
   bool CloseAfterResponse_ = false;
@@ -358,6 +560,12 @@
 void HttpServer::closeAfterResponse() { Implementation_->closeAfterResponse(); }
 void HttpServer::stop() { Implementation_->stop(); }
 std::uint16_t HttpServer::port() const { return Implementation_->port(); }
+std::size_t HttpServer::openConnections() const {
+  return Implementation_->openConnections();
+}
+std::size_t HttpServer::bodyBytesInProgress() const {
+  return Implementation_->bodyBytesInProgress();
+}
 std::size_t HttpServer::requestsInFlight() const {
   return Implementation_->requestsInFlight();
 }
@@ -369,6 +577,35 @@
   return Implementation_->oldestRequest();
 }
 
+HttpServerOptions limitedOptions(HttpServerOptions Options,
+                                 ProcessLimits Limits, ServerShares Shares) {
+  // 64 KiB in the kernel, 16 KiB read ahead, headers.
+  constexpr std::size_t ConnectionBytes = 96 << 10;
+  constexpr std::uint64_t FileDescriptors = 200;
+  constexpr std::size_t FewestConnections = 16;
+  const auto Part = [](double Share, std::uint64_t Whole) {
+    return static_cast<std::size_t>(Share * static_cast<double>(Whole));
+  };
+  std::size_t &Connections = Options.MaximumConnections;
+  if (Limits.MemoryBytes > 0) {
+    // Two bodies of the longest kind always fit.
+    Options.MaximumBodyBytesInProgress =
+        std::max(Part(Shares.BodyMemory, Limits.MemoryBytes),
+                 2 * Options.MaximumBodyBytes);
+    if (Shares.ConnectionMemory > 0)
+      Connections = std::min(Connections,
+                             Part(Shares.ConnectionMemory, Limits.MemoryBytes) /
+                                 ConnectionBytes);
+  }
+  if (Limits.Descriptors > 0)
+    Connections = std::min(
+        Connections, Part(Shares.Descriptors,
+                          Limits.Descriptors -
+                              std::min(Limits.Descriptors, FileDescriptors)));
+  Connections = std::max(Connections, FewestConnections);
+  return Options;
+}
+
 std::string percentDecode(const std::string &Text) {
   std::string Decoded;
   for (std::size_t I = 0; I < Text.size(); ++I) {
--- a/Source/Http/RequestParser.cpp
+++ b/Source/Http/RequestParser.cpp
@@ -12,6 +12,11 @@
 constexpr int PayloadTooLarge = 413;
 constexpr int UriTooLong = 414;
 constexpr int HeaderFieldsTooLarge = 431;
+constexpr int ServiceUnavailable = 503;
+/// Bytes on the wire for each byte of the longest body. A chunk of one byte
+/// takes 6; the rest is for sizes with leading zeros.
+constexpr std::size_t WireFactor = 8;
+constexpr std::size_t WireMargin = 64 << 10;
 /// Names longer than this are none that the server knows.
 constexpr std::size_t LongestKnownName = 32;
 
@@ -24,19 +29,24 @@
 
 } // namespace
 
-RequestParser::RequestParser(RequestSizeLimits Limits) : Limits_(Limits) {
+RequestParser::RequestParser(RequestSizeLimits Limits, BodyReserver ReserveBody)
+    : Limits_(Limits), ReserveBody_(std::move(ReserveBody)) {
   reset();
 }
 
 void RequestParser::reset() {
   http_parser_init(&Parser_, HTTP_REQUEST);
   Parser_.data = this;
-  Request_ = {};
+  // An assignment from an empty string keeps the memory.
+  HttpServerRequest Empty;
+  std::swap(Request_, Empty);
   Url_.clear();
   HeaderName_.clear();
   Expectation_.clear();
   HeaderValue_ = nullptr;
   HeaderBytes_ = 0;
+  AnnouncedBytes_ = 0;
+  WireBytes_ = 0;
   Failure_.reset();
   IsInValue_ = false;
   HasBegun_ = false;
@@ -89,13 +99,26 @@
 std::size_t RequestParser::parse(std::string_view Bytes) {
   const std::size_t Used =
       http_parser_execute(&Parser_, &callbacks(), Bytes.data(), Bytes.size());
-  if (!IsComplete_ && !Failure_ && HTTP_PARSER_ERRNO(&Parser_) != HPE_OK)
-    Failure_ = HTTP_PARSER_ERRNO(&Parser_) == HPE_HEADER_OVERFLOW
-                   ? HeaderFieldsTooLarge
-                   : BadRequest;
+  WireBytes_ += Used;
+  if (IsComplete_ || Failure_)
+    return Used;
+  const http_errno Error = HTTP_PARSER_ERRNO(&Parser_);
+  // The parser limits the line before a chunk as it does the headers.
+  const bool IsLineTooLong = Error == HPE_HEADER_OVERFLOW;
+  if (IsLineTooLong && !HasHeaders_)
+    fail(HeaderFieldsTooLarge, "headers");
+  else if (IsLineTooLong || (Error == HPE_OK && WireBytes_ > wireLimit()))
+    fail(PayloadTooLarge, "chunks");
+  else if (Error != HPE_OK)
+    fail(BadRequest, "malformed");
   return Used;
 }
 
+std::size_t RequestParser::wireLimit() const {
+  return WireMargin + Limits_.UrlBytes + Limits_.HeaderBytes +
+         WireFactor * Limits_.BodyBytes;
+}
+
 HttpServerRequest RequestParser::takeRequest() {
   const std::string_view Url = Url_;
   const std::size_t Query = Url.find('?');
@@ -106,14 +129,14 @@
   return std::exchange(Request_, {});
 }
 
-int RequestParser::fail(int Status) {
-  Failure_ = Status;
+int RequestParser::fail(int Status, const char *Reason) {
+  Failure_ = {.Status = Status, .Reason = Reason};
   return -1;
 }
 
 int RequestParser::onUrl(std::string_view Part) {
   if (Part.size() > Limits_.UrlBytes - Url_.size())
-    return fail(UriTooLong);
+    return fail(UriTooLong, "url");
   Url_ += Part;
   return 0;
 }
@@ -124,7 +147,7 @@
   IsInValue_ = false;
   HeaderBytes_ += Part.size();
   if (HeaderBytes_ > Limits_.HeaderBytes)
-    return fail(HeaderFieldsTooLarge);
+    return fail(HeaderFieldsTooLarge, "headers");
   if (HeaderName_.size() <= LongestKnownName)
     HeaderName_ += Part;
   return 0;
@@ -146,7 +169,7 @@
   }
   HeaderBytes_ += Part.size();
   if (HeaderBytes_ > Limits_.HeaderBytes)
-    return fail(HeaderFieldsTooLarge);
+    return fail(HeaderFieldsTooLarge, "headers");
   if (HeaderValue_ != nullptr)
     *HeaderValue_ += Part;
   return 0;
@@ -157,21 +180,33 @@
   const bool HasLength =
       Parser_.content_length != std::numeric_limits<std::uint64_t>::max();
   if (HasLength && Parser_.content_length > Limits_.BodyBytes)
-    return fail(PayloadTooLarge);
+    return fail(PayloadTooLarge, "body");
+  AnnouncedBytes_ = HasLength ? Parser_.content_length : 0;
   ExpectsContinue_ = lowerCase(Expectation_) == "100-continue";
   return 0;
 }
 
 int RequestParser::onChunkHeader() {
   return Parser_.content_length > Limits_.BodyBytes - Request_.Body.size()
-             ? fail(PayloadTooLarge)
+             ? fail(PayloadTooLarge, "body")
              : 0;
 }
 
 int RequestParser::onBody(std::string_view Part) {
   if (Part.size() > Limits_.BodyBytes - Request_.Body.size())
-    return fail(PayloadTooLarge);
-  Request_.Body += Part;
+    return fail(PayloadTooLarge, "body");
+  std::string &Body = Request_.Body;
+  const std::size_t Needed = Body.size() + Part.size();
+  if (Needed > Body.capacity()) {
+    const std::size_t Grown = std::max(
+        Needed, std::min<std::size_t>(2 * Body.capacity(),
+                                      AnnouncedBytes_ > 0 ? AnnouncedBytes_
+                                                          : Limits_.BodyBytes));
+    if (!ReserveBody_(Grown - Body.capacity()))
+      return fail(ServiceUnavailable, "memory");
+    Body.reserve(Grown);
+  }
+  Body += Part;
   return 0;
 }
 
--- a/Source/Http/RequestParser.h
+++ b/Source/Http/RequestParser.h
@@ -2,6 +2,8 @@
 
 #include "Http/HttpServer.h"
 
+#include <cstdint>
+#include <functional>
 #include <http_parser.h>
 #include <optional>
 #include <string>
@@ -17,10 +19,20 @@
   std::size_t BodyBytes = 1 << 20;
 };
 
+/// Why a request can't be served.
+struct RequestFailure {
+  int Status = 400; ///< Of the response.
+  const char *Reason = "malformed";
+};
+
 /// Reads one request from the bytes of a connection.
 class RequestParser {
 public:
-  explicit RequestParser(RequestSizeLimits Limits);
+  /// Called before the memory of the body grows by the given bytes. Returns
+  /// false if there is no room for them.
+  using BodyReserver = std::function<bool(std::size_t)>;
+
+  RequestParser(RequestSizeLimits Limits, BodyReserver ReserveBody);
   RequestParser(const RequestParser &) = delete;
   RequestParser &operator=(const RequestParser &) = delete;
 
@@ -34,8 +46,9 @@
   [[nodiscard]] bool hasBegun() const { return HasBegun_; }
   [[nodiscard]] bool hasHeaders() const { return HasHeaders_; }
   [[nodiscard]] bool isComplete() const { return IsComplete_; }
-  /// Status of the response if the request can't be served.
-  [[nodiscard]] std::optional<int> failure() const { return Failure_; }
+  [[nodiscard]] const std::optional<RequestFailure> &failure() const {
+    return Failure_;
+  }
   /// True once if the client waits for a 100 before it sends the body.
   [[nodiscard]] bool takeExpectation() {
     return std::exchange(ExpectsContinue_, false);
@@ -47,7 +60,8 @@
 private:
   static RequestParser &self(http_parser *Parser);
   static const http_parser_settings &callbacks();
-  int fail(int Status);
+  int fail(int Status, const char *Reason);
+  [[nodiscard]] std::size_t wireLimit() const;
   int onUrl(std::string_view Part);
   int onHeaderName(std::string_view Part);
   int onHeaderValue(std::string_view Part);
@@ -57,6 +71,7 @@
   int onComplete();
 
   RequestSizeLimits Limits_;
+  BodyReserver ReserveBody_;
   http_parser Parser_{};
   HttpServerRequest Request_;
   std::string Url_;
@@ -64,7 +79,9 @@
   std::string Expectation_;
   std::string *HeaderValue_ = nullptr; ///< Null if the value isn't kept.
   std::size_t HeaderBytes_ = 0;
-  std::optional<int> Failure_;
+  std::uint64_t AnnouncedBytes_ = 0; ///< 0 if the body has no length.
+  std::size_t WireBytes_ = 0;        ///< Of the whole request.
+  std::optional<RequestFailure> Failure_;
   bool IsInValue_ = false;
   bool HasBegun_ = false;
   bool HasHeaders_ = false;
