Add the decisions of quotas of client accounts

Cause: an account has a cap on what its tasks use at the same time, over all workers. Nothing enforced it.

Change: QuotaAllotment counts the runs of the owned shards by name and tells how much of a step may start; QuotaLedger keeps the sum of what the owners hold within the cap. Nothing uses them yet.

Measured: QuotaPropertyTest (any order of grants, lost and delayed messages, takeovers, frozen holders and changes of the cap).

--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -261,6 +261,74 @@
   bool Done = false;
 };
 
+/// What the jobs of one account and shard use and need; see QuotaAllotment.
+struct AccountQuota {
+  std::string Account;
+  Resources Used;
+  /// Most that the owner may have running: not less than Used.
+  Resources Held;
+  Resources Wanted;
+  /// Least amount, beyond Used, with which the step can start that has been
+  /// refused longest; empty if no step needs more.
+  Resources Minimum;
+  int Priority = 0;           ///< Of that step.
+  std::int64_t WaitingMs = 0; ///< Since it was first refused.
+};
+
+struct ShardQuota {
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+  bool Resolved = false;      ///< All runs of the shard's jobs are known.
+  std::uint64_t Sequence = 0; ///< Rises with each report in the epoch.
+  /// All accounts of the ledger's shard that hold or want anything.
+  std::vector<AccountQuota> Accounts;
+};
+
+/// Reports to the ledgers of the accounts whose names belong to a shard.
+struct LedgerReport {
+  int Ledger = 0; ///< Shard of the accounts' names.
+  /// Highest epoch of the ledger's shard that the sender knows. The receiver
+  /// accepts the reports only if it is its own.
+  std::uint64_t Epoch = 0;
+  /// Version of the sender's configuration. A ledger with an earlier one grants
+  /// nothing, as a cap may have become smaller.
+  std::uint64_t Version = 0;
+  std::vector<ShardQuota> Shards;
+};
+
+struct QuotaRequest {
+  std::string Sender;
+  std::vector<LedgerReport> Ledgers;
+};
+
+struct AccountGrant {
+  std::string Account;
+  /// Most that may be running. If it is less than what was held, nothing more
+  /// is started above it.
+  Resources Granted;
+  bool Refused = false;   ///< It does not suffice for the waiting step.
+  bool Contended = false; ///< Another shard waits for an amount.
+};
+
+struct ShardGrants {
+  int Shard = 0;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0; ///< Of the report that is answered.
+  /// False if the report had no effect.
+  bool Accepted = false;
+  std::vector<AccountGrant> Accounts;
+};
+
+struct LedgerGrants {
+  int Ledger = 0;
+  std::uint64_t Epoch = 0; ///< 0 if the receiver does not hold the shard.
+  std::vector<ShardGrants> Shards;
+};
+
+struct QuotaReply {
+  std::vector<LedgerGrants> Ledgers;
+};
+
 struct SubmitReply {
   int Status = 503; ///< HTTP status for the client.
   /// The receiver does not hold the shard, or has not read its journal yet.
@@ -326,6 +394,21 @@
                                                 Tickets, FreeInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberRequest, Member, FailingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberReply, Done)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountQuota, Account, Used,
+                                                Held, Wanted, Minimum, Priority,
+                                                WaitingMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardQuota, Shard, Epoch,
+                                                Resolved, Sequence, Accounts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LedgerReport, Ledger, Epoch,
+                                                Version, Shards)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(QuotaRequest, Sender, Ledgers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountGrant, Account, Granted,
+                                                Refused, Contended)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardGrants, Shard, Epoch,
+                                                Sequence, Accepted, Accounts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LedgerGrants, Ledger, Epoch,
+                                                Shards)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(QuotaReply, Ledgers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status, NotOwner)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
--- /dev/null
+++ b/Source/Cell/QuotaLedger.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Base/TimerService.h"
+#include "Cell/PeerMessages.h"
+#include "Cell/QuotaAmount.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hickory {
+
+struct QuotaLedgerOptions {
+  /// Room that is too small for the need that has been refused longest is kept
+  /// for it after this time.
+  std::chrono::milliseconds HoldAfter{1000};
+  /// Amounts are recalled from other shards for a need that has been refused
+  /// for this time.
+  std::chrono::milliseconds RecallAfter{500};
+  /// A need that has not been reported again for this time is dropped. Owners
+  /// report refused needs about every 100 ms.
+  std::chrono::milliseconds NeedLifetime{400};
+};
+
+/// Amounts that the owners of the job shards hold of the caps of accounts: the
+/// decisions of the holder of the shard of the accounts' names, in one epoch.
+/// It keeps the sum of what is held by an account within its cap, and grants
+/// nothing before the owners of all job shards have reported.
+class QuotaLedger {
+public:
+  /// Shards is the number of job shards.
+  explicit QuotaLedger(int Shards, QuotaLedgerOptions Options = {})
+      : Shards_(static_cast<std::size_t>(Shards)), Options_(Options) {}
+
+  /// Version: of the configuration that has the caps.
+  void setCaps(const QuotaCaps &Caps, std::uint64_t Version) {
+    Caps_ = Caps;
+    Version_ = Version;
+  }
+  /// Records a term of a job shard that this process has learned of. Reports of
+  /// earlier ones have no effect.
+  void noteTerm(int Shard, std::uint64_t Epoch);
+  /// The takeover of the ledger's own shard is complete: all terms that had
+  /// begun before it are known.
+  void setResolved() { Resolved_ = true; }
+  /// Returns true once all job shards have reported, so that more is granted.
+  [[nodiscard]] bool isOpen() const { return Open_; }
+  /// Applies the report of a job shard's owner and decides what it gets.
+  /// Version: of the owner's configuration.
+  ShardGrants apply(const ShardQuota &Report, std::uint64_t Version,
+                    Clock::time_point Now);
+
+  struct Totals {
+    Resources Used;
+    Resources Held;
+    int Waiting = 0; ///< Number of shards with a need that is not met.
+  };
+  [[nodiscard]] Totals totalsOf(const std::string &Account,
+                                Clock::time_point Now) const;
+
+private:
+  struct JobShard {
+    std::uint64_t Term = 0;     ///< Latest known epoch.
+    std::uint64_t Epoch = 0;    ///< Of the latest report.
+    std::uint64_t Sequence = 0; ///< Of the latest report.
+    bool Reported = false;
+    ShardGrants Answer; ///< To the latest report.
+  };
+  struct Use {
+    AccountQuota Report;
+    /// The owner may have this much running: the larger of what it has reported
+    /// and what it was granted since.
+    Resources Held;
+    /// Below Held if the owner was asked to return the rest.
+    Resources Target;
+    Clock::time_point WaitingSince{};
+    Clock::time_point ReportedAt{};
+
+    /// Returns the amount beyond Held with which the waiting step can start.
+    [[nodiscard]] Resources minimum() const {
+      return plusSaturated(Report.Used, Report.Minimum).minusClamped(Held);
+    }
+    [[nodiscard]] Resources need() const {
+      return Report.Wanted.minusClamped(Held);
+    }
+  };
+  using Uses = std::map<int, Use>; ///< By job shard.
+
+  [[nodiscard]] bool isWaiting(const Use &Each, Clock::time_point Now) const {
+    return !Each.Report.Minimum.empty() && !Each.minimum().empty() &&
+           Now - Each.ReportedAt <= Options_.NeedLifetime;
+  }
+  void openIfReported();
+  AccountGrant decide(const std::string &Account, int Shard,
+                      std::uint64_t Version, Clock::time_point Now);
+  /// Returns what is left for the shard after the needs that were refused
+  /// before its own.
+  [[nodiscard]] Resources roomFor(const Uses &All, int Shard, Resources Room,
+                                  Clock::time_point Now) const;
+  /// Returns what the shard is to return for the need that was refused longest.
+  [[nodiscard]] Resources recallFrom(const Uses &All, int Shard,
+                                     const Resources &Room,
+                                     Clock::time_point Now) const;
+
+  std::vector<JobShard> Shards_;
+  QuotaLedgerOptions Options_;
+  QuotaCaps Caps_;
+  std::uint64_t Version_ = 0;
+  std::map<std::string, Uses> Accounts_;
+  bool Resolved_ = false;
+  bool Open_ = false;
+};
+
+} // namespace hickory
