Keep the tasks of an account within its cap

Cause: the caps of client accounts had no effect.

Change: QuotaClient calls the holders of the ledgers (/cell/quota) and answers for the ledgers that this process holds. Dispatcher starts only as many tasks as the allotment of (account, job shard) leaves, a gang whole or not at all, and skips steps of an account that has just been refused. JobOwner counts each run of a job with an account from before its placement until its end is confirmed, also of finished jobs; the final state names the account and its largest demand, so that a later owner counts the runs of a cancelled job. A submission that can never fit is answered 400 (gateway/over_quota). Gauges may have labels. Without an account with a cap, no call is made.

A refused step's need went stale while no pass ran, so that free room was granted to nobody (5 of 12 cores in use in testCapIsUsedAndNotExceeded); passes are now asked for before a need is reported again.

--- a/Source/Base/Metrics.cpp
+++ b/Source/Base/Metrics.cpp
@@ -39,8 +39,9 @@
   It->second.add(Value);
 }
 
-void Metrics::gauge(std::string Name, std::function<double()> ReadValue) {
-  Gauges_[std::move(Name)] = std::move(ReadValue);
+void Metrics::gauge(std::string Name, std::function<double()> ReadValue,
+                    const std::string &Labels) {
+  Gauges_[std::move(Name)][Labels] = std::move(ReadValue);
 }
 
 double Metrics::counterValue(std::string_view Name,
@@ -61,8 +62,13 @@
                   ? fmt::format("{} {}\n", Name, Value)
                   : fmt::format("{}{{{}}} {}\n", Name, Labels, Value);
   }
-  for (const auto &[Name, Read] : Gauges_)
-    Text += fmt::format("# TYPE {} gauge\n{} {}\n", Name, Name, Read());
+  for (const auto &[Name, ByLabels] : Gauges_) {
+    Text += fmt::format("# TYPE {} gauge\n", Name);
+    for (const auto &[Labels, Read] : ByLabels)
+      Text += Labels.empty()
+                  ? fmt::format("{} {}\n", Name, Read())
+                  : fmt::format("{}{{{}}} {}\n", Name, Labels, Read());
+  }
   for (const auto &[Name, Values] : Distributions_) {
     Text += fmt::format("# TYPE {} summary\n", Name);
     for (std::size_t I = 0; I < Probabilities.size(); ++I)
--- a/Source/Base/Metrics.h
+++ b/Source/Base/Metrics.h
@@ -47,7 +47,8 @@
   void observe(std::string_view Name, double Value);
   /// Registers a gauge. ReadValue is called by render() and must stay valid as
   /// long as this object.
-  void gauge(std::string Name, std::function<double()> ReadValue);
+  void gauge(std::string Name, std::function<double()> ReadValue,
+             const std::string &Labels = {});
   /// Returns 0 if nothing was counted.
   [[nodiscard]] double counterValue(std::string_view Name,
                                     std::string_view Labels = {}) const;
@@ -56,7 +57,7 @@
 private:
   std::map<std::string, std::map<std::string, double>, std::less<>> Counters_;
   std::map<std::string, Distribution, std::less<>> Distributions_;
-  std::map<std::string, std::function<double()>> Gauges_;
+  std::map<std::string, std::map<std::string, std::function<double()>>> Gauges_;
 };
 
 } // namespace hickory
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -31,6 +31,9 @@
       View_(Pool_, Map_), Peers_(Services.Peers, Options_.Address),
       Adviser_(Timers_, Services.Adviser, Peers_,
                {.Address = Options_.Address}),
+      Quota_(Context.get_executor(), Timers_, Map_, Jobs_, Shards_,
+             Configuration_, Peers_, Events_, Metrics_,
+             {.Address = Options_.Address, .Overage = Options_.QuotaOverage}),
       Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
                   Adviser_, Shards_, Configuration_, Events_, Metrics_,
                   Options_.Dispatch),
@@ -61,6 +64,11 @@
       Supervisor_(Context.get_executor(), Timers_) {
   Peers_.setLocal(Node_);
   Node_.setRelaySource(Operator_);
+  Jobs_.setQuota(Quota_.allotment());
+  Dispatcher_.setQuota(Quota_);
+  Node_.setQuota(Quota_);
+  Gateway_.setQuotaOverage(Options_.QuotaOverage);
+  Quota_.onGranted([this] { Dispatcher_.wake(); });
   Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
     Pool_.assign(Shard, Epoch);
     Jobs_.assign(Shard, Epoch);
@@ -128,6 +136,7 @@
                {{"address", Options_.Address}, {"shards", Options_.Shards}});
   Supervisor_.start();
   asio::co_spawn(Context_, Dispatcher_.run(), asio::detached);
+  asio::co_spawn(Context_, Quota_.run(), asio::detached);
   Node_.start();
 }
 
@@ -160,6 +169,7 @@
     Events_.emit("configuration", "in_force",
                  {{"version", Configuration_.Version},
                   {"queues", Configuration_.Queues.size()}});
+    Quota_.handleConfiguration();
   }
   Dispatcher_.wake();
 }
@@ -181,6 +191,7 @@
 void CellDaemon::stop() {
   Events_.emit("daemon", "stopped");
   Dispatcher_.stop();
+  Quota_.stop();
   Node_.stop();
   Pool_.stop();
 }
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -14,6 +14,7 @@
 #include "Cell/HttpCellPeer.h"
 #include "Cell/JobOwner.h"
 #include "Cell/KeyedFollower.h"
+#include "Cell/QuotaClient.h"
 #include "Cell/ShardMembership.h"
 #include "Cell/WorkerList.h"
 #include "Cell/WorkerPool.h"
@@ -34,6 +35,8 @@
   JobOwnerOptions Jobs;
   DispatcherOptions Dispatch;
   CellNodeOptions Node;
+  /// Part of the cap of an account by which its tasks may exceed the cap.
+  double QuotaOverage = 0;
   EventLogOptions Events;
 };
 
@@ -87,6 +90,7 @@
   CapacityView View_;
   HttpCellPeer Peers_;
   AdviceRouter Adviser_;
+  QuotaClient Quota_;
   Dispatcher Dispatcher_;
   CellNode Node_;
   CellGateway Gateway_;
--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -1,9 +1,16 @@
 #include "Cell/CellGateway.h"
 
+#include "Cell/QuotaAmount.h"
+
+#include <algorithm>
+
 namespace hickory {
 
 namespace {
 
+constexpr int Accepted = 200;
+constexpr int Malformed = 400;
+constexpr int NoSuchJob = 410;
 constexpr int Refused = 503;
 constexpr int OutcomeUnknown = 504;
 /// Time after which a refused client is told to retry. The takeover of a shard
@@ -47,7 +54,37 @@
   return Answer;
 }
 
+const StepSpec *CellGateway::findOverQuota(const JobSpec &Job) const {
+  const ClientAccount *Account = Configuration_.findAccount(Job.Account);
+  if (Account == nullptr)
+    return nullptr;
+  const auto It = std::ranges::find_if(Job.Steps, [&](const StepSpec &Step) {
+    return !canEverStart(Step, Account->Cap, QuotaOverage_);
+  });
+  return It == Job.Steps.end() ? nullptr : &*It;
+}
+
+asio::awaitable<GatewayAnswer> CellGateway::answerOverQuota(JobSpec Job,
+                                                            StepSpec Step) {
+  const GatewayAnswer Known = co_await state(Job.Id);
+  const bool IsUnknown = Known.Status == NoSuchJob;
+  if (IsUnknown) {
+    Events_.emit("gateway", "over_quota",
+                 {{"job", Job.Id},
+                  {"account", Job.Account},
+                  {"tasks", Step.Gang ? Step.Count : 1},
+                  {"demand", startDemand(Step).toString()}});
+  }
+  if (IsUnknown || Known.Status == Accepted)
+    co_return GatewayAnswer{.Status = IsUnknown ? Malformed : Accepted};
+  co_return GatewayAnswer{.RetryAfter = retryDelay()};
+}
+
 asio::awaitable<GatewayAnswer> CellGateway::submit(JobSpec Job) {
+  if (const StepSpec *Step = findOverQuota(Job)) {
+    StepSpec Copy = *Step;
+    co_return co_await answerOverQuota(std::move(Job), std::move(Copy));
+  }
   const std::string Id = Job.Id;
   const Clock::time_point GiveUpAt = Timers_.now() + SubmitRetryTime;
   int Attempts = 0;
--- a/Source/Cell/CellGateway.h
+++ b/Source/Cell/CellGateway.h
@@ -34,6 +34,9 @@
     return Configuration_.findQueue(Host, Path);
   }
 
+  /// Sets the part of a cap by which a task or gang that starts alone may
+  /// exceed it.
+  void setQuotaOverage(double Overage) { QuotaOverage_ = Overage; }
   asio::awaitable<GatewayAnswer> submit(JobSpec Job);
   asio::awaitable<GatewayAnswer> state(std::string Id);
   asio::awaitable<GatewayAnswer> cancel(std::string Id);
@@ -41,6 +44,12 @@
 
 private:
   [[nodiscard]] std::optional<std::string> ownerOf(const std::string &Id) const;
+  /// Returns the first step that can never start because of the account's cap;
+  /// null if there is none.
+  [[nodiscard]] const StepSpec *findOverQuota(const JobSpec &Job) const;
+  /// Answers a submission that can never run: 400, unless an earlier
+  /// configuration let the job be accepted.
+  asio::awaitable<GatewayAnswer> answerOverQuota(JobSpec Job, StepSpec Step);
   /// Returns how long a refused client should wait before it retries.
   [[nodiscard]] std::chrono::seconds retryDelay() const;
   GatewayAnswer makeAnswer(const std::string &Id, const char *Call,
@@ -53,6 +62,7 @@
   const CellConfiguration &Configuration_;
   TimerService &Timers_;
   EventLog &Events_;
+  double QuotaOverage_ = 0;
 };
 
 } // namespace hickory
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -165,6 +165,10 @@
           .FailureDomain = Options_.FailureDomain};
 }
 
+QuotaReply CellNode::quota(const QuotaRequest &Request) {
+  return Quota_ == nullptr ? QuotaReply{} : Quota_->answer(Request);
+}
+
 asio::awaitable<void> CellNode::startRun(ShardEpoch Job, PlaceOrder Order,
                                          std::shared_ptr<PlaceReply> Reply,
                                          std::size_t Index) {
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -6,6 +6,7 @@
 #include "Cell/Dispatcher.h"
 #include "Cell/JobOwner.h"
 #include "Cell/KeyedFollower.h"
+#include "Cell/QuotaClient.h"
 #include "Cell/ShardMembership.h"
 #include "Cell/WaitingJobsView.h"
 #include "Cell/WorkerPool.h"
@@ -63,6 +64,7 @@
   PreemptReply preempt(const PreemptRequest &Request) override;
   asio::awaitable<EndsReply> reportEnds(EndsRequest Request) override;
   ExchangeReply exchange(const ExchangeRequest &Request) override;
+  QuotaReply quota(const QuotaRequest &Request) override;
   asio::awaitable<AdviseReply> advise(AdviseRequest Request) override;
   asio::awaitable<RemoveMemberReply>
   removeMember(RemoveMemberRequest Request) override;
@@ -80,6 +82,7 @@
   [[nodiscard]] std::set<std::string> owners() const;
   /// Sets the source of the records for relayRecords(). Without it, no process
   /// gets any.
+  void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
   void setRelaySource(KeyedFollower &Source) { RelaySource_ = &Source; }
   /// Returns the owners in this process's failure domain, except itself, that
   /// have answered the latest exchange.
@@ -138,6 +141,7 @@
   Notifier ExchangeDue_;
   Notifier EndsDue_;
   KeyedFollower *RelaySource_ = nullptr;
+  QuotaClient *Quota_ = nullptr;
   std::map<std::string, std::string> FailureDomains_; ///< By peer.
   std::set<std::string> Exchanging_;
   /// Start of the first call that failed since the latest answer, by address.
--- a/Source/Cell/CellPeer.h
+++ b/Source/Cell/CellPeer.h
@@ -19,6 +19,9 @@
   virtual PreemptReply preempt(const PreemptRequest &Request) = 0;
   virtual asio::awaitable<EndsReply> reportEnds(EndsRequest Request) = 0;
   virtual ExchangeReply exchange(const ExchangeRequest &Request) = 0;
+  /// Reports what jobs use of the caps of accounts whose ledgers the receiver
+  /// holds, and asks for more.
+  virtual QuotaReply quota(const QuotaRequest &Request) = 0;
   /// Calls the adviser on behalf of another process whose own channel is busy
   /// or does not carry calls of this kind.
   virtual asio::awaitable<AdviseReply> advise(AdviseRequest Request) = 0;
@@ -50,6 +53,8 @@
   reportEnds(std::string Address, EndsRequest Request) = 0;
   virtual asio::awaitable<Result<ExchangeReply>>
   exchange(std::string Address, ExchangeRequest Request) = 0;
+  virtual asio::awaitable<Result<QuotaReply>> quota(std::string Address,
+                                                    QuotaRequest Request) = 0;
   virtual asio::awaitable<Result<AdviseReply>>
   advise(std::string Address, AdviseRequest Request) = 0;
   virtual asio::awaitable<Result<RemoveMemberReply>>
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
 #include "Cell/GangWait.h"
+#include "Cell/QuotaClient.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -112,7 +113,13 @@
   for (const auto &[Id, Job] : Jobs_.activeJobs()) {
     if (!WithDeferrable && Job->Progress.spec().Queue.Priority > 0)
       continue;
+    const JobSpec &Spec = Job->Progress.spec();
     for (ReadyStep &Step : Job->Progress.readySteps()) {
+      // It would take the place of a step that can start.
+      if (Quota_ != nullptr &&
+          Quota_->isBlocked(Job->Shard, Spec.Account,
+                            Spec.Steps[static_cast<std::size_t>(Step.Step)]))
+        continue;
       if (const auto It = Job->NotBefore.find({Step.Occurrence, Step.Step});
           It != Job->NotBefore.end() && It->second > Now)
         continue;
@@ -289,6 +296,19 @@
     dispatchTasks(Schedulable);
 }
 
+int Dispatcher::withinQuota(const SchedulableStep &Schedulable,
+                            std::size_t Count) {
+  const auto Tasks = static_cast<int>(Count);
+  if (Quota_ == nullptr || Tasks == 0 || Schedulable.job().Account.empty())
+    return Tasks;
+  return Quota_->startable({.Shard = Schedulable.Job->Shard,
+                            .Account = Schedulable.job().Account,
+                            .Name = Schedulable.stepName(),
+                            .Spec = &Schedulable.step(),
+                            .Priority = Schedulable.job().Queue.Priority},
+                           Tasks, Schedulable.Job->Accepted);
+}
+
 void Dispatcher::dispatchTasks(const SchedulableStep &Schedulable) {
   const bool Accepted = Schedulable.Job->Accepted;
   const auto Candidates = candidatesFor(Schedulable);
@@ -296,8 +316,12 @@
   std::vector<std::size_t> Chosen;
   if (Accepted)
     Chosen = placeStep(Schedulable.need(), Permitted);
-  Orders_.place(Schedulable, Permitted, Chosen);
+  else if (!Candidates.empty())
+    withinQuota(Schedulable, Schedulable.Step.Tasks.size());
   const int Left = Schedulable.need().Count - static_cast<int>(Chosen.size());
+  Chosen.resize(
+      static_cast<std::size_t>(withinQuota(Schedulable, Chosen.size())));
+  Orders_.place(Schedulable, Permitted, Chosen);
   if (Schedulable.job().Queue.Advice && Left > 0 &&
       (Accepted || Permitted.empty()))
     startAdviceCall(Schedulable, Candidates, Left);
@@ -310,8 +334,12 @@
   std::vector<std::size_t> Chosen;
   if (Accepted)
     Chosen = placeStep(Schedulable.need(), Permitted);
+  else if (!Candidates.empty())
+    withinQuota(Schedulable, Schedulable.Step.Tasks.size());
   if (!Chosen.empty()) {
-    Orders_.place(Schedulable, Permitted, Chosen);
+    // Without its quota, it claims no workers.
+    if (withinQuota(Schedulable, Chosen.size()) == std::ssize(Chosen))
+      Orders_.place(Schedulable, Permitted, Chosen);
     return;
   }
   if (Accepted)
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds GangWaitEventInterval{500};
 };
 
+class QuotaClient;
+
 /// Starts the ready steps of the jobs that this process owns: asks the adviser
 /// which workers may run them, chooses workers and sends the placements.
 ///
@@ -58,6 +60,8 @@
   void wake() { Wake_.notify(); }
   void stop();
 
+  /// Sets what limits the tasks of accounts with a cap.
+  void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
   [[nodiscard]] GangClaimManager &gangClaims() { return Gangs_; }
   [[nodiscard]] RunOrderSender &orderSender() { return Orders_; }
 
@@ -77,6 +81,9 @@
   /// are done, so that they do not wait for it then.
   void learnForUpcomingGangs();
   void dispatchStep(const SchedulableStep &Schedulable);
+  /// Returns how many of Count tasks of the step its account may start now. For
+  /// a job that is not accepted yet, only asks for what it will need.
+  int withinQuota(const SchedulableStep &Schedulable, std::size_t Count);
   /// Places the tasks of the step that fit on workers with a valid ticket, and
   /// asks for advice about workers for the rest.
   void dispatchTasks(const SchedulableStep &Schedulable);
@@ -142,6 +149,7 @@
   EventLog &Events_;
   Metrics &Counters_;
   DispatcherOptions Options_;
+  QuotaClient *Quota_ = nullptr;
   Notifier Wake_;
   std::map<std::string, double> GoodShare_; ///< By queue.
   RunOrderSender Orders_;
--- a/Source/Cell/HttpCellPeer.cpp
+++ b/Source/Cell/HttpCellPeer.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::string_view PathPrefix = "/cell/";
 constexpr std::chrono::milliseconds ShortTimeout{1000};
+/// Short, as no other call is sent to the holder meanwhile.
+constexpr std::chrono::milliseconds QuotaTimeout{500};
 /// For a transfer of many records that goes on.
 constexpr std::chrono::milliseconds TransferTimeout{8000};
 /// Added to twice the time that the adviser needs for a call.
@@ -48,6 +50,7 @@
                                                       true};
 const HttpCellPeer::CallKind HttpCellPeer::Exchange{"exchange", ShortTimeout,
                                                     true};
+const HttpCellPeer::CallKind HttpCellPeer::Quota{"quota", QuotaTimeout, true};
 const HttpCellPeer::CallKind HttpCellPeer::Advise{"advise", AdviceMargin,
                                                   false};
 const HttpCellPeer::CallKind HttpCellPeer::RemoveMember{"relieve",
@@ -122,6 +125,13 @@
                                          json(Request));
 }
 
+asio::awaitable<Result<QuotaReply>> HttpCellPeer::quota(std::string Address,
+                                                        QuotaRequest Request) {
+  if (Address == OwnAddress_)
+    co_return Local_->quota(Request);
+  co_return co_await send<QuotaReply>(std::move(Address), Quota, json(Request));
+}
+
 asio::awaitable<Result<AdviseReply>>
 HttpCellPeer::advise(std::string Address, AdviseRequest Request) {
   if (Address == OwnAddress_)
@@ -183,6 +193,8 @@
     co_return co_await Handler.reportEnds(Body.get<EndsRequest>());
   if (Name == "exchange")
     co_return Handler.exchange(Body.get<ExchangeRequest>());
+  if (Name == "quota")
+    co_return Handler.quota(Body.get<QuotaRequest>());
   if (Name == "advise")
     co_return co_await Handler.advise(Body.get<AdviseRequest>());
   if (Name == "relieve")
--- a/Source/Cell/HttpCellPeer.h
+++ b/Source/Cell/HttpCellPeer.h
@@ -26,6 +26,8 @@
                                                 EndsRequest Request) override;
   asio::awaitable<Result<ExchangeReply>>
   exchange(std::string Address, ExchangeRequest Request) override;
+  asio::awaitable<Result<QuotaReply>> quota(std::string Address,
+                                            QuotaRequest Request) override;
   asio::awaitable<Result<AdviseReply>> advise(std::string Address,
                                               AdviseRequest Request) override;
   asio::awaitable<Result<RemoveMemberReply>>
@@ -52,6 +54,7 @@
   static const CallKind Preempt;
   static const CallKind ReportEnds;
   static const CallKind Exchange;
+  static const CallKind Quota;
   static const CallKind Advise;
   static const CallKind RemoveMember;
   static const CallKind RelayRecords;
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -15,6 +15,9 @@
 constexpr const char *JobPrefix = "j/";
 constexpr const char *ProgressPrefix = "p/";
 constexpr const char *WorkerPrefix = "w/";
+/// Fields of the final state of a job that has an account.
+constexpr const char *AccountField = "account";
+constexpr const char *LargestDemandField = "largest_demand";
 /// Key of appends that only confirm the ownership. They have no value and thus
 /// leave no record behind.
 constexpr const char *ConfirmationKey = "t/";
@@ -56,6 +59,23 @@
           .Capacity = Value.at("capacity").get<Resources>()};
 }
 
+/// Returns the account that a final state names; empty if it names none, or is
+/// unreadable.
+std::string accountOf(const KeyedRecord &Record) {
+  const json Value = json::parse(Record.Value.value_or(""), nullptr, false);
+  const bool IsNamed = Value.is_object() && Value.contains(AccountField) &&
+                       Value[AccountField].is_string();
+  return IsNamed ? Value[AccountField].get<std::string>() : std::string();
+}
+
+Resources largestDemandOf(const KeyedRecord &Record) {
+  try {
+    return valueOf(Record).value(LargestDemandField, Resources{});
+  } catch (const json::exception &) {
+    return {};
+  }
+}
+
 bool isSameRun(const RunReport &Report, const RunId &Run) {
   return Report.Run == Run.Run && Report.Worker == Run.Worker &&
          Report.Task == Run.Task.toString();
@@ -86,6 +106,8 @@
   revoke(Number);
   OwnedShard &Owned = Shards_[Number];
   Owned.Epoch = Epoch;
+  if (Quota_ != nullptr)
+    Quota_->openShard(Number, Epoch);
   ShardJournalOptions Options{
       .Topic = Options_.Topic, .Shard = Number, .Epoch = Epoch};
   Options.Limits = Options_.Limits;
@@ -134,7 +156,9 @@
   const std::string Id = idOf(Record);
   JobPointer &Job = Owned.Jobs[Id];
   if (!Job) {
-    Job = std::make_shared<OwnedJob>(JobSpec{.Id = Id}, Owned.Journal);
+    JobSpec Spec{.Id = Id, .Account = accountOf(Record)};
+    Job = std::make_shared<OwnedJob>(std::move(Spec), Owned.Journal);
+    Job->LargestDemand = largestDemandOf(Record);
     Job->Shard = Number;
     Job->Accepted = true;
     Job->Inherited = true;
@@ -200,6 +224,8 @@
     return;
   for (const auto &[Id, Job] : It->second.Jobs)
     Active_.erase(Id);
+  if (Quota_ != nullptr)
+    Quota_->closeShard(Number);
   const auto Journal = It->second.Journal;
   Shards_.erase(It);
   Journal->stop();
@@ -429,9 +455,18 @@
     Records.clear();
     failUnstorable(Job);
   }
-  const json Final = {{"state", nameOf(Job->Progress.state())},
-                      {"occurrences", 0},
-                      {"steps", json::array()}};
+  json Final = {{"state", nameOf(Job->Progress.state())},
+                {"occurrences", 0},
+                {"steps", json::array()}};
+  const JobSpec &Spec = Job->Progress.spec();
+  if (!Spec.Account.empty()) {
+    // A later owner counts the runs that are still being stopped.
+    Resources Largest = Job->LargestDemand;
+    for (const StepSpec &Step : Spec.Steps)
+      Largest = maximumOf(Largest, Step.Demand);
+    Final[AccountField] = Spec.Account;
+    Final[LargestDemandField] = Largest;
+  }
   Records.push_back({.Key = ProgressPrefix + Id, .Value = Final.dump()});
   Records.push_back({.Key = JobPrefix + Id});
   return Records;
@@ -493,6 +528,7 @@
 ProgressEffect JobOwner::endRun(OwnedJob &Job, const RunId &Run,
                                 RunOutcome Outcome,
                                 const std::string &Checkpoint) {
+  uncountRun(Run);
   ProgressEffect Effect =
       Job.Progress.markEnded(Run, Outcome, Checkpoint, Timers_.now());
   if (Effect.Applied && RunEnded_)
@@ -502,10 +538,14 @@
 
 JobOwner::JobPointer JobOwner::applyEnd(const EndReport &End) {
   const auto Task = TaskName::parse(End.Task);
-  const JobPointer Job = Task ? findJob(Task->Job) : nullptr;
-  if (!Job)
+  if (!Task)
     return nullptr;
   const RunId Run{.Task = *Task, .Run = End.Run, .Worker = End.Worker};
+  const JobPointer Job = findJob(Task->Job);
+  if (!Job) {
+    uncountRun(Run);
+    return nullptr;
+  }
   const ProgressEffect Effect =
       endRun(*Job, Run, runOutcomeFromName(End.How), End.Checkpoint);
   if (Effect.Applied)
@@ -588,13 +628,41 @@
 void JobOwner::markOrdered(const RunId &Run) {
   if (const JobPointer Job = findJob(Run.Task.Job))
     Job->Progress.restartPhaseTimer(Run, Timers_.now());
+  confirmRun(Run);
 }
 
 void JobOwner::markStarted(const RunId &Run) {
+  confirmRun(Run);
   if (const JobPointer Job = findJob(Run.Task.Job))
     applyEffect(Job, Job->Progress.markRunning(Run, {}, Timers_.now()));
 }
 
+void JobOwner::countRun(const OwnedJob &Job, const RunId &Run) {
+  const JobSpec &Spec = Job.Progress.spec();
+  if (Quota_ == nullptr || Spec.Account.empty())
+    return;
+  const auto Step = static_cast<std::size_t>(Run.Task.Step);
+  Quota_->beginRun(Job.Shard, Spec.Account, Run,
+                   Step < Spec.Steps.size() ? Spec.Steps[Step].Demand
+                                            : Job.LargestDemand,
+                   Timers_.now());
+}
+
+void JobOwner::confirmRun(const RunId &Run) {
+  if (Quota_ != nullptr)
+    Quota_->confirmRun(Map_.shardOf(Run.Task.Job), Run, Timers_.now());
+}
+
+void JobOwner::uncountRun(const RunId &Run) {
+  if (Quota_ != nullptr)
+    Quota_->endRun(Map_.shardOf(Run.Task.Job), Run);
+}
+
+bool JobOwner::isResolved(int Shard) const {
+  const auto It = Shards_.find(Shard);
+  return It != Shards_.end() && It->second.Resolved;
+}
+
 void JobOwner::invalidateTicket(const RunId &Run) {
   if (const JobPointer Job = findJob(Run.Task.Job))
     Job->Advice[{Run.Task.Occurrence, Run.Task.Step}].invalidateTicket(
@@ -602,6 +670,7 @@
 }
 
 void JobOwner::markRejected(const RunId &Run, Clock::time_point NotBefore) {
+  uncountRun(Run);
   const JobPointer Job = findJob(Run.Task.Job);
   if (!Job)
     return;
@@ -611,6 +680,8 @@
 
 void JobOwner::markNotStarted(const std::vector<RunId> &Members,
                               Clock::time_point NotBefore) {
+  for (const RunId &Run : Members)
+    uncountRun(Run);
   const TaskName &Task = Members.front().Task;
   const JobPointer Job = findJob(Task.Job);
   if (!Job)
@@ -643,6 +714,8 @@
 
 void JobOwner::adopt(const JobPointer &Job, const RunId &Run,
                      const RunReport &Report) {
+  // Also a run that is refused, or of a finished job.
+  countRun(*Job, Run);
   const ProgressEffect Effect = Job->Progress.markRunning(
       Run, Report.Checkpoint, Timers_.now(), Report.Begun);
   if (Effect.Applied || !Effect.Stop.empty())
@@ -705,6 +778,8 @@
       if (IsAbsent(Run, Since))
         Absent.push_back(std::move(Run));
   }
+  if (Quota_ != nullptr)
+    Quota_->endRuns(IsAbsent);
   for (const RunId &Run : Absent)
     if (const JobPointer Job = findJob(Run.Task.Job)) {
       Events_.emit("jobs", "run_absent",
@@ -732,7 +807,7 @@
     for (const HeldShard &Entry : Reply.Held)
       if (Entry.Ready && !Unresolved.contains(Entry.Shard))
         Owned.Reported[Entry.Shard] = Member;
-    resolveIfAllReported(Owned);
+    resolveIfAllReported(Number, Owned);
     const bool AllReported =
         static_cast<int>(Owned.Reported.size()) == Map_.count();
     if (!Owned.Resolved && AllReported && HolderListNeeded_)
@@ -743,10 +818,10 @@
 void JobOwner::handleHolderList() {
   for (auto &[Number, Owned] : Shards_)
     if (Owned.Ready && !Owned.Resolved)
-      resolveIfAllReported(Owned);
+      resolveIfAllReported(Number, Owned);
 }
 
-void JobOwner::resolveIfAllReported(OwnedShard &Owned) {
+void JobOwner::resolveIfAllReported(int Number, OwnedShard &Owned) {
   // A process that has lost its shard without noticing sends stale reports.
   // Only reports of holders that the store has listed since the takeover count.
   const bool Complete =
@@ -758,6 +833,8 @@
   if (!Complete)
     return;
   Owned.Resolved = true;
+  if (Quota_ != nullptr)
+    Quota_->setResolved(Number);
   resolveUnknownRuns(Owned);
 }
 
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -2,6 +2,7 @@
 
 #include "Base/EventLog.h"
 #include "Cell/PeerMessages.h"
+#include "Cell/QuotaAllotment.h"
 #include "Cell/ShardJournal.h"
 #include "Cell/ShardMap.h"
 #include "Cell/StepAdvice.h"
@@ -46,6 +47,9 @@
   bool MayBeStored = false;   ///< Outcome of a write is unknown.
   /// The journal's record of its progress can't be read: the job is not run.
   bool Unreadable = false;
+  /// Largest demand of a task, if the journal has only the final state. Zero
+  /// for jobs without an account.
+  Resources LargestDemand;
   bool FinalStateWritten = false; ///< Final state is in the journal.
   bool MustStore = false;    ///< A write of its progress is due or in progress.
   std::uint64_t Version = 0; ///< Number of durable changes.
@@ -135,6 +139,16 @@
     StopRuns_ = std::move(Callback);
   }
 
+  /// Sets what counts the runs of accounts. It is told of each run from before
+  /// its placement until its end is confirmed.
+  void setQuota(QuotaAllotment &Quota) { Quota_ = &Quota; }
+  /// Counts a run of the job that is about to be placed, or that exists.
+  void countRun(const OwnedJob &Job, const RunId &Run);
+  /// Records that the run does not exist (any more).
+  void uncountRun(const RunId &Run);
+  /// Returns true if the takeover of the owned shard is complete.
+  [[nodiscard]] bool isResolved(int Shard) const;
+
   /// Takes ownership of the shard: sets its epoch and reads its journal.
   void assign(int Shard, std::uint64_t Epoch);
   void revoke(int Shard);
@@ -287,6 +301,8 @@
   /// Applies the end of a run and returns its job; null if the job is unknown.
   JobPointer applyEnd(const EndReport &End);
   void suspectRun(const RunReference &Suspect);
+  /// Reports that were sent before do not prove the end of the run.
+  void confirmRun(const RunId &Run);
   /// Records and stores whether the worker of a run may have crashed.
   void setCrashPossible(const JobPointer &Job, const RunId &Run, bool Possible);
   /// Stores the job's progress without waiting for the end of a run; tick()
@@ -305,7 +321,7 @@
                      Clock::time_point SentAt);
   /// Completes the takeover of the shard once the holders of all shards have
   /// reported the runs on their workers.
-  void resolveIfAllReported(OwnedShard &Owned);
+  void resolveIfAllReported(int Number, OwnedShard &Owned);
   /// Makes the tasks ready to start again of which no holder has reported a
   /// run.
   void resolveUnknownRuns(OwnedShard &Owned);
@@ -328,6 +344,7 @@
   std::function<void(std::vector<RunId>)> StopRuns_;
   std::function<bool(int, const std::string &, Clock::time_point)> HolderCheck_;
   std::function<void()> HolderListNeeded_;
+  QuotaAllotment *Quota_ = nullptr;
   std::map<int, OwnedShard> Shards_;
   std::map<std::string, JobPointer> Active_;
 };
--- a/Source/Cell/QuotaAllotment.cpp
+++ b/Source/Cell/QuotaAllotment.cpp
@@ -73,8 +73,11 @@
   const auto Counted = It->second.Runs.find(keyOf(Run));
   if (Counted == It->second.Runs.end())
     return;
-  Use &Entry = It->second.Accounts[Counted->second.Account];
+  const std::string &Account = Counted->second.Account;
+  Use &Entry = It->second.Accounts[Account];
   Entry.Used = Entry.Used.minusClamped(Counted->second.Demand);
+  if (Entry.Used.empty() && !Caps_.contains(Account))
+    It->second.Accounts.erase(Account);
   It->second.Runs.erase(Counted);
 }
 
@@ -161,7 +164,7 @@
   if (Account.empty() || !Caps_.contains(Account))
     return false;
   const Use *Entry = findUse(Shard, Account);
-  return Entry != nullptr && Now < Entry->RetryAt &&
+  return Entry != nullptr && Now < Entry->BlockedUntil &&
          !startDemand(Step).fitsIn(Entry->room());
 }
 
@@ -187,6 +190,17 @@
   return Found;
 }
 
+bool QuotaAllotment::takeUnblocked(Clock::time_point Now) {
+  bool Found = false;
+  for (auto &[Number, Owned] : Shards_)
+    for (auto &[Account, Entry] : Owned.Accounts)
+      if (Entry.Blocked && Now >= Entry.BlockedUntil) {
+        Entry.Blocked = false;
+        Found = true;
+      }
+  return Found;
+}
+
 void QuotaAllotment::rollPeaks(Use &Account, Clock::time_point Now) const {
   const auto Passed = Now - Account.PeakSince;
   if (Passed < Options_.KeepTime)
@@ -252,6 +266,11 @@
       else
         Entry.Granted = {};
     }
+    std::erase_if(Owned.Accounts, [&](const auto &NameAndUse) {
+      const Use &Entry = NameAndUse.second;
+      return Map_.shardOf(NameAndUse.first) == Ledger && Entry.Used.empty() &&
+             Entry.Granted.empty() && Entry.Needs.empty();
+    });
     Report.Shards.push_back(std::move(Shard));
   }
   return Report;
@@ -285,9 +304,12 @@
       Target.Granted = Grant.Granted;
       Target.Contended = Grant.Contended;
       Target.RetryAt = {};
+      Target.BlockedUntil = {};
       rollPeaks(Target, Now);
       if (Grant.Refused) {
         Target.RetryAt = Now + Options_.RetryDelay;
+        Target.BlockedUntil = Now + Options_.BlockedTime;
+        Target.Blocked = true;
       } else if (Raised) {
         // The next passes start the steps, or report what is still missing.
         Target.Needs.clear();
--- a/Source/Cell/QuotaAllotment.h
+++ b/Source/Cell/QuotaAllotment.h
@@ -25,6 +25,9 @@
   std::chrono::milliseconds GrantTime{100};
   /// Time until a refused need is reported again.
   std::chrono::milliseconds RetryDelay{100};
+  /// Time for which passes skip the steps after a refusal. Shorter, so that a
+  /// pass has renewed the needs before they are reported again.
+  std::chrono::milliseconds BlockedTime{70};
   /// A need that no pass has seen for this time is dropped.
   std::chrono::milliseconds NeedLifetime{250};
   /// A step refused for this time is not passed by steps that are not more
@@ -95,6 +98,9 @@
   /// Returns the ledgers that should be called before their next regular report
   /// is due: something is needed, or others wait for what is not used.
   [[nodiscard]] std::set<int> ledgersToCall(Clock::time_point Now);
+  /// Returns true if steps are no longer blocked that were so at the latest
+  /// call.
+  [[nodiscard]] bool takeUnblocked(Clock::time_point Now);
   /// Lowers the allotments to what is needed, and returns the report about all
   /// owned shards for a ledger in the highest known epoch; it has no shards if
   /// there is nothing to report.
@@ -137,6 +143,8 @@
     bool Contended = false;
     Clock::time_point KeepUntil{}; ///< See GrantTime.
     Clock::time_point RetryAt{};
+    Clock::time_point BlockedUntil{};
+    bool Blocked = false; ///< No pass was asked for since BlockedUntil.
 
     [[nodiscard]] Resources room() const { return Granted.minusClamped(Used); }
   };
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -77,6 +77,7 @@
 std::string RunOrderSender::beginPlacement(const SchedulableStep &Schedulable,
                                            const PendingPlacement &Placement) {
   Schedulable.Job->Progress.markPlacing(Placement.Run, Timers_.now());
+  Jobs_.countRun(*Schedulable.Job, Placement.Run);
   PendingOrders_.insert(keyOf(Placement.Run));
   View_.reserveInFlight(Placement.Run.Worker, Placement.Order.Demand);
   return Shards_.holderOf(Map_.shardOf(Placement.Run.Worker)).value_or("");
@@ -226,7 +227,8 @@
   for (GangMember &Member : Gang.Members) {
     if (Member.Reserved)
       continue;
-    const RunId &Rejected = Member.Placement.Run;
+    const RunId Rejected = Member.Placement.Run;
+    Jobs_.uncountRun(Rejected);
     const Candidate &Replacement = Candidates[Chosen[Next++]];
     Member.Placement = makePlacement(Schedulable, Rejected.Run,
                                      Rejected.Task.Index, Replacement);
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -211,6 +211,9 @@
               Events_, Map_, {}),
         View_(Pool_, Map_), Peers_(NetworkClient_, Address),
         Adviser_(Environment.Timers, Advice_, Peers_, {.Address = Address}),
+        Quota_(Environment.Context.get_executor(), Environment.Timers, Map_,
+               Jobs_, Shards_, Environment.Configuration, Peers_, Events_,
+               Metrics_, {.Address = Address}),
         Dispatcher_(Environment.Context.get_executor(), Environment.Timers,
                     Jobs_, View_, Peers_, Adviser_, Shards_,
                     Environment.Configuration, Events_, Metrics_,
@@ -234,6 +237,7 @@
     });
     Supervisor_.start();
     asio::co_spawn(Environment.Context, Dispatcher_.run(), asio::detached);
+    asio::co_spawn(Environment.Context, Quota_.run(), asio::detached);
     Node_.start();
   }
 
@@ -244,6 +248,7 @@
     WorkersFollower_.stop();
     Shards_.stop();
     Dispatcher_.stop();
+    Quota_.stop();
     Node_.stop();
     Pool_.stop();
   }
@@ -261,6 +266,7 @@
   [[nodiscard]] const std::string &address() const { return Address_; }
   [[nodiscard]] const std::string &member() const { return Member_; }
   [[nodiscard]] CellGateway &gateway() { return Gateway_; }
+  [[nodiscard]] QuotaClient &quota() { return Quota_; }
   [[nodiscard]] CellNode &node() { return Node_; }
   [[nodiscard]] JobOwner &jobs() { return Jobs_; }
   [[nodiscard]] ShardMembership &shards() { return Shards_; }
@@ -271,6 +277,11 @@
   void wire() {
     Advice_.RuleOf = Environment_.AdviceRuleOf;
     Peers_.setLocal(Node_);
+    Jobs_.setQuota(Quota_.allotment());
+    Dispatcher_.setQuota(Quota_);
+    Node_.setQuota(Quota_);
+    Quota_.onGranted([this] { Dispatcher_.wake(); });
+    Quota_.handleConfiguration();
     Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
       Pool_.assign(Shard, Epoch);
       Jobs_.assign(Shard, Epoch);
@@ -354,6 +365,7 @@
   CapacityView View_;
   HttpCellPeer Peers_;
   AdviceRouter Adviser_;
+  QuotaClient Quota_;
   Dispatcher Dispatcher_;
   CellNode Node_;
   CellGateway Gateway_;
@@ -432,6 +444,11 @@
     Step.EstimatedDuration = std::chrono::milliseconds(300);
     return Step;
   }
+  /// Makes the job known to the checks. Done by submit().
+  void remember(const JobSpec &Job) {
+    Environment.History.submitted(Job);
+    Jobs_.insert_or_assign(Job.Id, Job);
+  }
   /// Submits the job at the process, and then at others until it is accepted or
   /// refused.
   void submit(TestCellNode &At, const JobSpec &Job) {
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -121,6 +121,10 @@
   removeMember(std::string, RemoveMemberRequest) override {
     co_return notImplemented();
   }
+  asio::awaitable<Result<QuotaReply>> quota(std::string,
+                                            QuotaRequest) override {
+    co_return notImplemented();
+  }
   asio::awaitable<Result<RecordsReply>> relayRecords(std::string Address,
                                                      RecordsRequest) override {
     Relayed.insert(std::move(Address));
