--- a/Source/Cell/DispatchOrder.h
+++ b/Source/Cell/DispatchOrder.h
@@ -12,13 +12,16 @@
   bool Deferrable = false; ///< The queue is not of the most urgent priority.
   bool Late = false;       ///< The step can't meet its objective any more.
   bool Overdue = false;    ///< Nor any multiple of it that still has a value.
+  /// The job is above the share of its account while others wait.
+  bool AboveShare = false;
   /// Latest start that meets the objective; for a late step, the multiple of it
   /// up to which its completion still has a value.
   Clock::time_point StartBy{};
 
   bool operator<(const DispatchRank &Other) const {
-    return std::tie(Deferrable, Overdue, StartBy) <
-           std::tie(Other.Deferrable, Other.Overdue, Other.StartBy);
+    return std::tie(Deferrable, Overdue, AboveShare, StartBy) <
+           std::tie(Other.Deferrable, Other.Overdue, Other.AboveShare,
+                    Other.StartBy);
   }
 };
 
--- a/Tests/Cell/DispatchOrderTest.cpp
+++ b/Tests/Cell/DispatchOrderTest.cpp
@@ -35,6 +35,8 @@
   CPPUNIT_TEST(testLateStepComesFirstWhenItsLastObjectiveIsClose);
   CPPUNIT_TEST(testEarliestStartByGoesFirst);
   CPPUNIT_TEST(testPreemptsOnlyForStepsThatCanStillBeInTime);
+  CPPUNIT_TEST(testOrderWithoutAccountsIsTheEarlierOne);
+  CPPUNIT_TEST(testShareComesAfterOverdueAndBeforeStartBy);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +89,32 @@
     CPPUNIT_ASSERT(shouldPreempt(RankAfter(7s), Now));
     CPPUNIT_ASSERT(!shouldPreempt(RankAfter(30s), Now));
   }
+
+  // Without accounts, no job is above a share, and the order must be that of
+  // the releases before shares.
+  void testOrderWithoutAccountsIsTheEarlierOne() {
+    std::vector<DispatchRank> Ranks;
+    for (const bool Deferrable : {false, true})
+      for (const auto Age : {0s, 4s, 8s, 20s, 35s, 45s, 90s})
+        Ranks.push_back(rankStep(jobOf(Deferrable ? 1 : 0, 6200ms, 2.2, 1200ms),
+                                 0, Now - Age, Now));
+    const auto EarlierLess = [](const DispatchRank &A, const DispatchRank &B) {
+      return std::tie(A.Deferrable, A.Overdue, A.StartBy) <
+             std::tie(B.Deferrable, B.Overdue, B.StartBy);
+    };
+    for (const DispatchRank &A : Ranks)
+      for (const DispatchRank &B : Ranks)
+        CPPUNIT_ASSERT_EQUAL(EarlierLess(A, B), A < B);
+  }
+
+  void testShareComesAfterOverdueAndBeforeStartBy() {
+    const JobSpec Job = jobOf(1, 6200ms, 2.2, 1200ms);
+    DispatchRank Above = rankStep(Job, 0, Now - 5s, Now);
+    Above.AboveShare = true;
+    const auto Within = rankStep(Job, 0, Now, Now);
+    CPPUNIT_ASSERT(Within < Above);
+    CPPUNIT_ASSERT(Above < rankStep(Job, 0, Now - 45s, Now));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchOrderTest);
