Exchange loads by account, and reject jobs at their owner

Change: owners with accounts in the configuration or with admission control send their loads in the exchange, order their steps by shares and decide on new jobs before they are written. An id that the owner knows is never rejected. The reply to a submission has the time to retry after and the reason. With neither, no loads are sent and nothing is rejected.

--- a/Source/Cell/CapacityView.cpp
+++ b/Source/Cell/CapacityView.cpp
@@ -102,6 +102,15 @@
     }
 }
 
+Resources CapacityView::totalCapacity() const {
+  Resources Total;
+  for (const auto &[Service, Rows] : Rows_)
+    for (const Row &Each : Rows)
+      if (Each.isUsable())
+        (void)Total.add(Each.listed().Entry.Capacity);
+  return Total;
+}
+
 const std::vector<CapacityView::Row> &
 CapacityView::workersOf(const std::string &Service) const {
   static const std::vector<Row> None;
--- a/Source/Cell/CapacityView.h
+++ b/Source/Cell/CapacityView.h
@@ -102,6 +102,8 @@
   };
   /// Marks the worker as claimed until the next refreshHeldWorkers().
   void markClaimed(const std::string &Worker, const WorkerClaim &Claim);
+  /// Returns the capacity of the usable workers that are not draining.
+  [[nodiscard]] Resources totalCapacity() const;
   /// Returns the workers of the service that are not draining.
   [[nodiscard]] const std::vector<Row> &
   workersOf(const std::string &Service) const;
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -34,6 +34,9 @@
       Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
                   Adviser_, Shards_, Configuration_, Events_, Metrics_,
                   Options_.Dispatch),
+      Pressure_(Timers_, Jobs_, View_, Configuration_, Events_, Metrics_,
+                {.Address = Options_.Address,
+                 .Admission = Options_.AdmissionControl}),
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
             Dispatcher_, Adviser_, Peers_, Options_.Node),
       Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
@@ -61,6 +64,8 @@
       Supervisor_(Context.get_executor(), Timers_) {
   Peers_.setLocal(Node_);
   Node_.setRelaySource(Operator_);
+  Node_.setPressure(Pressure_);
+  Dispatcher_.setPressure(Pressure_);
   Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
     Pool_.assign(Shard, Epoch);
     Jobs_.assign(Shard, Epoch);
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -8,6 +8,7 @@
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
+#include "Cell/CellPressure.h"
 #include "Cell/CellRecords.h"
 #include "Cell/ConfigurationRelay.h"
 #include "Cell/Dispatcher.h"
@@ -34,6 +35,7 @@
   JobOwnerOptions Jobs;
   DispatcherOptions Dispatch;
   CellNodeOptions Node;
+  bool AdmissionControl = false;
   EventLogOptions Events;
 };
 
@@ -88,6 +90,7 @@
   HttpCellPeer Peers_;
   AdviceRouter Adviser_;
   Dispatcher Dispatcher_;
+  CellPressure Pressure_;
   CellNode Node_;
   CellGateway Gateway_;
   WorkerList ListedWorkers_;
--- a/Source/Cell/CellGateway.cpp
+++ b/Source/Cell/CellGateway.cpp
@@ -38,6 +38,12 @@
     Answer.Status = Reply.error().hadNoEffect() ? Refused : OutcomeUnknown;
   if (Answer.Status == Refused)
     Answer.RetryAfter = retryDelay();
+  // The owner has recorded the rejection.
+  if (Reply && !Reply->Reason.empty()) {
+    Answer.RetryAfter = std::chrono::ceil<std::chrono::seconds>(
+        std::chrono::milliseconds(Reply->RetryAfterMs));
+    return Answer;
+  }
   if (Answer.Status >= Refused)
     Events_.emit("gateway", Call,
                  {{"job", Id},
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -1,6 +1,7 @@
 #include "Cell/CellNode.h"
 
 #include "Base/WaitForAll.h"
+#include "Cell/CellPressure.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -97,6 +98,8 @@
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   FailureDomains_[Address] = Reply->FailureDomain;
   applyWaitingJobs(*Reply, SentAt);
+  if (Pressure_ != nullptr && Address != Options_.Address)
+    Pressure_->applyReport(Address, std::move(Reply->AccountLoads), SentAt);
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
@@ -162,7 +165,11 @@
           .WaitingJobs = Jobs_.waitingJobs(),
           .Claims = Dispatcher_.gangClaims().ownClaims(),
           .Outdated = Pool_.laterEpochs(Request.Held),
-          .FailureDomain = Options_.FailureDomain};
+          .FailureDomain = Options_.FailureDomain,
+          // Helpers order and admit nothing.
+          .AccountLoads = Pressure_ == nullptr || Request.Held.empty()
+                              ? std::vector<AccountLoad>()
+                              : Pressure_->ownLoads()};
 }
 
 asio::awaitable<void> CellNode::startRun(ShardEpoch Job, PlaceOrder Order,
@@ -297,6 +304,12 @@
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
   if (!Jobs_.isOwnerOf(Job.Id))
     co_return SubmitReply{.NotOwner = true};
+  // What was accepted, or may have been, is never rejected.
+  if (Pressure_ != nullptr && !Jobs_.isKnown(Job.Id)) {
+    SubmitReply Decision = Pressure_->admit(Job);
+    if (!Decision.Reason.empty())
+      co_return Decision;
+  }
   const int Status = co_await Jobs_.submit(std::move(Job));
   co_return SubmitReply{.Status = Status};
 }
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -16,6 +16,8 @@
 
 namespace hickory {
 
+class CellPressure;
+
 struct CellNodeOptions {
   std::string Address; ///< Address at which other processes reach this one.
   std::string FailureDomain;
@@ -78,6 +80,9 @@
   [[nodiscard]] std::set<std::string> helpers() const;
   /// Returns the reachable processes that hold shards, including this one.
   [[nodiscard]] std::set<std::string> owners() const;
+  /// Sets the user of the reported loads. Without it, none are exchanged and
+  /// all jobs are admitted.
+  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
   /// Sets the source of the records for relayRecords(). Without it, no process
   /// gets any.
   void setRelaySource(KeyedFollower &Source) { RelaySource_ = &Source; }
@@ -138,6 +143,7 @@
   Notifier ExchangeDue_;
   Notifier EndsDue_;
   KeyedFollower *RelaySource_ = nullptr;
+  CellPressure *Pressure_ = nullptr;
   std::map<std::string, std::string> FailureDomains_; ///< By peer.
   std::set<std::string> Exchanging_;
   /// Start of the first call that failed since the latest answer, by address.
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Base/Hash.h"
 #include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
+#include "Cell/CellPressure.h"
 #include "Cell/GangWait.h"
 
 #include <algorithm>
@@ -109,16 +110,21 @@
 Dispatcher::collectReadySteps(bool WithDeferrable) {
   std::vector<SchedulableStep> Steps;
   const Clock::time_point Now = Timers_.now();
+  if (Pressure_ != nullptr)
+    Pressure_->refresh();
   for (const auto &[Id, Job] : Jobs_.activeJobs()) {
+    const bool AboveShare =
+        Pressure_ != nullptr && Pressure_->isAboveShare(*Job);
     if (!WithDeferrable && Job->Progress.spec().Queue.Priority > 0)
       continue;
     for (ReadyStep &Step : Job->Progress.readySteps()) {
       if (const auto It = Job->NotBefore.find({Step.Occurrence, Step.Step});
           It != Job->NotBefore.end() && It->second > Now)
         continue;
-      const DispatchRank Rank =
+      DispatchRank Rank =
           rankStep(Job->Progress.spec().Queue, Job->Progress.graph(), Step.Step,
                    dueAt(*Job, Step.Occurrence), Now);
+      Rank.AboveShare = AboveShare;
       Steps.push_back({.Job = Job, .Step = std::move(Step), .Rank = Rank});
     }
   }
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -17,6 +17,8 @@
 
 namespace hickory {
 
+class CellPressure;
+
 struct DispatcherOptions {
   GangClaimManagerOptions Gangs;
   RunOrderSenderOptions Orders;
@@ -58,6 +60,9 @@
   void wake() { Wake_.notify(); }
   void stop();
 
+  /// Sets the source of which jobs are above the share of their account.
+  /// Without it, none are.
+  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
   [[nodiscard]] GangClaimManager &gangClaims() { return Gangs_; }
   [[nodiscard]] RunOrderSender &orderSender() { return Orders_; }
 
@@ -151,6 +156,7 @@
   std::size_t NextInTurn_ = 0; ///< See chooseForPass().
   std::size_t NextUrgentInTurn_ = 0;
   Clock::time_point DeferrableDueAt_{};
+  CellPressure *Pressure_ = nullptr;
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
 };
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -881,6 +881,28 @@
   return Reports;
 }
 
+std::vector<AccountLoad> JobOwner::accountLoads() const {
+  std::map<std::pair<int, std::string>, AccountLoad> Sums;
+  for (const auto &[Id, Job] : Active_) {
+    if (!Job->Accepted)
+      continue;
+    const JobSpec &Spec = Job->Progress.spec();
+    const JobLoad Load = Job->Progress.load();
+    Sums[{Spec.Queue.Priority, Spec.Account}].add(
+        {.Running = Load.Running,
+         .WaitingDemand = Load.WaitingDemand,
+         .WaitingWork = Load.WaitingWork});
+  }
+  std::vector<AccountLoad> Loads;
+  Loads.reserve(Sums.size());
+  for (auto &[Key, Sum] : Sums) {
+    Sum.Priority = Key.first;
+    Sum.Account = Key.second;
+    Loads.push_back(std::move(Sum));
+  }
+  return Loads;
+}
+
 void JobOwner::tick() {
   const auto SinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
       Timers_.wallNow().time_since_epoch());
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -40,8 +40,10 @@
   Clock::time_point AcceptedAt{};
   Clock::time_point FinishedAt{};
   int Shard = 0;
-  bool Accepted = false;      ///< The journal contains the job.
-  bool Inherited = false;     ///< A previous owner accepted it.
+  bool Accepted = false;  ///< The journal contains the job.
+  bool Inherited = false; ///< A previous owner accepted it.
+  /// It exceeded the rate of its account while others had work waiting.
+  bool BeyondRate = false;
   int PendingSubmissions = 0; ///< Calls waiting for the journal.
   bool MayBeStored = false;   ///< Outcome of a write is unknown.
   /// The journal's record of its progress can't be read: the job is not run.
@@ -213,6 +215,13 @@
   /// Returns the jobs that have not started, for each owned shard whose journal
   /// has been read. Jobs with repetitions are not counted.
   [[nodiscard]] std::vector<ShardWaitingJobs> waitingJobs() const;
+  /// Returns the loads of the accepted jobs by account and priority.
+  [[nodiscard]] std::vector<AccountLoad> accountLoads() const;
+  /// Returns true if the job is accepted, or its acceptance is pending or of
+  /// unknown outcome.
+  [[nodiscard]] bool isKnown(const std::string &Id) const {
+    return findJob(Id) != nullptr;
+  }
   /// Adds occurrences that are due, writes final states that are not stored yet
   /// and deletes finished jobs after FinishedJobRetention.
   void tick();
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cell/AccountLoad.h"
 #include "Work/JobSpec.h"
 
 #include <cstdint>
@@ -209,6 +210,9 @@
   std::vector<ShardEpoch> Outdated;
   /// Of the process that answers; empty if it runs an earlier release.
   std::string FailureDomain;
+  /// Loads of the jobs that the process owns; empty if it uses neither accounts
+  /// nor admission control, and in the answer to a process without shards.
+  std::vector<AccountLoad> AccountLoads;
 };
 
 /// Asks a process for the records of the configuration topic that were written
@@ -265,6 +269,9 @@
   int Status = 503; ///< HTTP status for the client.
   /// The receiver does not hold the shard, or has not read its journal yet.
   bool NotOwner = false;
+  /// Set if admission control has rejected the job, which never runs.
+  std::int64_t RetryAfterMs = 0;
+  std::string Reason;
 };
 
 struct JobReference {
@@ -315,7 +322,8 @@
                                                 Begun, CrashPossible)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
                                                 Workers, Runs, WaitingJobs,
-                                                Claims, Outdated, FailureDomain)
+                                                Claims, Outdated, FailureDomain,
+                                                AccountLoads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsRequest, From, WaitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
@@ -326,7 +334,8 @@
                                                 Tickets, FreeInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberRequest, Member, FailingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberReply, Done)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SubmitReply, Status, NotOwner)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SubmitReply, Status, NotOwner,
+                                                RetryAfterMs, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobReference, Id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStateReply, Status, State)
 
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -297,6 +297,34 @@
   return Done;
 }
 
+JobLoad JobProgress::load() const {
+  JobLoad Load;
+  if (isFinished())
+    return Load;
+  const auto Add = [](Resources &Sum, const Resources &Amount,
+                      std::int64_t Count) {
+    if (const auto Product = Amount.times(static_cast<std::uint64_t>(Count)))
+      (void)Sum.add(*Product);
+  };
+  for (const auto &[Number, Entry] : Occurrences_)
+    for (std::size_t S = 0; S < Entry.Steps.size(); ++S) {
+      const StepProgress &Step = Entry.Steps[S];
+      const StepSpec &Spec = Spec_.Steps[S];
+      if (Step.isDone())
+        continue;
+      Add(Load.Running, Spec.Demand,
+          std::ssize(Step.Tasks) - Step.DoneTasks - Step.WaitingTasks);
+      if (Step.WaitingTasks == 0)
+        continue;
+      if (Step.OpenDependencies == 0)
+        Add(Load.WaitingDemand, Spec.Demand, Step.WaitingTasks);
+      if (const auto Work = Spec.Demand.times(static_cast<std::uint64_t>(
+              std::max<std::int64_t>(0, Spec.EstimatedDuration.count()))))
+        Add(Load.WaitingWork, *Work, Step.WaitingTasks);
+    }
+  return Load;
+}
+
 std::vector<ReadyStep> JobProgress::readySteps() const {
   std::vector<ReadyStep> Ready;
   if (isFinished())
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -126,6 +126,14 @@
   std::vector<int> Tasks;
 };
 
+/// What a job has running and waiting.
+struct JobLoad {
+  Resources Running;       ///< Of tasks that run, may run or are being placed.
+  Resources WaitingDemand; ///< Of tasks that could start now.
+  /// Demand times estimated milliseconds of all tasks that have not started.
+  Resources WaitingWork;
+};
+
 /// What the owner of a job must do after an event.
 struct ProgressEffect {
   bool Applied = false; ///< A task changed its phase, or the job was cancelled.
@@ -158,6 +166,9 @@
   [[nodiscard]] bool hasStarted() const { return State_ != JobState::Pending; }
   /// Returns the number of tasks that are done.
   [[nodiscard]] int tasksDone() const;
+  /// Returns the load of the open occurrences. Amounts that overflow are left
+  /// out.
+  [[nodiscard]] JobLoad load() const;
   /// Returns the time since the Unix epoch at which the occurrence of a
   /// repeating job is due.
   [[nodiscard]] std::chrono::milliseconds dueAt(int Occurrence) const {
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -6,6 +6,7 @@
 #include "Base/Supervisor.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
+#include "Cell/CellPressure.h"
 #include "Cell/FakeAdvice.h"
 #include "Cell/FakeGroupStore.h"
 #include "Cell/FakeWorkers.h"
@@ -179,6 +180,7 @@
   /// See FakeAdviceClient::RuleOf.
   std::function<AdviceRule *(const std::string &Step)> AdviceRuleOf;
   DispatcherOptions Dispatching;
+  bool AdmissionControl = false;
   int Shards;
 
   explicit CellEnvironment(int Shards)
@@ -215,6 +217,10 @@
                     Jobs_, View_, Peers_, Adviser_, Shards_,
                     Environment.Configuration, Events_, Metrics_,
                     Environment.Dispatching),
+        Pressure_(
+            Environment.Timers, Jobs_, View_, Environment.Configuration,
+            Events_, Metrics_,
+            {.Address = Address, .Admission = Environment.AdmissionControl}),
         Node_(Environment.Context.get_executor(), Environment.Timers, Shards_,
               Map_, Pool_, Jobs_, View_, Dispatcher_, Adviser_, Peers_,
               {.Address = Address}),
@@ -271,6 +277,8 @@
   void wire() {
     Advice_.RuleOf = Environment_.AdviceRuleOf;
     Peers_.setLocal(Node_);
+    Node_.setPressure(Pressure_);
+    Dispatcher_.setPressure(Pressure_);
     Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
       Pool_.assign(Shard, Epoch);
       Jobs_.assign(Shard, Epoch);
@@ -355,6 +363,7 @@
   HttpCellPeer Peers_;
   AdviceRouter Adviser_;
   Dispatcher Dispatcher_;
+  CellPressure Pressure_;
   CellNode Node_;
   CellGateway Gateway_;
   KeyedFollower WorkersFollower_;
