Show that a job of unknown outcome is not rejected

Change: a test of the cell, and one that replies of the earlier release are read.

Measured: without the check for known ids in CellNode::submit, this test and testRejectedJobNeverRunsAndKnownOneIsNotRejected fail. cell_tests' CellPressureTest, platform_tests and work_tests pass.

--- a/Tests/Cell/CellPressureTest.cpp
+++ b/Tests/Cell/CellPressureTest.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(testOwnersReportLoadsByAccount);
   CPPUNIT_TEST(testRejectedJobNeverRunsAndKnownOneIsNotRejected);
   CPPUNIT_TEST(testNothingIsRejectedWithoutAdmission);
+  CPPUNIT_TEST(testJobOfUnknownOutcomeIsNotRejected);
+  CPPUNIT_TEST(testMessagesOfTheEarlierReleaseAreRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +123,46 @@
     CPPUNIT_ASSERT_EQUAL(200,
                          Bench.answerTo(Bench.jobOfAccount(1, "a")).Status);
   }
+
+  // The record of a job whose write was not answered may be in the journal, so
+  // that the job may run: its client must not be told that it never does.
+  void testJobOfUnknownOutcomeIsNotRejected() {
+    PressureNodesBench Bench(false, true);
+    Bench.Environment.Store.ChooseFault = [](const std::string &,
+                                             const std::string &Call) {
+      return Call == "append" ? CallFault{.Type = CallFault::Kind::LostReply}
+                              : CallFault{};
+    };
+    const JobSpec Unknown = Bench.jobOfAccount(0, "");
+    CPPUNIT_ASSERT(Bench.answerTo(Unknown).Status != 200);
+    Bench.run(1500ms);
+    Bench.Environment.Store.ChooseFault = nullptr;
+    // Other jobs fill the cell before the client asks again.
+    for (int I = 1; I < 12; ++I)
+      Bench.submit(*Bench.alive().front(), Bench.jobOfAccount(I, "", 400));
+    Bench.run(1500ms);
+    const JobSpec Other = Bench.jobOfAccount(12, "");
+    CPPUNIT_ASSERT_EQUAL(503, Bench.answerTo(Other).Status);
+    Bench.answerTo(Unknown);
+    Bench.run(1s);
+    const std::string Lines = Bench.trace("\"rejected\"");
+    CPPUNIT_ASSERT(Lines.find("cell_full") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Lines, std::string::npos,
+                                 Lines.find(Unknown.Id));
+    CPPUNIT_ASSERT_EQUAL(200, Bench.answerTo(Unknown).Status);
+  }
+
+  // During a rolling change, replies of the earlier release lack the fields.
+  void testMessagesOfTheEarlierReleaseAreRead() {
+    const auto Submitted =
+        nlohmann::json::parse(R"({"Status":200,"NotOwner":false})")
+            .get<SubmitReply>();
+    CPPUNIT_ASSERT_EQUAL(200, Submitted.Status);
+    CPPUNIT_ASSERT(Submitted.Reason.empty());
+    nlohmann::json Exchanged = ExchangeReply{.Member = "p:1/1"};
+    Exchanged.erase("AccountLoads");
+    CPPUNIT_ASSERT(Exchanged.get<ExchangeReply>().AccountLoads.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellPressureTest);
