--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -8,6 +8,7 @@
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
+#include "Cell/CellPressure.h"
 #include "Cell/CellRecords.h"
 #include "Cell/ClientAccounts.h"
 #include "Cell/ConfigurationRelay.h"
@@ -38,6 +39,7 @@
   CellNodeOptions Node;
   /// Part of the cap of an account by which its tasks may exceed the cap.
   double QuotaOverage = 0;
+  bool AdmissionControl = false;
   EventLogOptions Events;
 };
 
@@ -97,6 +99,7 @@
   AdviceRouter Adviser_;
   QuotaClient Quota_;
   Dispatcher Dispatcher_;
+  CellPressure Pressure_;
   CellNode Node_;
   CellGateway Gateway_;
   WorkerList ListedWorkers_;
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -17,6 +17,8 @@
 
 namespace hickory {
 
+class CellPressure;
+
 struct CellNodeOptions {
   std::string Address; ///< Address at which other processes reach this one.
   std::string FailureDomain;
@@ -80,10 +82,15 @@
   [[nodiscard]] std::set<std::string> helpers() const;
   /// Returns the reachable processes that hold shards, including this one.
   [[nodiscard]] std::set<std::string> owners() const;
+  /// Sets the user of the reported loads. Without it, none are exchanged and
+  /// all jobs are admitted.
+  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
   /// Sets the source of the records for relayRecords(). Without it, no process
   /// gets any.
-  void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
   void setRelaySource(KeyedFollower &Source) { RelaySource_ = &Source; }
+  /// Sets the client of the quotas of accounts. Without it, calls about quotas
+  /// are not answered.
+  void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
   /// Returns the owners in this process's failure domain, except itself, that
   /// have answered the latest exchange.
   [[nodiscard]] std::vector<std::string> ownersNearby() const;
@@ -142,6 +149,7 @@
   Notifier EndsDue_;
   KeyedFollower *RelaySource_ = nullptr;
   QuotaClient *Quota_ = nullptr;
+  CellPressure *Pressure_ = nullptr;
   std::map<std::string, std::string> FailureDomains_; ///< By peer.
   std::set<std::string> Exchanging_;
   /// Start of the first call that failed since the latest answer, by address.
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Base/Hash.h"
 #include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
+#include "Cell/CellPressure.h"
 #include "Cell/GangWait.h"
 #include "Cell/QuotaClient.h"
 
@@ -110,7 +111,11 @@
 Dispatcher::collectReadySteps(bool WithDeferrable) {
   std::vector<SchedulableStep> Steps;
   const Clock::time_point Now = Timers_.now();
+  if (Pressure_ != nullptr)
+    Pressure_->refresh();
   for (const auto &[Id, Job] : Jobs_.activeJobs()) {
+    const bool AboveShare =
+        Pressure_ != nullptr && Pressure_->isAboveShare(*Job);
     if (!WithDeferrable && Job->Progress.spec().Queue.Priority > 0)
       continue;
     const JobSpec &Spec = Job->Progress.spec();
@@ -123,9 +128,10 @@
       if (const auto It = Job->NotBefore.find({Step.Occurrence, Step.Step});
           It != Job->NotBefore.end() && It->second > Now)
         continue;
-      const DispatchRank Rank =
+      DispatchRank Rank =
           rankStep(Job->Progress.spec().Queue, Job->Progress.graph(), Step.Step,
                    dueAt(*Job, Step.Occurrence), Now);
+      Rank.AboveShare = AboveShare;
       Steps.push_back({.Job = Job, .Step = std::move(Step), .Rank = Rank});
     }
   }
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -17,6 +17,8 @@
 
 namespace hickory {
 
+class CellPressure;
+
 struct DispatcherOptions {
   GangClaimManagerOptions Gangs;
   RunOrderSenderOptions Orders;
@@ -62,6 +64,9 @@
 
   /// Sets what limits the tasks of accounts with a cap.
   void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
+  /// Sets the source of which jobs are above the share of their account.
+  /// Without it, none are.
+  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
   [[nodiscard]] GangClaimManager &gangClaims() { return Gangs_; }
   [[nodiscard]] RunOrderSender &orderSender() { return Orders_; }
 
@@ -159,6 +164,7 @@
   std::size_t NextInTurn_ = 0; ///< See chooseForPass().
   std::size_t NextUrgentInTurn_ = 0;
   Clock::time_point DeferrableDueAt_{};
+  CellPressure *Pressure_ = nullptr;
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
 };
