--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::seconds UnchangedListPeriod{1};
 /// Short, as other processes rely on a read that has ended recently.
 constexpr std::chrono::milliseconds ConfigurationPollWait{700};
+/// Time for which the reads of the store have failed when an owner asks other
+/// processes. A single lost answer makes no further calls.
+constexpr std::chrono::milliseconds OwnerRelayDelay{1000};
 /// Largest number of events about the accounts of one configuration. Standard
 /// output takes 200 lines a second, and other events need some of them.
 constexpr std::size_t LoggedRejections = 50;
@@ -49,9 +52,8 @@
                  updateWorkers(Values, Changed);
                }),
       Relay_(Peers_, Options_.Address,
-             [this] {
-               return Shards_.heldShards().empty() ? Node_.ownersNearby()
-                                                   : std::vector<std::string>();
+             [this](Clock::duration Failing) {
+               return configurationSources(Failing);
              }),
       Operator_(Timers_, Services.Store, Events_,
                 {.Name = "configuration",
@@ -185,6 +187,17 @@
                   {"rejected", Rejected.size()}});
 }
 
+std::vector<std::string>
+CellDaemon::configurationSources(Clock::duration StoreFailing) const {
+  const bool IsOwner = !Shards_.heldShards().empty();
+  if (IsOwner && StoreFailing < OwnerRelayDelay)
+    return {};
+  if (StoreFailing == Clock::duration(0))
+    return Node_.ownersNearby();
+  return ConfigurationRelay::alternate(Node_.ownersNearby(),
+                                       Node_.ownersElsewhere());
+}
+
 bool CellDaemon::isReady() const {
   return !Draining_ && Configuration_.Version > 0 &&
          (Workers_.isReady() || !Shards_.isParticipating()) &&
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -74,6 +74,9 @@
   void updateWorkers(const std::map<std::string, std::string> &Values,
                      const std::set<std::string> &Changed);
   void updateConfiguration(const std::map<std::string, std::string> &Values);
+  /// Returns the processes to ask for the configuration.
+  [[nodiscard]] std::vector<std::string>
+  configurationSources(Clock::duration StoreFailing) const;
   /// Puts the accounts of Configuration_ into force.
   void updateAccounts();
 
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -294,6 +294,19 @@
   return Found;
 }
 
+std::vector<std::string> CellNode::ownersElsewhere() const {
+  std::vector<std::string> Found;
+  for (const std::string &Address : Shards_.peers()) {
+    const auto Domain = FailureDomains_.find(Address);
+    const bool IsNearby = Domain != FailureDomains_.end() &&
+                          Domain->second == Options_.FailureDomain;
+    if (Address != Options_.Address && !IsNearby &&
+        !UnansweredSince_.contains(Address))
+      Found.push_back(Address);
+  }
+  return Found;
+}
+
 asio::awaitable<SubmitReply> CellNode::submit(JobSpec Job) {
   if (!Jobs_.isOwnerOf(Job.Id))
     co_return SubmitReply{.NotOwner = true};
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -84,6 +84,9 @@
   /// Returns the owners in this process's failure domain, except itself, that
   /// have answered the latest exchange.
   [[nodiscard]] std::vector<std::string> ownersNearby() const;
+  /// Returns the addresses of the other processes with shards that have not
+  /// left the latest exchange unanswered.
+  [[nodiscard]] std::vector<std::string> ownersElsewhere() const;
   /// Returns false if the process has not answered for UnreachableAfter.
   [[nodiscard]] bool isReachable(const std::string &Address) const;
   /// Returns true if most other processes with shards do not answer this one.
--- a/Source/Cell/ConfigurationRelay.h
+++ b/Source/Cell/ConfigurationRelay.h
@@ -14,17 +14,32 @@
 /// configuration of many queues has about a megabyte, and the links between
 /// regions are shared by all processes.
 ///
-/// Only processes without shards (helpers) use it; owners read the store.
+/// Processes without shards (helpers) use it at all times. Owners read the
+/// store, and use it while the store does not serve them. A withdrawn key must
+/// be refused also by a process that the store refuses.
 class ConfigurationRelay final : public KeyedRelay {
 public:
-  /// Returns the processes that may be asked; none if this process is an owner.
-  using SourceList = std::function<std::vector<std::string>()>;
+  /// Largest number of processes that are asked one after the other while the
+  /// store fails. The store may refuse many of them as well.
+  static constexpr std::size_t MaximumAttempts = 4;
+
+  /// Returns the processes that may be asked, if the reads of the store have
+  /// failed for the given time.
+  using SourceList =
+      std::function<std::vector<std::string>(Clock::duration Failing)>;
 
   ConfigurationRelay(CellPeer &Peers, const std::string &OwnAddress,
                      SourceList Sources);
 
   asio::awaitable<std::optional<RecordsReply>>
-  read(std::uint64_t From, std::chrono::milliseconds Wait) override;
+  read(std::uint64_t From, std::chrono::milliseconds Wait,
+       Clock::duration Failing) override;
+
+  /// Returns both lists in turn: which processes the store refuses may depend
+  /// on their failure domain.
+  static std::vector<std::string>
+  alternate(const std::vector<std::string> &Nearby,
+            const std::vector<std::string> &Remote);
 
 private:
   CellPeer &Peers_;
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -25,7 +25,11 @@
       co_await Timers_.sleepFor(RetryDelay);
       continue;
     }
-    const bool Read = co_await readRelay() || co_await readStore();
+    const bool Relayed = co_await readRelay();
+    // A store that fails is tried all the same, as its answer ends the calls to
+    // other processes and allows this one to relay.
+    const bool Read =
+        !Relayed || FailingSince_ ? co_await readStore() || Relayed : Relayed;
     if (Read != Reachable_) {
       Reachable_ = Read;
       Events_.emit(Options_.Name, Read ? "regained" : "lost",
@@ -39,9 +43,21 @@
 asio::awaitable<bool> KeyedFollower::readRelay() {
   if (Options_.Relay == nullptr)
     co_return false;
-  auto Reply = co_await Options_.Relay->read(NextOffset_, Options_.PollWait);
+  const Clock::duration Failing = failingFor();
+  auto Reply = co_await Options_.Relay->read(
+      NextOffset_,
+      FailingSince_ ? std::chrono::milliseconds(0) : Options_.PollWait,
+      Failing);
   if (!Reply || !Reply->Current || Reply->NextOffset < NextOffset_)
     co_return false;
+  if (FailingSince_ && !RelayedInstead_)
+    Events_.emit(
+        Options_.Name, "relayed_instead",
+        {{"topic", Options_.Topic},
+         {"store_failing_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(Failing)
+              .count()}});
+  RelayedInstead_ = FailingSince_.has_value();
   // Only reads from the store tell that there are no further records.
   CurrentAt_.reset();
   std::vector<KeyedRecord> Records;
@@ -63,12 +79,23 @@
 }
 
 asio::awaitable<bool> KeyedFollower::readStore() {
+  const Clock::time_point SentAt = Timers_.now();
   const bool Read = Positioned_ ? co_await readTail() : co_await readNewest();
+  if (Read) {
+    FailingSince_.reset();
+    RelayedInstead_ = false;
+  } else if (!FailingSince_) {
+    FailingSince_ = SentAt;
+  }
   co_return Read;
 }
 
+Clock::duration KeyedFollower::failingFor() const {
+  return FailingSince_ ? Timers_.now() - *FailingSince_ : Clock::duration(0);
+}
+
 std::chrono::milliseconds KeyedFollower::pollWait() const {
-  return Reachable_ ? Options_.PollWait : std::chrono::milliseconds(0);
+  return FailingSince_ ? std::chrono::milliseconds(0) : Options_.PollWait;
 }
 
 asio::awaitable<bool> KeyedFollower::readNewest() {
--- a/Source/Cell/KeyedFollower.h
+++ b/Source/Cell/KeyedFollower.h
@@ -19,10 +19,12 @@
 public:
   virtual ~KeyedRelay() = default;
   /// Returns the records from the offset From on, after waiting up to Wait if
-  /// there are none. Returns nothing if no process can be asked, or if the one
-  /// that was asked may not know the latest records.
+  /// there are none. Returns nothing if no process can be asked, or if those
+  /// that were asked may not know the latest records. Failing is the time for
+  /// which the caller's reads of the store have failed; 0 if they have not.
   virtual asio::awaitable<std::optional<RecordsReply>>
-  read(std::uint64_t From, std::chrono::milliseconds Wait) = 0;
+  read(std::uint64_t From, std::chrono::milliseconds Wait,
+       Clock::duration Failing) = 0;
 };
 
 struct KeyedFollowerOptions {
@@ -74,6 +76,9 @@
   asio::awaitable<bool> readStore();
   asio::awaitable<bool> readNewest();
   asio::awaitable<bool> readTail();
+  /// Returns for how long the reads of the store have failed; 0 if the latest
+  /// one succeeded.
+  [[nodiscard]] Clock::duration failingFor() const;
   /// Returns the time that the store may wait for new records. After a failure
   /// it answers at once, so that its return is noticed soon.
   [[nodiscard]] std::chrono::milliseconds pollWait() const;
@@ -90,7 +95,10 @@
   std::uint64_t NextOffset_ = 0;
   /// Time at which the store had no further records.
   std::optional<Clock::time_point> CurrentAt_;
-  bool Positioned_ = false; ///< NextOffset_ continues what was read.
+  /// Start of the first of the latest reads of the store that all failed.
+  std::optional<Clock::time_point> FailingSince_;
+  bool RelayedInstead_ = false; ///< Records are relayed as the store fails.
+  bool Positioned_ = false;     ///< NextOffset_ continues what was read.
   bool Ready_ = false;
   bool Reachable_ = true;
   bool Relaying_ = true;
--- a/Tests/Bench/hickory-bench.cpp
+++ b/Tests/Bench/hickory-bench.cpp
@@ -1,4 +1,5 @@
 // Runs benchmarks of the scheduling code. Prints one JSON line per result.
+#include "Bench/AccountsBench.h"
 #include "Bench/PackingBench.h"
 #include "Bench/PlacementBench.h"
 #include "Bench/QueueBench.h"
@@ -22,7 +23,8 @@
   poptContext Context =
       poptGetContext("hickory-bench", Count, Arguments, Options, 0);
   poptSetOtherOptionHelp(
-      Context, "[OPTION...] placement|packing|waiting|sharing|queue...");
+      Context,
+      "[OPTION...] placement|packing|waiting|sharing|queue|accounts...");
   const int Parsed = poptGetNextOpt(Context);
   if (Parsed < -1) {
     std::cerr << "hickory-bench: "
@@ -44,6 +46,8 @@
       hickory::SharingBench(SeedValue, Quick != 0).run();
     else if (Benchmark == "queue")
       hickory::QueueBench(SeedValue, Quick != 0).run();
+    else if (Benchmark == "accounts")
+      hickory::AccountsBench(SeedValue, Quick != 0).run();
     else {
       std::cerr << "hickory-bench: unknown benchmark " << Benchmark
                 << "; see --help\n";
--- a/Tests/Cell/FakeAdvice.h
+++ b/Tests/Cell/FakeAdvice.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -81,7 +82,8 @@
   std::set<std::string> Busy;          ///< Peers with busy channels.
   std::chrono::milliseconds FreeIn{0}; ///< Told by a busy peer.
   std::set<std::string> Relayed;       ///< Peers that were asked for records.
-  std::vector<AdviseRequest> Calls;    ///< In the order of Called.
+  std::map<std::string, RecordsReply> Records; ///< Relayed, by address.
+  std::vector<AdviseRequest> Calls;            ///< In the order of Called.
 
   asio::awaitable<Result<AdviseReply>> advise(std::string Address,
                                               AdviseRequest Request) override {
@@ -123,7 +125,9 @@
   }
   asio::awaitable<Result<RecordsReply>> relayRecords(std::string Address,
                                                      RecordsRequest) override {
-    Relayed.insert(std::move(Address));
+    Relayed.insert(Address);
+    if (const auto It = Records.find(Address); It != Records.end())
+      co_return It->second;
     co_return notImplemented();
   }
   asio::awaitable<Result<SubmitReply>> submit(std::string, JobSpec) override {
--- a/Tests/Cell/FakeStoreClient.h
+++ b/Tests/Cell/FakeStoreClient.h
@@ -43,7 +43,9 @@
   std::vector<KeyedRecord> Tail;
   std::chrono::milliseconds TailTime{4}; ///< Time that a transfer takes.
   bool TailSilent = false;               ///< No byte of a read arrives.
-  int LostJoins = 0; ///< Number of next joins without a response.
+  bool TailRefused = false;              ///< A read fails at once.
+  int ExpiredReads = 0; ///< Number of next reads of dropped history.
+  int LostJoins = 0;    ///< Number of next joins without a response.
   std::vector<Clock::time_point> JoinedAt;
 
   [[nodiscard]] std::map<std::string, std::string> values(int Partition) const {
@@ -131,6 +133,12 @@
                                              std::chrono::milliseconds Wait,
                                              TransferLimits Limits) override {
     ++TailReads;
+    if (TailRefused)
+      co_return fail(ErrorCode::Unavailable, "refused");
+    if (ExpiredReads > 0) {
+      --ExpiredReads;
+      co_return TailPage{.Expired = true};
+    }
     if (TailSilent || TailTime > Limits.Total) {
       co_await Timers_.sleepFor(Wait +
                                 (TailSilent ? Limits.Idle : Limits.Total));
--- a/Tests/Cell/HttpCellPeerTest.cpp
+++ b/Tests/Cell/HttpCellPeerTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST_SUITE(HttpCellPeerTest);
   CPPUNIT_TEST(testCallsWhoseRefusalIsProofAreSentOnce);
   CPPUNIT_TEST(testCallsThatMayArriveTwiceAreSentAgain);
+  CPPUNIT_TEST(testErrorOfARelayContainsNoTextOfARecord);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +58,28 @@
     CPPUNIT_ASSERT(
         Bench.mayResend(Bench.Peers.exchange(Other, ExchangeRequest())));
   }
+
+  // Guards against keys in the log: the texts of errors are logged.
+  void testErrorOfARelayContainsNoTextOfARecord() {
+    const std::string Incomplete =
+        R"({"Current":true,"Records":[{"Key":"secret","Value":5}]})";
+    for (const std::string &Body :
+         {std::string("secret"), std::string(R"("secret")"),
+          std::string(R"(["secret"])"), std::string(R"({"secret":1})"),
+          std::string(R"({"Current":"secret"})"),
+          std::string(R"({"Current":true,"Keys":"secret"})"), Incomplete}) {
+      PeerBench Bench;
+      Bench.Client.serve(Other, [&](const HttpClientRequest &) {
+        return HttpClientResponse{.Status = 200, .Body = Body};
+      });
+      const auto Reply =
+          Bench.begin(Bench.Peers.relayRecords(Other, RecordsRequest()));
+      Bench.run(std::chrono::seconds(1));
+      CPPUNIT_ASSERT_MESSAGE(Body, Reply->has_value() && !**Reply);
+      CPPUNIT_ASSERT((**Reply).error().Message.find("secret") ==
+                     std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCellPeerTest);
--- a/Tests/Cell/KeyedFollowerTest.cpp
+++ b/Tests/Cell/KeyedFollowerTest.cpp
@@ -19,12 +19,15 @@
 public:
   explicit FakeRelay(KeyedFollower &Source) : Source_(Source) {}
   asio::awaitable<std::optional<RecordsReply>>
-  read(std::uint64_t From, std::chrono::milliseconds Wait) override {
-    if (!Reachable)
+  read(std::uint64_t From, std::chrono::milliseconds Wait,
+       Clock::duration Failing) override {
+    if (!Reachable || Failing < UsedAfter)
       co_return std::nullopt;
     co_return co_await Source_.recordsFrom(From, Wait);
   }
   bool Reachable = true;
+  /// Not used before the reads of the store have failed for this time.
+  Clock::duration UsedAfter{0};
 
 private:
   KeyedFollower &Source_;
@@ -76,6 +79,11 @@
   CPPUNIT_TEST(testLargeRecordOnASlowLinkIsReadInTheEnd);
   CPPUNIT_TEST(testRecordAfterASilentOutageIsReadSoon);
   CPPUNIT_TEST(testRelayGoesOnToAnotherOwnerAfterAFailure);
+  CPPUNIT_TEST(testProcessThatTheStoreRefusesLearnsFromOthers);
+  CPPUNIT_TEST(testRelayAsksRemoteOwnersWhileTheStoreFails);
+  CPPUNIT_TEST(testOlderStateOfAnOwnerIsNotTaken);
+  CPPUNIT_TEST(testDroppedHistoryReplacesAllValues);
+  CPPUNIT_TEST(testLogContainsNoTextOfARecord);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,13 +179,126 @@
   void testRelayGoesOnToAnotherOwnerAfterAFailure() {
     CellTestBench Bench;
     FakeAdvicePeers Peers;
-    ConfigurationRelay Relay(Peers, "10.0.0.1:7000", [] {
+    ConfigurationRelay Relay(Peers, "10.0.0.1:7000", [](Clock::duration) {
       return std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"};
     });
     for (int I = 0; I < 4; ++I)
-      CPPUNIT_ASSERT(!**Bench.begin(Relay.read(0, 700ms)));
+      CPPUNIT_ASSERT(!**Bench.begin(Relay.read(0, 700ms, 0ms)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Peers.Relayed.size());
   }
+
+  // Guards against a withdrawn key that stays in use at a process which the
+  // store refuses, and against an owner that asks others for good after that.
+  void testProcessThatTheStoreRefusesLearnsFromOthers() {
+    for (const bool Silent : {true, false}) {
+      FollowerBench Bench;
+      // As for an owner.
+      Bench.Relay.UsedAfter = 1s;
+      Bench.run(2s);
+      Bench.HelperStore.TailSilent = Silent;
+      Bench.HelperStore.TailRefused = !Silent;
+      Bench.append("config", "1");
+      Bench.run(4s);
+      CPPUNIT_ASSERT_EQUAL(std::string("1"), Bench.HelperValues["config"]);
+      Bench.append("config", "2");
+      Bench.run(2500ms);
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), Bench.HelperValues["config"]);
+      // It does not pass on what it may not know to be the latest.
+      CPPUNIT_ASSERT(
+          !(*Bench.begin(Bench.Helper.recordsFrom(0, 0ms)))->Current);
+      Bench.HelperStore.TailSilent = Bench.HelperStore.TailRefused = false;
+      Bench.Relay.Reachable = false;
+      Bench.run(1500ms);
+      Bench.append("config", "3");
+      Bench.run(1500ms);
+      CPPUNIT_ASSERT_EQUAL(std::string("3"), Bench.HelperValues["config"]);
+      CPPUNIT_ASSERT((*Bench.begin(Bench.Helper.recordsFrom(0, 0ms)))->Current);
+    }
+  }
+
+  // Guards against a process that finds no other one with the records while the
+  // store refuses its whole failure domain.
+  void testRelayAsksRemoteOwnersWhileTheStoreFails() {
+    CellTestBench Bench;
+    FakeAdvicePeers Peers;
+    const std::vector<std::string> Nearby = {"n1", "n2", "n3"};
+    const std::vector<std::string> Remote = {"r1"};
+    Peers.Records["r1"] = {.Current = true, .NextOffset = 5};
+    Peers.Records["n1"] = {.Current = false, .NextOffset = 9};
+    const auto Sources = [&](Clock::duration Failing) {
+      return Failing > 0ms ? ConfigurationRelay::alternate(Nearby, Remote)
+                           : Nearby;
+    };
+    for (int I = 0; I < 8; ++I) {
+      ConfigurationRelay Relay(Peers, "10.0.0." + std::to_string(I), Sources);
+      CPPUNIT_ASSERT(!**Bench.begin(Relay.read(0, 0ms, 0ms)));
+      CPPUNIT_ASSERT(**Bench.begin(Relay.read(0, 0ms, 1s)));
+    }
+  }
+
+  // Guards against a withdrawn key that an older state of another process
+  // brings back.
+  void testOlderStateOfAnOwnerIsNotTaken() {
+    CellTestBench Bench;
+    FakeAdvicePeers Peers;
+    Peers.Records["old"] = {
+        .Current = true,
+        .Records = {{.Key = "config", .Value = "old", .Offset = 3}},
+        .Keys = {"config"},
+        .NextOffset = 4};
+    ConfigurationRelay Relay(Peers, "own", [](Clock::duration) {
+      return std::vector<std::string>{"old"};
+    });
+    std::map<std::string, std::string> Values;
+    for (int I = 0; I < 6; ++I)
+      Bench.Store.Tail.push_back({.Key = "config", .Value = std::to_string(I)});
+    KeyedFollower Follower(
+        Bench.Timers, Bench.Store, Bench.Events,
+        FollowerBench::options(nullptr),
+        [&](const auto &Read, const auto &) { Values = Read; });
+    asio::co_spawn(Bench.Context, Follower.run(), asio::detached);
+    Bench.run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), Values["config"]);
+    CPPUNIT_ASSERT(!**Bench.begin(Relay.read(6, 0ms, 1s)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Peers.Relayed.size());
+    // Its own state is not passed on to a process that knows more.
+    const auto Reply = Bench.begin(Follower.recordsFrom(9, 0ms));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), (*Reply)->NextOffset);
+  }
+
+  // Guards against a withdrawn key that stays in use after a read whose answer
+  // was lost, or after the store has dropped the history.
+  void testDroppedHistoryReplacesAllValues() {
+    FollowerBench Bench;
+    Bench.append("a", "1");
+    Bench.append("b", "1");
+    Bench.run(1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Bench.OwnerValues.size());
+    Bench.OwnerStore.put(0, "b", "2");
+    Bench.OwnerStore.TailSilent = true;
+    Bench.run(2s);
+    Bench.OwnerStore.TailSilent = false;
+    Bench.OwnerStore.ExpiredReads = 1;
+    Bench.OwnerStore.Tail.clear();
+    Bench.run(2s);
+    CPPUNIT_ASSERT((std::map<std::string, std::string>{{"b", "2"}}) ==
+                   Bench.OwnerValues);
+  }
+
+  // Guards against keys in the log: records are relayed as they are.
+  void testLogContainsNoTextOfARecord() {
+    FollowerBench Bench;
+    Bench.append("config", "secret");
+    Bench.run(2s);
+    Bench.HelperStore.TailRefused = true;
+    Bench.Relay.UsedAfter = 1s;
+    Bench.append("config", "secret 2");
+    Bench.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::string("secret 2"), Bench.HelperValues["config"]);
+    const std::string Lines = Bench.Events.linesFrom(0);
+    CPPUNIT_ASSERT(Lines.find("relayed_instead") != std::string::npos);
+    CPPUNIT_ASSERT(Lines.find("secret") == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KeyedFollowerTest);
