--- a/Tests/Bench/hickory-bench.cpp
+++ b/Tests/Bench/hickory-bench.cpp
@@ -1,4 +1,5 @@
 // Runs benchmarks of the scheduling code. Prints one JSON line per result.
+#include "Bench/AccountsBench.h"
 #include "Bench/PackingBench.h"
 #include "Bench/PlacementBench.h"
 #include "Bench/PressureBench.h"
@@ -23,8 +24,8 @@
   poptContext Context =
       poptGetContext("hickory-bench", Count, Arguments, Options, 0);
   poptSetOtherOptionHelp(
-      Context,
-      "[OPTION...] placement|packing|waiting|sharing|queue|pressure...");
+      Context, "[OPTION...] "
+               "placement|packing|waiting|sharing|queue|pressure|accounts...");
   const int Parsed = poptGetNextOpt(Context);
   if (Parsed < -1) {
     std::cerr << "hickory-bench: "
@@ -48,6 +49,8 @@
       hickory::QueueBench(SeedValue, Quick != 0).run();
     else if (Benchmark == "pressure")
       hickory::PressureBench(SeedValue, Quick != 0).run();
+    else if (Benchmark == "accounts")
+      hickory::AccountsBench(SeedValue, Quick != 0).run();
     else {
       std::cerr << "hickory-bench: unknown benchmark " << Benchmark
                 << "; see --help\n";
