Leave inactive shares without an effect

Cause: a pass read the clock for shares also without accounts and admission control.

Change: whether the part is active is checked first.

--- a/Source/Cell/CellPressure.cpp
+++ b/Source/Cell/CellPressure.cpp
@@ -60,14 +60,14 @@
 }
 
 void CellPressure::refresh() {
-  const Clock::time_point Now = Timers_.now();
-  if (Now < RefreshAt_)
-    return;
-  RefreshAt_ = Now + Options_.RefreshPeriod;
   if (!isActive()) {
     Shares_.clear();
     return;
   }
+  const Clock::time_point Now = Timers_.now();
+  if (Now < RefreshAt_)
+    return;
+  RefreshAt_ = Now + Options_.RefreshPeriod;
   Demand_.apply(Options_.Address, ownLoads(), Now);
   Demand_.dropExpired(Now);
   Sums_ = Demand_.sums(Now);
