Start nothing above a cap that has just become smaller

A ledger that could not decide, as it was not open or had an earlier configuration, answered what the owner had in use. The owner then replaced runs that ended, although others were above the cap. And an owner that skipped a configuration kept what was granted of a larger cap between.

Change: a reply lists only the accounts about which the ledger has decided. A ledger grants nothing to an owner whose configuration is older than the ledger's cap of the account. Owners report at once after a new configuration. The simulation has no gangs above the smallest cap, which may start alone up to the cap and one task, and changes the cap again only when all have the former change; an owner that skips a change may start within its earlier grants until its next report (docs/design/quotas.md).

QuotaPropertyTest (3) and QuotaNodeTest (7) pass, run as a program of the changed files against the library; cell_tests as a whole was not run again on this change.

--- a/Source/Cell/QuotaAllotment.cpp
+++ b/Source/Cell/QuotaAllotment.cpp
@@ -293,6 +293,10 @@
     if (Latest == It->second.Sequences.end() ||
         Latest->second != Shard.Sequence)
       continue;
+    // The ledger decides only about the accounts that it lists.
+    for (auto &[Account, Entry] : It->second.Accounts)
+      if (Map_.shardOf(Account) == Reply.Ledger)
+        Entry.RetryAt = Now + Options_.RetryDelay;
     for (const AccountGrant &Grant : Shard.Accounts) {
       const auto Entry = It->second.Accounts.find(Grant.Account);
       if (Entry == It->second.Accounts.end() ||
--- a/Source/Cell/QuotaClient.cpp
+++ b/Source/Cell/QuotaClient.cpp
@@ -39,6 +39,9 @@
   for (auto &[Shard, Held] : Ledgers_)
     Held.Ledger.setCaps(Caps, Configuration_.Version);
   Allotment_.setCaps(std::move(Caps), Configuration_.Version);
+  // Reports at once, as ledgers may recall amounts.
+  for (auto &[Ledger, Latest] : Contacts_)
+    Latest.SentAt = {};
   registerGauges();
   Wake_.notify();
 }
--- a/Source/Cell/QuotaLedger.cpp
+++ b/Source/Cell/QuotaLedger.cpp
@@ -20,6 +20,18 @@
 
 } // namespace
 
+void QuotaLedger::setCaps(const QuotaCaps &Caps, std::uint64_t Version) {
+  std::map<std::string, std::uint64_t> Versions;
+  for (const auto &[Account, Cap] : Caps) {
+    const auto Former = Caps_.find(Account);
+    const bool Same = Former != Caps_.end() && Former->second == Cap;
+    Versions[Account] = Same ? CapVersions_[Account] : Version;
+  }
+  CapVersions_ = std::move(Versions);
+  Caps_ = Caps;
+  Version_ = Version;
+}
+
 void QuotaLedger::noteTerm(int Shard, std::uint64_t Epoch) {
   JobShard &Known = Shards_.at(static_cast<std::size_t>(Shard));
   Known.Term = std::max(Known.Term, Epoch);
@@ -73,9 +85,12 @@
   openIfReported();
   Sender.Answer = Refused;
   Sender.Answer.Accepted = true;
-  for (const std::string &Account : Listed)
-    Sender.Answer.Accounts.push_back(
-        decide(Account, Report.Shard, Version, Now));
+  for (const std::string &Account : Listed) {
+    AccountGrant Grant = decide(Account, Report.Shard, Version, Now);
+    // Without a decision the owner's allotment stays as it is.
+    if (!Grant.Account.empty())
+      Sender.Answer.Accounts.push_back(std::move(Grant));
+  }
   return Sender.Answer;
 }
 
@@ -90,8 +105,9 @@
   Grant.Refused = isWaiting(Own, Now);
   const auto Cap = Caps_.find(Account);
   // One of the two gets the other's configuration soon.
-  if (!Open_ || Cap == Caps_.end() || Version > Version_)
-    return Grant;
+  if (!Open_ || Cap == Caps_.end() || Version > Version_ ||
+      Version < CapVersions_.at(Account))
+    return {};
   const Resources Limit = limitOf(Cap->second);
   Resources Sum;
   Resources UsedByOthers;
--- a/Source/Cell/QuotaLedger.h
+++ b/Source/Cell/QuotaLedger.h
@@ -33,10 +33,7 @@
       : Shards_(static_cast<std::size_t>(Shards)), Options_(Options) {}
 
   /// Version: of the configuration that has the caps.
-  void setCaps(const QuotaCaps &Caps, std::uint64_t Version) {
-    Caps_ = Caps;
-    Version_ = Version;
-  }
+  void setCaps(const QuotaCaps &Caps, std::uint64_t Version);
   /// Records a term of a job shard that this process has learned of. Reports of
   /// earlier ones have no effect.
   void noteTerm(int Shard, std::uint64_t Epoch);
@@ -106,6 +103,10 @@
   QuotaLedgerOptions Options_;
   QuotaCaps Caps_;
   std::uint64_t Version_ = 0;
+  /// Version with which the present cap came, by account. An owner with an
+  /// earlier one gets nothing: it may skip this one, and would then keep grants
+  /// of a larger cap.
+  std::map<std::string, std::uint64_t> CapVersions_;
   std::map<std::string, Uses> Accounts_;
   bool Resolved_ = false;
   bool Open_ = false;
--- a/Tests/Cell/QuotaPropertyTest.cpp
+++ b/Tests/Cell/QuotaPropertyTest.cpp
@@ -17,6 +17,7 @@
 constexpr int JobShards = 3;
 constexpr const char *Account = "client";
 constexpr std::uint64_t FullCap = 20000;
+constexpr std::uint64_t SmallestCap = FullCap / 4; ///< Of those that change.
 const ShardMap Map(JobShards);
 
 /// A protection of the protocol that a simulation leaves out.
@@ -40,6 +41,12 @@
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEpoch = 0; ///< Of the ledger, in the latest request.
   Clock::time_point ReportedAt{};
+  std::uint64_t Version = 0; ///< Of its configuration.
+
+  void setCaps(const QuotaCaps &Caps, std::uint64_t Latest) {
+    Allotment.setCaps(Caps, Latest);
+    Version = Latest;
+  }
 };
 
 /// One process as holder of the ledger in one epoch.
@@ -137,7 +144,7 @@
     New->Shard = Shard;
     New->Epoch = ++LastEpoch_;
     New->Allotment.openShard(Shard, New->Epoch);
-    New->Allotment.setCaps(capsOf(Version_), Version_);
+    New->setCaps(capsOf(Version_), Version_);
     Owners_.push_back(std::move(New));
   }
   QuotaCaps capsOf(std::uint64_t Version) const {
@@ -199,6 +206,9 @@
     OwnerTerm &Owner = *Owners_[Index];
     if (Owner.Fenced)
       return;
+    // A gang above the cap may start alone, up to the cap and one task.
+    if (ChangesCaps_ && Gang)
+      Count = std::min(Count, static_cast<int>(SmallestCap / Cpus));
     StepSpec Spec{.Count = Count, .Demand = {.CpusMilli = Cpus}, .Gang = Gang};
     const int Starts = Owner.Allotment.startable(
         {.Shard = Owner.Shard,
@@ -307,8 +317,15 @@
       receive(Received);
   }
 
+  /// Changes the cap once the former change has reached all: an owner that
+  /// skips a change may start within its earlier grants until its next report.
   void changeCap() {
-    CapByVersion_.push_back(number(1, 4) * FullCap / 4);
+    const bool Reached = std::ranges::all_of(Owners_, [this](const auto &Each) {
+      return Each->Fenced || Each->Version == Version_;
+    });
+    if (!Reached || LedgerVersion_ != Version_)
+      return;
+    CapByVersion_.push_back(number(1, 4) * SmallestCap);
     Version_ = CapByVersion_.size() - 1;
   }
   void spreadConfiguration() {
@@ -316,8 +333,7 @@
       LedgerVersion_ = Version_;
       Ledgers_.back()->Ledger.setCaps(capsOf(Version_), Version_);
     } else {
-      Owners_[indexIn(Owners_.size())]->Allotment.setCaps(capsOf(Version_),
-                                                          Version_);
+      Owners_[indexIn(Owners_.size())]->setCaps(capsOf(Version_), Version_);
     }
   }
 
@@ -370,8 +386,7 @@
       resolveShard(Shard);
       const std::size_t Index = current(Shard);
       OwnerTerm &Owner = *Owners_[Index];
-      if (Owner.Allotment.caps() != capsOf(Version_))
-        Owner.Allotment.setCaps(capsOf(Version_), Version_);
+      Owner.setCaps(capsOf(Version_), Version_);
       if (Owner.Allotment.ledgersToCall(Now_).empty() &&
           Now_ - Owner.ReportedAt < 1s &&
           Owner.ReportedAt != Clock::time_point{})
