--- a/Source/Base/Metrics.cpp
+++ b/Source/Base/Metrics.cpp
@@ -8,7 +8,12 @@
 namespace acc = boost::accumulators;
 
 namespace {
+
+/// Longest value of a label that comes from outside.
+constexpr std::size_t MaximumLabelBytes = 64;
+
 constexpr std::array<double, 3> Probabilities = {0.5, 0.99, 0.999};
+
 } // namespace
 
 Distribution::Distribution()
@@ -80,4 +85,25 @@
   return Text;
 }
 
+std::string metricLabelValue(const std::string &Text) {
+  std::size_t Length = std::min(Text.size(), MaximumLabelBytes);
+  constexpr unsigned char ContinuationMask = 0xC0;
+  constexpr unsigned char Continuation = 0x80;
+  while (Length < Text.size() && Length > 0 &&
+         (static_cast<unsigned char>(Text[Length]) & ContinuationMask) ==
+             Continuation)
+    --Length;
+  std::string Label;
+  for (const char Byte : std::string_view(Text).substr(0, Length)) {
+    if (Byte == '\n') {
+      Label += "\\n";
+      continue;
+    }
+    if (Byte == '"' || Byte == '\\')
+      Label += '\\';
+    Label += Byte;
+  }
+  return Label;
+}
+
 } // namespace hickory
--- a/Source/Base/Metrics.h
+++ b/Source/Base/Metrics.h
@@ -60,4 +60,8 @@
   std::map<std::string, std::map<std::string, std::function<double()>>> Gauges_;
 };
 
+/// Returns the text, which may come from outside, as the value of a label: at
+/// most 64 bytes, with the characters escaped that the text format reserves.
+std::string metricLabelValue(const std::string &Text);
+
 } // namespace hickory
--- a/Source/Cell/CellPressure.cpp
+++ b/Source/Cell/AccountLoadControl.cpp
@@ -1,4 +1,4 @@
-#include "Cell/CellPressure.h"
+#include "Cell/AccountLoadControl.h"
 
 #include "Base/Hash.h"
 #include "Base/Milliseconds.h"
@@ -29,11 +29,12 @@
 
 } // namespace
 
-CellPressure::CellPressure(TimerService &Timers, const JobOwner &Jobs,
-                           const CapacityView &View,
-                           const CellConfiguration &Configuration,
-                           EventLog &Events, Metrics &Counters,
-                           CellPressureOptions Options)
+AccountLoadControl::AccountLoadControl(TimerService &Timers,
+                                       const JobOwner &Jobs,
+                                       const CapacityView &View,
+                                       const CellConfiguration &Configuration,
+                                       EventLog &Events, Metrics &Counters,
+                                       AccountLoadControlOptions Options)
     : Timers_(Timers), Jobs_(Jobs), View_(View), Configuration_(Configuration),
       Events_(Events), Counters_(Counters), Options_(std::move(Options)),
       Shares_(Timers, Options_.Shares), Policy_(stableHash(Options_.Address)) {
@@ -44,22 +45,28 @@
                   [this] { return static_cast<double>(Sums_.Reports); });
 }
 
-std::vector<AccountLoad> CellPressure::ownLoads() {
-  if (!isActive())
-    return {};
-  auto Loads = Jobs_.accountLoads();
-  Rates_.addTo(Loads, Timers_.now());
-  return Loads;
+const std::vector<AccountLoad> &AccountLoadControl::ownLoads() {
+  if (!isActive()) {
+    OwnLoads_.clear();
+    return OwnLoads_;
+  }
+  const Clock::time_point Now = Timers_.now();
+  if (Now < OwnLoadsDueAt_)
+    return OwnLoads_;
+  OwnLoadsDueAt_ = Now + Options_.RefreshPeriod;
+  OwnLoads_ = Jobs_.accountLoads();
+  Rates_.addTo(OwnLoads_, Now);
+  return OwnLoads_;
 }
 
-void CellPressure::applyReport(const std::string &Owner,
-                               std::vector<AccountLoad> Loads,
-                               Clock::time_point RequestedAt) {
+void AccountLoadControl::applyReport(const std::string &Owner,
+                                     std::vector<AccountLoad> Loads,
+                                     Clock::time_point RequestedAt) {
   if (isActive())
     Demand_.apply(Owner, std::move(Loads), RequestedAt);
 }
 
-void CellPressure::refresh() {
+void AccountLoadControl::refresh() {
   if (!isActive()) {
     Shares_.clear();
     return;
@@ -68,6 +75,7 @@
   if (Now < RefreshAt_)
     return;
   RefreshAt_ = Now + Options_.RefreshPeriod;
+  OwnLoadsDueAt_ = Now;
   Demand_.apply(Options_.Address, ownLoads(), Now);
   Demand_.dropExpired(Now);
   Sums_ = Demand_.sums(Now);
@@ -79,7 +87,7 @@
   reportAccountsAbove();
 }
 
-void CellPressure::reportAccountsAbove() {
+void AccountLoadControl::reportAccountsAbove() {
   const std::size_t Above = Shares_.accountsAbove();
   const Clock::time_point Now = Timers_.now();
   if (Above == ReportedAbove_ || Now < NextAboveEventAt_)
@@ -93,7 +101,7 @@
                 {"oldest_report_ms", toMilliseconds(Sums_.OldestReport)}});
 }
 
-bool CellPressure::isAboveShare(OwnedJob &Job) const {
+bool AccountLoadControl::isAboveShare(OwnedJob &Job) const {
   if (!Configuration_.Accounts)
     return false;
   const JobSpec &Spec = Job.Progress.spec();
@@ -103,7 +111,7 @@
   return Job.BeyondRate || Shares_.isAboveUsage(Spec.Account, Priority);
 }
 
-SubmitReply CellPressure::admit(const JobSpec &Job) {
+SubmitReply AccountLoadControl::admit(const JobSpec &Job) {
   SubmitReply Reply{.Status = StatusOk};
   if (!isActive())
     return Reply;
@@ -134,8 +142,8 @@
   return Reply;
 }
 
-void CellPressure::reportRejection(const JobSpec &Job,
-                                   const AdmissionDecision &Decision) {
+void AccountLoadControl::reportRejection(const JobSpec &Job,
+                                         const AdmissionDecision &Decision) {
   const Clock::time_point Now = Timers_.now();
   if (Now < NextRejectionEventAt_) {
     ++RejectionsWithoutEvent_;
@@ -157,14 +165,14 @@
                 {"without_event", std::exchange(RejectionsWithoutEvent_, 0)}});
 }
 
-milliseconds CellPressure::ageOf(std::uint64_t IdHash) const {
+milliseconds AccountLoadControl::ageOf(std::uint64_t IdHash) const {
   const auto It = FirstAttempts_.find(IdHash);
   return It == FirstAttempts_.end() ? milliseconds(0)
                                     : std::chrono::duration_cast<milliseconds>(
                                           Timers_.now() - It->second);
 }
 
-void CellPressure::rememberFirstAttempt(std::uint64_t IdHash) {
+void AccountLoadControl::rememberFirstAttempt(std::uint64_t IdHash) {
   const Clock::time_point Now = Timers_.now();
   if (FirstAttempts_.size() >= MaximumFirstAttempts)
     std::erase_if(FirstAttempts_, [Now](const auto &HashAndTime) {
--- a/Source/Cell/CellPressure.h
+++ b/Source/Cell/AccountLoadControl.h
@@ -16,7 +16,7 @@
 
 namespace hickory {
 
-struct CellPressureOptions {
+struct AccountLoadControlOptions {
   std::string Address; ///< Of this process.
   bool Admission = false;
   ShareOrderOptions Shares;
@@ -26,21 +26,23 @@
   std::chrono::milliseconds EventInterval{500};
 };
 
-/// Connects shares and admission control with the process: collects the loads
-/// of its own jobs and those that other owners report. Inactive without
-/// accounts in the configuration and without admission control.
-class CellPressure {
+/// Shares and admission control of this process: collects the loads of its own
+/// jobs and those that other owners report, decides which jobs are above their
+/// account's share, and admits or rejects new jobs. Inactive without accounts
+/// in the configuration and without admission control.
+class AccountLoadControl {
 public:
-  CellPressure(TimerService &Timers, const JobOwner &Jobs,
-               const CapacityView &View, const CellConfiguration &Configuration,
-               EventLog &Events, Metrics &Counters,
-               CellPressureOptions Options);
+  AccountLoadControl(TimerService &Timers, const JobOwner &Jobs,
+                     const CapacityView &View,
+                     const CellConfiguration &Configuration, EventLog &Events,
+                     Metrics &Counters, AccountLoadControlOptions Options);
 
   [[nodiscard]] bool isActive() const {
     return Options_.Admission || Configuration_.Accounts.has_value();
   }
   /// Returns the report of this process for others; empty while inactive.
-  [[nodiscard]] std::vector<AccountLoad> ownLoads();
+  /// Computed at most once in RefreshPeriod, as it reads all active jobs.
+  [[nodiscard]] const std::vector<AccountLoad> &ownLoads();
   void applyReport(const std::string &Owner, std::vector<AccountLoad> Loads,
                    Clock::time_point RequestedAt);
   /// Sums the reports again if RefreshPeriod has passed.
@@ -66,12 +68,14 @@
   const CellConfiguration &Configuration_;
   EventLog &Events_;
   Metrics &Counters_;
-  CellPressureOptions Options_;
+  AccountLoadControlOptions Options_;
   DemandView Demand_;
   DemandView::Sums Sums_;
   Resources Total_;
   ShareOrder Shares_;
   SubmissionRates Rates_;
+  std::vector<AccountLoad> OwnLoads_;
+  Clock::time_point OwnLoadsDueAt_{};
   AdmissionPolicy Policy_;
   Clock::time_point RefreshAt_{};
   std::size_t ReportedAbove_ = 0;
--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -43,9 +43,9 @@
       Dispatcher_(Context.get_executor(), Timers_, Jobs_, View_, Peers_,
                   Adviser_, Shards_, Configuration_, Events_, Metrics_,
                   Options_.Dispatch),
-      Pressure_(Timers_, Jobs_, View_, Configuration_, Events_, Metrics_,
-                {.Address = Options_.Address,
-                 .Admission = Options_.AdmissionControl}),
+      LoadControl_(Timers_, Jobs_, View_, Configuration_, Events_, Metrics_,
+                   {.Address = Options_.Address,
+                    .Admission = Options_.AdmissionControl}),
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
             Dispatcher_, Adviser_, Peers_, Options_.Node),
       Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
@@ -77,8 +77,8 @@
   Node_.setQuota(Quota_);
   Gateway_.setQuotaOverage(Options_.QuotaOverage);
   Quota_.onGranted([this] { Dispatcher_.wake(); });
-  Node_.setPressure(Pressure_);
-  Dispatcher_.setPressure(Pressure_);
+  Node_.setLoadControl(LoadControl_);
+  Dispatcher_.setLoadControl(LoadControl_);
   Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
     Pool_.assign(Shard, Epoch);
     Jobs_.assign(Shard, Epoch);
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -4,11 +4,11 @@
 #include "Base/EventLog.h"
 #include "Base/Metrics.h"
 #include "Base/Supervisor.h"
+#include "Cell/AccountLoadControl.h"
 #include "Cell/CapacityView.h"
 #include "Cell/CellConfiguration.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
-#include "Cell/CellPressure.h"
 #include "Cell/CellRecords.h"
 #include "Cell/ClientAccounts.h"
 #include "Cell/ConfigurationRelay.h"
@@ -37,7 +37,8 @@
   JobOwnerOptions Jobs;
   DispatcherOptions Dispatch;
   CellNodeOptions Node;
-  /// Part of the cap of an account by which its tasks may exceed the cap.
+  /// Part of a cap by which a single task or gang may exceed it, if nothing
+  /// else of the account runs.
   double QuotaOverage = 0;
   bool AdmissionControl = false;
   EventLogOptions Events;
@@ -102,7 +103,7 @@
   AdviceRouter Adviser_;
   QuotaClient Quota_;
   Dispatcher Dispatcher_;
-  CellPressure Pressure_;
+  AccountLoadControl LoadControl_;
   CellNode Node_;
   CellGateway Gateway_;
   WorkerList ListedWorkers_;
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -1,7 +1,7 @@
 #include "Cell/CellNode.h"
 
 #include "Base/WaitForAll.h"
-#include "Cell/CellPressure.h"
+#include "Cell/AccountLoadControl.h"
 
 #include <algorithm>
 #include <asio/co_spawn.hpp>
@@ -98,8 +98,8 @@
   Demands_[Address] = Jobs_.demandsFor(*Reply);
   FailureDomains_[Address] = Reply->FailureDomain;
   applyWaitingJobs(*Reply, SentAt);
-  if (Pressure_ != nullptr && Address != Options_.Address)
-    Pressure_->applyReport(Address, std::move(Reply->AccountLoads), SentAt);
+  if (LoadControl_ != nullptr && Address != Options_.Address)
+    LoadControl_->applyReport(Address, std::move(Reply->AccountLoads), SentAt);
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
@@ -167,9 +167,9 @@
           .Outdated = Pool_.laterEpochs(Request.Held),
           .FailureDomain = Options_.FailureDomain,
           // Helpers order and admit nothing.
-          .AccountLoads = Pressure_ == nullptr || Request.Held.empty()
+          .AccountLoads = LoadControl_ == nullptr || Request.Held.empty()
                               ? std::vector<AccountLoad>()
-                              : Pressure_->ownLoads()};
+                              : LoadControl_->ownLoads()};
 }
 
 QuotaReply CellNode::quota(const QuotaRequest &Request) {
@@ -322,8 +322,8 @@
   if (!Jobs_.isOwnerOf(Job.Id))
     co_return SubmitReply{.NotOwner = true};
   // What was accepted, or may have been, is never rejected.
-  if (Pressure_ != nullptr && !Jobs_.isKnown(Job.Id)) {
-    SubmitReply Decision = Pressure_->admit(Job);
+  if (LoadControl_ != nullptr && !Jobs_.isKnown(Job.Id)) {
+    SubmitReply Decision = LoadControl_->admit(Job);
     if (!Decision.Reason.empty())
       co_return Decision;
   }
--- a/Source/Cell/CellNode.h
+++ b/Source/Cell/CellNode.h
@@ -17,7 +17,7 @@
 
 namespace hickory {
 
-class CellPressure;
+class AccountLoadControl;
 
 struct CellNodeOptions {
   std::string Address; ///< Address at which other processes reach this one.
@@ -84,7 +84,9 @@
   [[nodiscard]] std::set<std::string> owners() const;
   /// Sets the user of the reported loads. Without it, none are exchanged and
   /// all jobs are admitted.
-  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
+  void setLoadControl(AccountLoadControl &LoadControl) {
+    LoadControl_ = &LoadControl;
+  }
   /// Sets the source of the records for relayRecords(). Without it, no process
   /// gets any.
   void setRelaySource(KeyedFollower &Source) { RelaySource_ = &Source; }
@@ -152,7 +154,7 @@
   Notifier EndsDue_;
   KeyedFollower *RelaySource_ = nullptr;
   QuotaClient *Quota_ = nullptr;
-  CellPressure *Pressure_ = nullptr;
+  AccountLoadControl *LoadControl_ = nullptr;
   std::map<std::string, std::string> FailureDomains_; ///< By peer.
   std::set<std::string> Exchanging_;
   /// Start of the first call that failed since the latest answer, by address.
--- a/Source/Cell/ClientAccounts.cpp
+++ b/Source/Cell/ClientAccounts.cpp
@@ -13,8 +13,6 @@
 
 /// Clients with a wrong key may send thousands of calls a second.
 constexpr int LoggedRefusalsPerSecond = 2;
-/// Longest name in a metric in bytes; the configuration does not limit names.
-constexpr std::size_t MaximumLabelLength = 64;
 
 constexpr std::string_view Blanks = " \t";
 
@@ -40,29 +38,6 @@
   return Authorization.substr(Start, End - Start);
 }
 
-/// Returns the text as the value of a label. A part of a character at its end
-/// is dropped.
-std::string labelFrom(const std::string &Text) {
-  std::size_t Length = std::min(Text.size(), MaximumLabelLength);
-  constexpr unsigned char ContinuationMask = 0xC0;
-  constexpr unsigned char Continuation = 0x80;
-  while (Length < Text.size() && Length > 0 &&
-         (static_cast<unsigned char>(Text[Length]) & ContinuationMask) ==
-             Continuation)
-    --Length;
-  std::string Label;
-  for (const char Byte : std::string_view(Text).substr(0, Length)) {
-    if (Byte == '\n') {
-      Label += "\\n";
-      continue;
-    }
-    if (Byte == '"' || Byte == '\\')
-      Label += '\\';
-    Label += Byte;
-  }
-  return Label;
-}
-
 } // namespace
 
 std::size_t
@@ -128,7 +103,7 @@
   const bool HasOwnMetric = CountedNames_.contains(Account);
   Metrics_.count("requests_by_account_total", 1,
                  fmt::format("account=\"{}\",status=\"{}\"",
-                             HasOwnMetric ? labelFrom(Account) : "other",
+                             HasOwnMetric ? metricLabelValue(Account) : "other",
                              Status));
 }
 
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -3,7 +3,7 @@
 #include "Base/Hash.h"
 #include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
-#include "Cell/CellPressure.h"
+#include "Cell/AccountLoadControl.h"
 #include "Cell/GangWait.h"
 #include "Cell/QuotaClient.h"
 
@@ -111,11 +111,11 @@
 Dispatcher::collectReadySteps(bool WithDeferrable) {
   std::vector<SchedulableStep> Steps;
   const Clock::time_point Now = Timers_.now();
-  if (Pressure_ != nullptr)
-    Pressure_->refresh();
+  if (LoadControl_ != nullptr)
+    LoadControl_->refresh();
   for (const auto &[Id, Job] : Jobs_.activeJobs()) {
     const bool AboveShare =
-        Pressure_ != nullptr && Pressure_->isAboveShare(*Job);
+        LoadControl_ != nullptr && LoadControl_->isAboveShare(*Job);
     if (!WithDeferrable && Job->Progress.spec().Queue.Priority > 0)
       continue;
     const JobSpec &Spec = Job->Progress.spec();
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -17,7 +17,7 @@
 
 namespace hickory {
 
-class CellPressure;
+class AccountLoadControl;
 
 struct DispatcherOptions {
   GangClaimManagerOptions Gangs;
@@ -66,7 +66,9 @@
   void setQuota(QuotaClient &Quota) { Quota_ = &Quota; }
   /// Sets the source of which jobs are above the share of their account.
   /// Without it, none are.
-  void setPressure(CellPressure &Pressure) { Pressure_ = &Pressure; }
+  void setLoadControl(AccountLoadControl &LoadControl) {
+    LoadControl_ = &LoadControl;
+  }
   [[nodiscard]] GangClaimManager &gangClaims() { return Gangs_; }
   [[nodiscard]] RunOrderSender &orderSender() { return Orders_; }
 
@@ -164,7 +166,7 @@
   std::size_t NextInTurn_ = 0; ///< See chooseForPass().
   std::size_t NextUrgentInTurn_ = 0;
   Clock::time_point DeferrableDueAt_{};
-  CellPressure *Pressure_ = nullptr;
+  AccountLoadControl *LoadControl_ = nullptr;
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
 };
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -1010,7 +1010,8 @@
 std::vector<AccountLoad> JobOwner::accountLoads() const {
   std::map<std::pair<int, std::string>, AccountLoad> Sums;
   for (const auto &[Id, Job] : Active_) {
-    if (!Job->Accepted)
+    // A job that is being written counts, as it was admitted already.
+    if (!Job->Accepted && Job->PendingSubmissions == 0)
       continue;
     const JobSpec &Spec = Job->Progress.spec();
     const JobLoad Load = Job->Progress.load();
--- a/Source/Cell/KeyedFollower.cpp
+++ b/Source/Cell/KeyedFollower.cpp
@@ -28,8 +28,11 @@
     const bool Relayed = co_await readRelay();
     // A store that fails is tried all the same, as its answer ends the calls to
     // other processes and allows this one to relay.
-    const bool Read =
-        !Relayed || FailingSince_ ? co_await readStore() || Relayed : Relayed;
+    bool Read = Relayed;
+    if (!Relayed || FailingSince_) {
+      const bool FromStore = co_await readStore();
+      Read = FromStore || Relayed;
+    }
     if (Read != Reachable_) {
       Reachable_ = Read;
       Events_.emit(Options_.Name, Read ? "regained" : "lost",
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -266,7 +266,7 @@
 };
 
 /// What the jobs of one account and shard use and need; see QuotaAllotment.
-struct AccountQuota {
+struct AccountUsage {
   std::string Account;
   Resources Used;
   /// Most that the owner may have running: not less than Used.
@@ -279,13 +279,13 @@
   std::int64_t WaitingMs = 0; ///< Since it was first refused.
 };
 
-struct ShardQuota {
+struct ShardUsageReport {
   int Shard = 0;
   std::uint64_t Epoch = 0;
   bool Resolved = false;      ///< All runs of the shard's jobs are known.
   std::uint64_t Sequence = 0; ///< Rises with each report in the epoch.
   /// All accounts of the ledger's shard that hold or want anything.
-  std::vector<AccountQuota> Accounts;
+  std::vector<AccountUsage> Accounts;
 };
 
 /// Reports to the ledgers of the accounts whose names belong to a shard.
@@ -297,7 +297,7 @@
   /// Version of the sender's configuration. A ledger with an earlier one grants
   /// nothing, as a cap may have become smaller.
   std::uint64_t Version = 0;
-  std::vector<ShardQuota> Shards;
+  std::vector<ShardUsageReport> Shards;
 };
 
 struct QuotaRequest {
@@ -402,10 +402,10 @@
                                                 Tickets, FreeInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberRequest, Member, FailingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberReply, Done)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountQuota, Account, Used,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountUsage, Account, Used,
                                                 Held, Wanted, Minimum, Priority,
                                                 WaitingMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardQuota, Shard, Epoch,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardUsageReport, Shard, Epoch,
                                                 Resolved, Sequence, Accounts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LedgerReport, Ledger, Epoch,
                                                 Version, Shards)
--- a/Source/Cell/QuotaAllotment.cpp
+++ b/Source/Cell/QuotaAllotment.cpp
@@ -233,10 +233,10 @@
   for (auto &[Number, Owned] : Shards_) {
     if (!Owned.Resolved)
       continue;
-    ShardQuota Shard{.Shard = Number,
-                     .Epoch = Owned.Epoch,
-                     .Resolved = true,
-                     .Sequence = ++LastSequence_};
+    ShardUsageReport Shard{.Shard = Number,
+                           .Epoch = Owned.Epoch,
+                           .Resolved = true,
+                           .Sequence = ++LastSequence_};
     Owned.Sequences[Ledger] = Shard.Sequence;
     for (auto &[Account, Entry] : Owned.Accounts) {
       const auto Cap = Caps_.find(Account);
@@ -244,7 +244,7 @@
         continue;
       dropOldNeeds(Entry, Now);
       Entry.Granted = minimumOf(Entry.Granted, kept(Entry, Now));
-      AccountQuota Line{.Account = Account,
+      AccountUsage Line{.Account = Account,
                         .Used = Entry.Used,
                         .Held = maximumOf(Entry.Granted, Entry.Used)};
       Line.Wanted = Line.Held;
--- a/Source/Cell/QuotaClient.cpp
+++ b/Source/Cell/QuotaClient.cpp
@@ -55,7 +55,8 @@
       return;
     if (!NamedAccounts_.insert(Name).second)
       continue;
-    const std::string Labels = fmt::format("account=\"{}\"", Name);
+    const std::string Labels =
+        fmt::format("account=\"{}\"", metricLabelValue(Name));
     Counters_.gauge(
         "quota_used_cpu_milli",
         [this, CpusOf, Account = Name] {
@@ -106,10 +107,15 @@
   const bool Named = NamedAccounts_.contains(Step.Account);
   Counters_.count(
       "quota_refused_total", 1,
-      fmt::format("account=\"{}\"", Named ? Step.Account : "other"));
+      fmt::format("account=\"{}\"",
+                  Named ? metricLabelValue(Step.Account) : "other"));
   const Clock::time_point Now = Timers_.now();
-  if (EventsSent_.size() > MaximumNamedAccounts)
-    EventsSent_.clear();
+  std::erase_if(EventsSent_, [Now](const auto &Entry) {
+    return Now - Entry.second.first >= std::chrono::seconds(1);
+  });
+  if (EventsSent_.size() >= MaximumNamedAccounts &&
+      !EventsSent_.contains(Step.Account))
+    return;
   auto &[Begin, Sent] = EventsSent_[Step.Account];
   if (Now - Begin >= std::chrono::seconds(1)) {
     Begin = Now;
@@ -240,7 +246,7 @@
     if (Report.Epoch != Held->Epoch)
       continue;
     const bool WasOpen = Held->Ledger.isOpen();
-    for (const ShardQuota &Shard : Report.Shards)
+    for (const ShardUsageReport &Shard : Report.Shards)
       Grants.Shards.push_back(
           Held->Ledger.apply(Shard, Report.Version, Timers_.now()));
     if (!WasOpen && Held->Ledger.isOpen())
--- a/Source/Cell/QuotaLedger.cpp
+++ b/Source/Cell/QuotaLedger.cpp
@@ -44,8 +44,8 @@
            }));
 }
 
-ShardGrants QuotaLedger::apply(const ShardQuota &Report, std::uint64_t Version,
-                               Clock::time_point Now) {
+ShardGrants QuotaLedger::apply(const ShardUsageReport &Report,
+                               std::uint64_t Version, Clock::time_point Now) {
   ShardGrants Refused{.Shard = Report.Shard,
                       .Epoch = Report.Epoch,
                       .Sequence = Report.Sequence};
@@ -66,7 +66,7 @@
   Sender.Sequence = Report.Sequence;
   Sender.Reported = true;
   std::set<std::string> Listed;
-  for (const AccountQuota &Each : Report.Accounts) {
+  for (const AccountUsage &Each : Report.Accounts) {
     Listed.insert(Each.Account);
     const Resources Held = maximumOf(Each.Held, Each.Used);
     Accounts_[Each.Account][Report.Shard] = {
--- a/Source/Cell/QuotaLedger.h
+++ b/Source/Cell/QuotaLedger.h
@@ -44,7 +44,7 @@
   [[nodiscard]] bool isOpen() const { return Open_; }
   /// Applies the report of a job shard's owner and decides what it gets.
   /// Version: of the owner's configuration.
-  ShardGrants apply(const ShardQuota &Report, std::uint64_t Version,
+  ShardGrants apply(const ShardUsageReport &Report, std::uint64_t Version,
                     Clock::time_point Now);
 
   struct Totals {
@@ -64,7 +64,7 @@
     ShardGrants Answer; ///< To the latest report.
   };
   struct Use {
-    AccountQuota Report;
+    AccountUsage Report;
     /// The owner may have this much running: the larger of what it has reported
     /// and what it was granted since.
     Resources Held;
--- a/Source/Cell/ShareOrder.cpp
+++ b/Source/Cell/ShareOrder.cpp
@@ -1,6 +1,7 @@
 #include "Cell/ShareOrder.h"
 
 #include "Base/Hash.h"
+#include "Cell/SubmissionRates.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,6 +18,8 @@
 /// Jobs that arrive at random exceed their mean by two standard deviations in
 /// one of forty windows.
 constexpr double RateDeviations = 2;
+constexpr double RateWindowSeconds =
+    std::chrono::duration<double>(SubmissionRates::Window).count();
 /// Weight of work without a listed account.
 constexpr double DefaultWeight = 1;
 
--- a/Source/Cell/ShareOrder.h
+++ b/Source/Cell/ShareOrder.h
@@ -27,9 +27,6 @@
 ///   keeps what it is entitled to.
 class ShareOrder {
 public:
-  /// Seconds over which the reported rates of submissions are averaged.
-  static constexpr double RateWindowSeconds = 4;
-
   explicit ShareOrder(TimerService &Timers, ShareOrderOptions Options = {})
       : Shares_(Timers, {.DefaultShare = MinimumShare}), Options_(Options) {}
 
--- a/Source/Cell/SubmissionRates.h
+++ b/Source/Cell/SubmissionRates.h
@@ -15,7 +15,7 @@
 /// rejected submission do not raise their rate.
 class SubmissionRates {
 public:
-  /// See ShareOrder::RateWindowSeconds.
+  /// Time over which the rates are averaged.
   static constexpr std::chrono::seconds Window{4};
   /// Limit of the memory. What comes above it is not counted; the account is
   /// far above its rate by then.
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -42,7 +42,7 @@
 /// no descriptor left.
 constexpr std::chrono::milliseconds AcceptPause = 100ms;
 
-/// Completes with a value of its own, so that no call throws.
+/// Completion token that stores the error instead of throwing it.
 auto resume(std::error_code &Error) {
   return asio::redirect_error(asio::use_awaitable, Error);
 }
--- a/Source/Http/RequestParser.h
+++ b/Source/Http/RequestParser.h
@@ -75,7 +75,7 @@
   http_parser Parser_{};
   HttpServerRequest Request_;
   std::string Url_;
-  std::string HeaderName_; ///< In lower case.
+  std::string HeaderName_; ///< As received; cut off if it is long.
   std::string Expectation_;
   std::string *HeaderValue_ = nullptr; ///< Null if the value isn't kept.
   std::size_t HeaderBytes_ = 0;
--- a/Tests/Bench/AccountsBench.h
+++ b/Tests/Bench/AccountsBench.h
@@ -55,7 +55,7 @@
     Accounts.update(Configuration);
     const double RebuildUs = microsecondsSince(Start);
     printResult(
-        {{"benchmark", "accounts"},
+        {{"bench", "accounts"},
          {"accounts", AccountCount},
          {"keys", Keys.size()},
          {"rebuild_us", rounded(RebuildUs, 1)},
--- a/Tests/Bench/PressureBench.h
+++ b/Tests/Bench/SharesBench.h
@@ -18,9 +18,9 @@
 
 /// Measures the order of a pass and an admission decision: 5,000 waiting jobs
 /// of 20 accounts at one owner, 350 workers of 32 cores, reports of 24 owners.
-class PressureBench {
+class SharesBench {
 public:
-  PressureBench(std::uint64_t Seed, bool Quick)
+  SharesBench(std::uint64_t Seed, bool Quick)
       : Random_(Seed), Rounds_(Quick ? 20 : 200), Shares_(Timers_) {}
 
   void run() {
--- a/Tests/Bench/hickory-bench.cpp
+++ b/Tests/Bench/hickory-bench.cpp
@@ -2,8 +2,8 @@
 #include "Bench/AccountsBench.h"
 #include "Bench/PackingBench.h"
 #include "Bench/PlacementBench.h"
-#include "Bench/PressureBench.h"
 #include "Bench/QueueBench.h"
+#include "Bench/SharesBench.h"
 #include "Bench/SharingBench.h"
 #include "Bench/WaitingBench.h"
 
@@ -25,7 +25,7 @@
       poptGetContext("hickory-bench", Count, Arguments, Options, 0);
   poptSetOtherOptionHelp(
       Context, "[OPTION...] "
-               "placement|packing|waiting|sharing|queue|pressure|accounts...");
+               "placement|packing|waiting|sharing|queue|shares|accounts...");
   const int Parsed = poptGetNextOpt(Context);
   if (Parsed < -1) {
     std::cerr << "hickory-bench: "
@@ -47,8 +47,8 @@
       hickory::SharingBench(SeedValue, Quick != 0).run();
     else if (Benchmark == "queue")
       hickory::QueueBench(SeedValue, Quick != 0).run();
-    else if (Benchmark == "pressure")
-      hickory::PressureBench(SeedValue, Quick != 0).run();
+    else if (Benchmark == "shares")
+      hickory::SharesBench(SeedValue, Quick != 0).run();
     else if (Benchmark == "accounts")
       hickory::AccountsBench(SeedValue, Quick != 0).run();
     else {
--- a/Tests/Cell/CellPressureTest.cpp
+++ b/Tests/Cell/AccountLoadControlTest.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 /// Three processes with one worker of 4 cores.
-struct PressureNodesBench : CellNodeBench {
-  explicit PressureNodesBench(bool Accounts, bool Admission)
-      : CellNodeBench(6) {
+struct AccountLoadBench : CellNodeBench {
+  explicit AccountLoadBench(bool Accounts, bool Admission) : CellNodeBench(6) {
     Environment.AdmissionControl = Admission;
     Environment.Configuration.Queues.front().Stretch = 1;
     Environment.Configuration.Queues.front().TargetLatency = 1000ms;
@@ -57,8 +56,8 @@
 
 } // namespace
 
-class CellPressureTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(CellPressureTest);
+class AccountLoadControlTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AccountLoadControlTest);
   CPPUNIT_TEST(testNoLoadsAreSentWithoutAccountsAndAdmission);
   CPPUNIT_TEST(testOwnersReportLoadsByAccount);
   CPPUNIT_TEST(testRejectedJobNeverRunsAndKnownOneIsNotRejected);
@@ -70,7 +69,7 @@
 public:
   // Messages must stay as they were where the part is not enabled.
   void testNoLoadsAreSentWithoutAccountsAndAdmission() {
-    PressureNodesBench Bench(false, false);
+    AccountLoadBench Bench(false, false);
     for (int I = 0; I < 12; ++I)
       Bench.submit(*Bench.alive().front(), Bench.jobOfAccount(I, "a"));
     Bench.run(200ms);
@@ -82,7 +81,7 @@
 
   // Guards against owners that compare only their own jobs.
   void testOwnersReportLoadsByAccount() {
-    PressureNodesBench Bench(true, false);
+    AccountLoadBench Bench(true, false);
     for (int I = 0; I < 12; ++I)
       Bench.submit(*Bench.alive().front(),
                    Bench.jobOfAccount(I, I % 2 == 0 ? "a" : "b"));
@@ -97,7 +96,7 @@
   // A client that repeats an accepted submission must not be told that the job
   // was rejected.
   void testRejectedJobNeverRunsAndKnownOneIsNotRejected() {
-    PressureNodesBench Bench(false, true);
+    AccountLoadBench Bench(false, true);
     const JobSpec Large = Bench.jobOfAccount(0, "", 400);
     CPPUNIT_ASSERT_EQUAL(200, Bench.answerTo(Large).Status);
     Bench.run(1500ms);
@@ -116,7 +115,7 @@
   }
 
   void testNothingIsRejectedWithoutAdmission() {
-    PressureNodesBench Bench(true, false);
+    AccountLoadBench Bench(true, false);
     CPPUNIT_ASSERT_EQUAL(
         200, Bench.answerTo(Bench.jobOfAccount(0, "a", 400)).Status);
     Bench.run(1500ms);
@@ -127,7 +126,7 @@
   // The record of a job whose write was not answered may be in the journal, so
   // that the job may run: its client must not be told that it never does.
   void testJobOfUnknownOutcomeIsNotRejected() {
-    PressureNodesBench Bench(false, true);
+    AccountLoadBench Bench(false, true);
     Bench.Environment.Store.ChooseFault = [](const std::string &,
                                              const std::string &Call) {
       return Call == "append" ? CallFault{.Type = CallFault::Kind::LostReply}
@@ -165,6 +164,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(CellPressureTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(AccountLoadControlTest);
 
 } // namespace hickory
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -4,9 +4,9 @@
 #include "Base/Metrics.h"
 #include "Base/Notifier.h"
 #include "Base/Supervisor.h"
+#include "Cell/AccountLoadControl.h"
 #include "Cell/CellGateway.h"
 #include "Cell/CellNode.h"
-#include "Cell/CellPressure.h"
 #include "Cell/FakeAdvice.h"
 #include "Cell/FakeGroupStore.h"
 #include "Cell/FakeWorkers.h"
@@ -220,7 +220,7 @@
                     Jobs_, View_, Peers_, Adviser_, Shards_,
                     Environment.Configuration, Events_, Metrics_,
                     Environment.Dispatching),
-        Pressure_(
+        LoadControl_(
             Environment.Timers, Jobs_, View_, Environment.Configuration,
             Events_, Metrics_,
             {.Address = Address, .Admission = Environment.AdmissionControl}),
@@ -288,8 +288,8 @@
     Node_.setQuota(Quota_);
     Quota_.onGranted([this] { Dispatcher_.wake(); });
     Quota_.handleConfiguration();
-    Node_.setPressure(Pressure_);
-    Dispatcher_.setPressure(Pressure_);
+    Node_.setLoadControl(LoadControl_);
+    Dispatcher_.setLoadControl(LoadControl_);
     Shards_.onAssigned([this](int Shard, std::uint64_t Epoch) {
       Pool_.assign(Shard, Epoch);
       Jobs_.assign(Shard, Epoch);
@@ -375,7 +375,7 @@
   AdviceRouter Adviser_;
   QuotaClient Quota_;
   Dispatcher Dispatcher_;
-  CellPressure Pressure_;
+  AccountLoadControl LoadControl_;
   CellNode Node_;
   CellGateway Gateway_;
   KeyedFollower WorkersFollower_;
--- a/Tests/Cell/QuotaPropertyTest.cpp
+++ b/Tests/Cell/QuotaPropertyTest.cpp
@@ -282,7 +282,7 @@
     if (Received.Request->Epoch != Term.Epoch &&
         Missing_ != Missing::LedgerEpoch)
       return Answer;
-    for (ShardQuota Shard : Received.Request->Shards) {
+    for (ShardUsageReport Shard : Received.Request->Shards) {
       if (Missing_ == Missing::Sequence)
         Shard.Sequence = ++FreshSequence_;
       const std::uint64_t Epoch = Shard.Epoch;
