Let the caps of the property change at any time again

The simulation of changing caps waited with a change until the former one had reached all, for a case in which an owner skips a configuration. That case stays checked.

--- a/Tests/Cell/QuotaPropertyTest.cpp
+++ b/Tests/Cell/QuotaPropertyTest.cpp
@@ -41,12 +41,6 @@
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEpoch = 0; ///< Of the ledger, in the latest request.
   Clock::time_point ReportedAt{};
-  std::uint64_t Version = 0; ///< Of its configuration.
-
-  void setCaps(const QuotaCaps &Caps, std::uint64_t Latest) {
-    Allotment.setCaps(Caps, Latest);
-    Version = Latest;
-  }
 };
 
 /// One process as holder of the ledger in one epoch.
@@ -144,7 +138,7 @@
     New->Shard = Shard;
     New->Epoch = ++LastEpoch_;
     New->Allotment.openShard(Shard, New->Epoch);
-    New->setCaps(capsOf(Version_), Version_);
+    New->Allotment.setCaps(capsOf(Version_), Version_);
     Owners_.push_back(std::move(New));
   }
   QuotaCaps capsOf(std::uint64_t Version) const {
@@ -317,14 +311,7 @@
       receive(Received);
   }
 
-  /// Changes the cap once the former change has reached all: an owner that
-  /// skips a change may start within its earlier grants until its next report.
   void changeCap() {
-    const bool Reached = std::ranges::all_of(Owners_, [this](const auto &Each) {
-      return Each->Fenced || Each->Version == Version_;
-    });
-    if (!Reached || LedgerVersion_ != Version_)
-      return;
     CapByVersion_.push_back(number(1, 4) * SmallestCap);
     Version_ = CapByVersion_.size() - 1;
   }
@@ -333,7 +320,8 @@
       LedgerVersion_ = Version_;
       Ledgers_.back()->Ledger.setCaps(capsOf(Version_), Version_);
     } else {
-      Owners_[indexIn(Owners_.size())]->setCaps(capsOf(Version_), Version_);
+      Owners_[indexIn(Owners_.size())]->Allotment.setCaps(capsOf(Version_),
+                                                          Version_);
     }
   }
 
@@ -386,7 +374,7 @@
       resolveShard(Shard);
       const std::size_t Index = current(Shard);
       OwnerTerm &Owner = *Owners_[Index];
-      Owner.setCaps(capsOf(Version_), Version_);
+      Owner.Allotment.setCaps(capsOf(Version_), Version_);
       if (Owner.Allotment.ledgersToCall(Now_).empty() &&
           Now_ - Owner.ReportedAt < 1s &&
           Owner.ReportedAt != Clock::time_point{})
