Let calls for tickets of reserved gangs wait on busy channels

Cause: After capacity was reserved for a gang, its tickets were asked for on channels to the adviser that were taken by calls which learn workers for gangs without any capacity. A refused call was tried again after 0.12 s on other busy channels, until the reservation was given up after 2.6 s: the capacity of the whole gang had been idle for nothing, and the gang began anew. The wider the gang, the more calls it needs at the same time. Class: priority inversion, calls of those that hold nothing before calls of those that hold what is scarce. Ruled out: Capacity alone: the gangs of 40 to 79 tasks that were withdrawn after 2.4 s or more had all members reserved. Change: A call for a reservation is accepted on a channel with one other call in flight, and is sent to peers that are known to be busy.

--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -466,7 +466,8 @@
         Workers.begin() + static_cast<std::ptrdiff_t>(Begin),
         Workers.begin() + static_cast<std::ptrdiff_t>(End));
     Schedulable.advice().beginCall(Part);
-    const AdviceCost Cost = costOf(Schedulable, Part.size());
+    AdviceCost Cost = costOf(Schedulable, Part.size());
+    Cost.ForReservation = true;
     Calls.push_back(runAdviceCall(Schedulable, {.Step = Schedulable.stepName(),
                                                 .Workers = std::move(Part),
                                                 .Cost = Cost}));
