Revert "Let calls for tickets of reserved gangs wait on busy channels"

Cause: A call for a reservation was sent to the first channel that may let it wait, also where another channel was idle, so that it waited for up to 1 s more often than before. Conclusion: Idle channels have to be tried first, and a call may wait only if all refuse it. That was not built.

--- a/Source/Cell/AdviceRouter.cpp
+++ b/Source/Cell/AdviceRouter.cpp
@@ -55,10 +55,7 @@
       return &Peer;
     ++NextPeer_;
   }
-  // A busy channel may still accept it.
-  return Cost.ForReservation && !Peers.empty()
-             ? &Peers[NextPeer_ % Peers.size()]
-             : nullptr;
+  return nullptr;
 }
 
 void AdviceRouter::recordAnswer(const std::string &Peer,
@@ -104,16 +101,13 @@
       break;
     const std::string Peer = *Next;
     ++NextPeer_;
-    if (Call.Cost.Long) {
-      Clock::time_point &BusyUntil = PeerBusyUntil_[Peer];
-      BusyUntil = std::max(BusyUntil, Timers_.now()) + Call.Cost.Time;
-    }
+    if (Call.Cost.Long)
+      PeerBusyUntil_[Peer] = Timers_.now() + Call.Cost.Time;
     AdviseRequest Request{.Step = Call.Step,
                           .Workers = Call.Workers,
                           .Milliseconds = Call.Cost.Time.count(),
                           .Urgent = Call.Cost.Urgent,
-                          .Long = Call.Cost.Long,
-                          .ForReservation = Call.Cost.ForReservation};
+                          .Long = Call.Cost.Long};
     const auto Reply = co_await Peers_.advise(Peer, std::move(Request));
     recordAnswer(Peer, Reply);
     if (!Reply || !Reply->Answered ||
@@ -137,8 +131,7 @@
       .Workers = std::move(Request.Workers),
       .Cost = {.Time = std::chrono::milliseconds(Request.Milliseconds),
                .Urgent = Request.Urgent,
-               .Long = Request.Long,
-               .ForReservation = Request.ForReservation}};
+               .Long = Request.Long}};
   if (!Channel_.canAccept(Call.Cost, Timers_.now())) {
     Answer.FreeInMs = Channel_.freeIn(Timers_.now()).count();
     co_return Answer;
--- a/Source/Cell/AdviceRouter.h
+++ b/Source/Cell/AdviceRouter.h
@@ -86,9 +86,8 @@
     return Timers_.now() - LastShortCallAt_ >= Options_.ShortCallMemory;
   }
   [[nodiscard]] const Carriers &carriersOf(const AdviceCost &Cost) const;
-  /// Returns the next peer for the call whose channel is not known to be busy.
-  /// If there is none, returns the next one for a call for a reservation, and
-  /// null for others.
+  /// Returns the next peer for the call whose channel is not known to be busy;
+  /// null if there is none.
   [[nodiscard]] const std::string *nextPeer(const AdviceCost &Cost) const;
   /// Records when the peer may take another call.
   void recordAnswer(const std::string &Peer, const Result<AdviseReply> &Reply);
--- a/Source/Cell/AdviserChannel.cpp
+++ b/Source/Cell/AdviserChannel.cpp
@@ -15,9 +15,6 @@
                                Clock::time_point Now) const {
   if (CallsInFlight_ == 0)
     return true;
-  if (Call.ForReservation &&
-      CallsInFlight_ < Options_.MaximumCallsWithReservation)
-    return true;
   return Call.Urgent && !Call.Long && CallsInFlight_ < Options_.MaximumCalls &&
          BusyUntil_ <= Now + Options_.MaximumUrgentWait;
 }
--- a/Source/Cell/AdviserChannel.h
+++ b/Source/Cell/AdviserChannel.h
@@ -15,9 +15,6 @@
   bool Urgent = false;
   /// The call takes so long that an urgent call must not wait behind it.
   bool Long = false;
-  /// Capacity is reserved for a gang that needs the answer to start, and is
-  /// idle until then.
-  bool ForReservation = false;
 };
 
 struct AdviserChannelOptions {
@@ -26,10 +23,6 @@
   std::chrono::milliseconds MaximumUrgentWait{60};
   /// The adviser refuses calls of a process once 32 of them wait.
   std::size_t MaximumCalls = 16;
-  /// Maximum number of calls in flight if one of them is for a reservation. It
-  /// waits behind at most one other call, so that the answer arrives before the
-  /// reservation expires.
-  std::size_t MaximumCallsWithReservation = 2;
 };
 
 /// Tracks the calls in flight from one process to the adviser, which handles
@@ -40,8 +33,8 @@
       : Options_(Options) {}
 
   /// Returns true if the call may be sent now. Urgent calls may wait behind
-  /// short ones, and calls for a reservation behind any one; all other calls
-  /// need an idle channel, so that urgent calls do not have to wait long.
+  /// short ones; all other calls need an idle channel, so that urgent calls do
+  /// not have to wait long.
   [[nodiscard]] bool canAccept(const AdviceCost &Call,
                                Clock::time_point Now) const;
   /// Returns the time until the calls in flight are estimated to complete.
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -466,8 +466,7 @@
         Workers.begin() + static_cast<std::ptrdiff_t>(Begin),
         Workers.begin() + static_cast<std::ptrdiff_t>(End));
     Schedulable.advice().beginCall(Part);
-    AdviceCost Cost = costOf(Schedulable, Part.size());
-    Cost.ForReservation = true;
+    const AdviceCost Cost = costOf(Schedulable, Part.size());
     Calls.push_back(runAdviceCall(Schedulable, {.Step = Schedulable.stepName(),
                                                 .Workers = std::move(Part),
                                                 .Cost = Cost}));
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -243,8 +243,6 @@
   std::int64_t Milliseconds = 0; ///< Time that the adviser needs for the call.
   bool Urgent = false;
   bool Long = false;
-  /// See AdviceCost. Earlier releases do not send it.
-  bool ForReservation = false;
 };
 
 struct AdviseReply {
@@ -398,9 +396,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
                                    NextOffset)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviseRequest, Step, Workers,
-                                                Milliseconds, Urgent, Long,
-                                                ForReservation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdviseRequest, Step, Workers, Milliseconds,
+                                   Urgent, Long)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviseReply, Answered, Good,
                                                 Tickets, FreeInMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberRequest, Member, FailingMs)
--- a/Tests/Cell/AdviceRouterTest.cpp
+++ b/Tests/Cell/AdviceRouterTest.cpp
@@ -17,7 +17,6 @@
   CPPUNIT_TEST(testLongCallUsesAChannelWithoutShortCalls);
   CPPUNIT_TEST(testTriesTheNextPeerWhenAChannelIsBusy);
   CPPUNIT_TEST(testBusyPeersAreNotAskedAgainAtOnce);
-  CPPUNIT_TEST(testCallForAReservationAsksBusyPeers);
   CPPUNIT_TEST(testCannotAskWithABusyChannelAndNoPeers);
   CPPUNIT_TEST(testAnswersPeersOnlyOnAFreeChannel);
   CPPUNIT_TEST_SUITE_END();
@@ -98,21 +97,6 @@
     CPPUNIT_ASSERT(ErrorCode::Overloaded == Refused->value().error().Code);
   }
 
-  // Guards against reservations that expire because all peers are known to be
-  // busy, although each of them may let one such call wait.
-  void testCallForAReservationAsksBusyPeers() {
-    Cell At("c");
-    At.Peers.Busy = {"a", "b"};
-    At.Peers.FreeIn = 300ms;
-    At.ask("gang", LongCall);
-    At.Peers.Busy = {"a"};
-    AdviceCost ForReservation = LongCall;
-    ForReservation.ForReservation = true;
-    const auto Answer = At.ask("gang", ForReservation);
-    CPPUNIT_ASSERT(*Answer && Answer->value().has_value());
-    CPPUNIT_ASSERT(At.Peers.Calls.back().ForReservation);
-  }
-
   // Guards against a process that asks busy peers again and again: the calls
   // that they refuse take the time of both.
   void testBusyPeersAreNotAskedAgainAtOnce() {
--- a/Tests/Cell/AdviserChannelTest.cpp
+++ b/Tests/Cell/AdviserChannelTest.cpp
@@ -13,7 +13,6 @@
   CPPUNIT_TEST(testUrgentCallsShareAChannel);
   CPPUNIT_TEST(testNoCallWaitsBehindALongCall);
   CPPUNIT_TEST(testDeferrableCallsNeedAnIdleChannel);
-  CPPUNIT_TEST(testOneCallForAReservationWaitsBehindALongCall);
   CPPUNIT_TEST(testMaximumShortCallIsHalfTheUrgentLatencyTarget);
   CPPUNIT_TEST(testHelpersCarryLongCalls);
   CPPUNIT_TEST(testSingleProcessCarriesLongAndShortCalls);
@@ -25,8 +24,6 @@
   static constexpr AdviceCost Urgent{.Time = 10ms, .Urgent = true};
   static constexpr AdviceCost Deferrable{.Time = 80ms};
   static constexpr AdviceCost LongCall{.Time = 600ms, .Long = true};
-  static constexpr AdviceCost ForReservation{
-      .Time = 400ms, .Long = true, .ForReservation = true};
 
   // Guards against one call at a time, which limits a process on a slow link to
   // one call per round trip.
@@ -56,19 +53,6 @@
     CPPUNIT_ASSERT(Channel.canAccept(Deferrable, Now));
   }
 
-  // Guards against reservations that expire because all channels are taken by
-  // calls of gangs without any capacity.
-  void testOneCallForAReservationWaitsBehindALongCall() {
-    AdviserChannel Channel;
-    Channel.beginCall(LongCall, Now);
-    CPPUNIT_ASSERT(Channel.canAccept(ForReservation, Now));
-    Channel.beginCall(ForReservation, Now);
-    CPPUNIT_ASSERT(!Channel.canAccept(ForReservation, Now));
-    CPPUNIT_ASSERT(!Channel.canAccept(LongCall, Now));
-    Channel.endCall(Now + 600ms);
-    CPPUNIT_ASSERT(Channel.canAccept(ForReservation, Now + 600ms));
-  }
-
   void testMaximumShortCallIsHalfTheUrgentLatencyTarget() {
     CellConfiguration In;
     CPPUNIT_ASSERT(maxShortCallTime(In) > 0ms);
