--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -1,5 +1,6 @@
 #include "Cell/JobOwner.h"
 
+#include "Base/Milliseconds.h"
 #include "Base/WaitForAll.h"
 
 #include <algorithm>
@@ -30,6 +31,8 @@
 /// each holder of a worker, fit into one append.
 constexpr std::size_t LongProgressBytes = 2048;
 constexpr int MaximumPendingWrites = 2;
+constexpr std::chrono::seconds TakeoverEventInterval{1};
+constexpr std::size_t MaximumWorkersInEvent = 8;
 
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
@@ -846,16 +849,21 @@
 void JobOwner::recordReports(const std::string &Member,
                              const ExchangeReply &Reply,
                              Clock::time_point SentAt) {
-  std::set<int> Unresolved;
+  std::map<int, std::set<std::string>> Unresolved;
   for (const WorkerLoad &Worker : Reply.Workers)
     if (!Worker.Resolved)
-      Unresolved.insert(Map_.shardOf(Worker.Id));
+      Unresolved[Map_.shardOf(Worker.Id)].insert(Worker.Id);
   for (auto &[Number, Owned] : Shards_) {
     if (!Owned.Ready || Owned.Resolved || SentAt <= Owned.ReadyAt)
       continue;
-    for (const HeldShard &Entry : Reply.Held)
-      if (Entry.Ready && !Unresolved.contains(Entry.Shard))
+    for (const HeldShard &Entry : Reply.Held) {
+      const auto OutOfReach = Unresolved.find(Entry.Shard);
+      if (Entry.Ready && OutOfReach == Unresolved.end())
         Owned.Reported[Entry.Shard] = Member;
+      Owned.WorkersOutOfReach[Entry.Shard] = OutOfReach == Unresolved.end()
+                                                 ? std::set<std::string>()
+                                                 : OutOfReach->second;
+    }
     resolveIfAllReported(Number, Owned);
     const bool AllReported =
         static_cast<int>(Owned.Reported.size()) == Map_.count();
@@ -884,16 +892,48 @@
   Owned.Resolved = true;
   if (Quota_ != nullptr)
     Quota_->setResolved(Number);
-  resolveUnknownRuns(Owned);
+  resolveUnknownRuns(Number, Owned);
 }
 
-void JobOwner::resolveUnknownRuns(OwnedShard &Owned) {
+void JobOwner::reportWaitingTakeovers() {
+  const Clock::time_point Now = Timers_.now();
+  for (auto &[Number, Owned] : Shards_) {
+    const auto Waiting = Now - Owned.ReadyAt;
+    if (!Owned.Ready || Owned.Resolved || Waiting < TakeoverEventInterval ||
+        Now < Owned.NextWaitEventAt)
+      continue;
+    Owned.NextWaitEventAt = Now + TakeoverEventInterval;
+    std::vector<int> Missing;
+    std::vector<std::string> Workers;
+    for (int Shard = 0; Shard < Map_.count(); ++Shard) {
+      if (Owned.Reported.contains(Shard))
+        continue;
+      Missing.push_back(Shard);
+      std::ranges::copy(Owned.WorkersOutOfReach[Shard],
+                        std::back_inserter(Workers));
+    }
+    const std::size_t OutOfReach = Workers.size();
+    Workers.resize(std::min(OutOfReach, MaximumWorkersInEvent));
+    Events_.emit("jobs", "takeover_waits",
+                 {{"shard", Number},
+                  {"epoch", Owned.Epoch},
+                  {"waiting_ms", toMilliseconds(Waiting)},
+                  {"shards_not_reported", Missing},
+                  {"workers_out_of_reach", OutOfReach},
+                  {"workers", Workers}});
+  }
+}
+
+void JobOwner::resolveUnknownRuns(int Number, OwnedShard &Owned) {
   std::vector<JobPointer> Jobs;
   for (const auto &[Id, Job] : Owned.Jobs)
     if (Job->Progress.hasUnknownTasks() && !Job->Progress.isFinished())
       Jobs.push_back(Job);
-  if (!Jobs.empty())
-    Events_.emit("jobs", "resolved", {{"jobs", Jobs.size()}});
+  Events_.emit("jobs", "resolved",
+               {{"shard", Number},
+                {"epoch", Owned.Epoch},
+                {"jobs", Jobs.size()},
+                {"took_ms", toMilliseconds(Timers_.now() - Owned.ReadyAt)}});
   for (const JobPointer &Job : Jobs) {
     ProgressEffect Effect = Job->Progress.resolveUnknownTasks(Timers_.now());
     // Lets applyEffect() report that steps may have become ready.
@@ -1031,6 +1071,7 @@
 }
 
 void JobOwner::tick() {
+  reportWaitingTakeovers();
   const auto SinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
       Timers_.wallNow().time_since_epoch());
   bool Added = false;
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -253,7 +253,11 @@
     /// Member that has reported all runs on the workers of a shard since
     /// ReadyAt, by shard.
     std::map<int, std::string> Reported;
-    bool Resolved = false;   ///< The takeover is complete.
+    /// Workers whose runs their holder did not know at its latest report, by
+    /// shard.
+    std::map<int, std::set<std::string>> WorkersOutOfReach;
+    bool Resolved = false;               ///< The takeover is complete.
+    Clock::time_point NextWaitEventAt{}; ///< See reportWaitingTakeovers().
     bool Confirming = false; ///< runOwnershipConfirmation() is active.
     std::unordered_map<std::string, JobPointer> Jobs;
   };
@@ -347,9 +351,12 @@
   /// Completes the takeover of the shard once the holders of all shards have
   /// reported the runs on their workers.
   void resolveIfAllReported(int Number, OwnedShard &Owned);
+  /// Writes an event for each takeover that is not complete after a second,
+  /// with what it waits for.
+  void reportWaitingTakeovers();
   /// Makes the tasks ready to start again of which no holder has reported a
   /// run.
-  void resolveUnknownRuns(OwnedShard &Owned);
+  void resolveUnknownRuns(int Number, OwnedShard &Owned);
   asio::awaitable<void> runOwnershipConfirmation(int Number,
                                                  std::uint64_t Epoch);
 
