--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -169,7 +169,10 @@
           // Helpers order and admit nothing.
           .AccountLoads = LoadControl_ == nullptr || Request.Held.empty()
                               ? std::vector<AccountLoad>()
-                              : LoadControl_->ownLoads()};
+                              : LoadControl_->ownLoads(),
+          .OutOfReach = Request.Held.empty()
+                            ? std::map<std::string, Resources>()
+                            : Pool_.workersOutOfReach()};
 }
 
 QuotaReply CellNode::quota(const QuotaRequest &Request) {
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -20,6 +20,7 @@
 /// Fields of the final state of a job that has an account.
 constexpr const char *AccountField = "account";
 constexpr const char *LargestDemandField = "largest_demand";
+constexpr const char *StoppingDemandField = "stopping_demand";
 /// Key of appends that only confirm the ownership. They have no value and thus
 /// leave no record behind.
 constexpr const char *ConfirmationKey = "t/";
@@ -33,6 +34,8 @@
 constexpr int MaximumPendingWrites = 2;
 constexpr std::chrono::seconds TakeoverEventInterval{1};
 constexpr std::size_t MaximumWorkersInEvent = 8;
+/// Number of workers out of reach that a report to a ledger names.
+constexpr std::size_t MaximumWorkersInReport = 64;
 
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410;
@@ -95,6 +98,16 @@
   }
 }
 
+/// Returns nothing if the final state does not tell, like that of an earlier
+/// release.
+std::optional<Resources> stoppingDemandOf(const KeyedRecord &Record) {
+  try {
+    return valueOf(Record).at(StoppingDemandField).get<Resources>();
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
 bool isSameRun(const RunReport &Report, const RunId &Run) {
   return Report.Run == Run.Run && Report.Worker == Run.Worker &&
          Report.Task == Run.Task.toString();
@@ -178,6 +191,7 @@
     JobSpec Spec{.Id = Id, .Account = accountOf(Record)};
     Job = std::make_shared<OwnedJob>(std::move(Spec), Owned.Journal);
     Job->LargestDemand = largestDemandOf(Record);
+    Job->StoppingDemand = stoppingDemandOf(Record);
     Job->Shard = Number;
     Job->Accepted = true;
     Job->Inherited = true;
@@ -187,6 +201,7 @@
   } catch (const std::exception &Failure) {
     // Without its progress, tasks that are done would start again.
     Job->Unreadable = true;
+    Owned.HasUnreadableJob |= Job->Progress.spec().Steps.empty();
     reportUnreadable(Number, Record, Failure);
     return;
   }
@@ -212,6 +227,7 @@
       else if (Record.Key.starts_with(JobPrefix))
         loadJob(Number, Owned, Record);
     } catch (const std::exception &Failure) {
+      Owned.HasUnreadableJob |= Record.Key.starts_with(JobPrefix);
       reportUnreadable(Number, Record, Failure);
     }
   }
@@ -227,6 +243,7 @@
     WorkersRead_(Number, std::move(Workers));
   Owned.Ready = true;
   Owned.ReadyAt = Timers_.now();
+  Owned.InheritedChanged = true;
   int TasksDone = 0;
   for (const auto &[Id, Job] : Owned.Jobs)
     TasksDone += Job->Progress.tasksDone();
@@ -512,6 +529,9 @@
       Largest = maximumOf(Largest, Step.Demand);
     Final[AccountField] = Spec.Account;
     Final[LargestDemandField] = Largest;
+    Job->StoppingDemand = stoppingDemand(*Job);
+    if (Job->StoppingDemand)
+      Final[StoppingDemandField] = *Job->StoppingDemand;
   }
   Records.push_back({.Key = ProgressPrefix + Id, .Value = Final.dump()});
   Records.push_back({.Key = JobPrefix + Id});
@@ -667,14 +687,17 @@
   co_return Reply;
 }
 
-bool JobOwner::isEndSettled(const OwnedJob &Job) const {
+bool JobOwner::isTakeoverComplete(const OwnedJob &Job) const {
   const auto It = Shards_.find(Job.Shard);
   const bool Current = It != Shards_.end() && It->second.Journal == Job.Journal;
+  return Current && (It->second.Resolved || !Job.Inherited);
+}
+
+bool JobOwner::isEndSettled(const OwnedJob &Job) const {
   // The holder of the worker forgets an accepted end. A previous owner that has
   // not noticed the takeover would take the run for lost and start the task
   // again on a worker whose holder does not know of the takeover either.
-  return Job.WrittenVersion == Job.Version && Current &&
-         (It->second.Resolved || !Job.Inherited);
+  return Job.WrittenVersion == Job.Version && isTakeoverComplete(Job);
 }
 
 void JobOwner::markOrdered(const RunId &Run) {
@@ -697,7 +720,7 @@
   Quota_->beginRun(Job.Shard, Spec.Account, Run,
                    Step < Spec.Steps.size() ? Spec.Steps[Step].Demand
                                             : Job.LargestDemand,
-                   Timers_.now());
+                   Timers_.now(), Job.Inherited);
 }
 
 void JobOwner::confirmRun(const RunId &Run) {
@@ -710,9 +733,66 @@
     Quota_->endRun(Map_.shardOf(Run.Task.Job), Run);
 }
 
-bool JobOwner::isResolved(int Shard) const {
+std::optional<Clock::time_point> JobOwner::openedAt(int Shard) const {
   const auto It = Shards_.find(Shard);
-  return It != Shards_.end() && It->second.Resolved;
+  return It != Shards_.end() && It->second.Ready
+             ? std::optional(It->second.ReadyAt)
+             : std::nullopt;
+}
+
+std::vector<int> JobOwner::shardsWithInheritedDemand() const {
+  std::vector<int> Found;
+  for (const auto &[Number, Owned] : Shards_)
+    if (Owned.Ready && !Owned.Resolved && !Owned.HasUnreadableJob)
+      Found.push_back(Number);
+  return Found;
+}
+
+void JobOwner::updateInheritedDemand() {
+  if (Quota_ == nullptr)
+    return;
+  for (auto &[Number, Owned] : Shards_)
+    if (Owned.Ready && !Owned.Resolved &&
+        std::exchange(Owned.InheritedChanged, false))
+      Quota_->setInherited(Number, inheritedDemand(Owned));
+}
+
+InheritedDemand JobOwner::inheritedDemand(const OwnedShard &Owned) const {
+  InheritedDemand Demand{.OutOfReach = workersOutOfReach(Owned)};
+  for (const auto &[Id, Job] : Owned.Jobs) {
+    const std::string &Account = Job->Progress.spec().Account;
+    if (!Job->Inherited || Account.empty())
+      continue;
+    // Of a job that was finished before the takeover, there is no progress.
+    const std::optional<Resources> Unseen = Job->Progress.hasUnknownTasks()
+                                                ? Job->Progress.unseenDemand()
+                                                : Job->StoppingDemand;
+    if (Unseen && !Job->Unreadable)
+      Demand.UnseenTasks[Account] =
+          plusSaturated(Demand.UnseenTasks[Account], *Unseen);
+    else
+      Demand.UnboundedAccounts.insert(Account);
+  }
+  return Demand;
+}
+
+std::optional<Resources> JobOwner::stoppingDemand(const OwnedJob &Job) const {
+  if (Quota_ == nullptr)
+    return std::nullopt;
+  const auto Unseen = isTakeoverComplete(Job) ? std::optional(Resources{})
+                                              : Job.Progress.unseenDemand();
+  if (!Unseen)
+    return std::nullopt;
+  return plusSaturated(*Unseen,
+                       Quota_->demandOf(Job.Shard, Job.Progress.spec().Id));
+}
+
+bool JobOwner::hasOutdatedFinalState(const OwnedJob &Job) const {
+  if (!Job.FinalStateWritten || Job.Progress.spec().Account.empty() ||
+      Job.StoppingDemand == Resources{} || !isTakeoverComplete(Job))
+    return false;
+  return Quota_ != nullptr &&
+         Quota_->demandOf(Job.Shard, Job.Progress.spec().Id).empty();
 }
 
 void JobOwner::invalidateTicket(const RunId &Run) {
@@ -849,21 +929,21 @@
 void JobOwner::recordReports(const std::string &Member,
                              const ExchangeReply &Reply,
                              Clock::time_point SentAt) {
-  std::map<int, std::set<std::string>> Unresolved;
+  std::set<int> Unresolved;
   for (const WorkerLoad &Worker : Reply.Workers)
     if (!Worker.Resolved)
-      Unresolved[Map_.shardOf(Worker.Id)].insert(Worker.Id);
+      Unresolved.insert(Map_.shardOf(Worker.Id));
   for (auto &[Number, Owned] : Shards_) {
     if (!Owned.Ready || Owned.Resolved || SentAt <= Owned.ReadyAt)
       continue;
     for (const HeldShard &Entry : Reply.Held) {
-      const auto OutOfReach = Unresolved.find(Entry.Shard);
-      if (Entry.Ready && OutOfReach == Unresolved.end())
+      if (!Entry.Ready)
+        continue;
+      if (!Unresolved.contains(Entry.Shard))
         Owned.Reported[Entry.Shard] = Member;
-      Owned.WorkersOutOfReach[Entry.Shard] = OutOfReach == Unresolved.end()
-                                                 ? std::set<std::string>()
-                                                 : OutOfReach->second;
+      applyWorkersReport(Owned, Entry.Shard, Member, Reply);
     }
+    markListedReports(Owned);
     resolveIfAllReported(Number, Owned);
     const bool AllReported =
         static_cast<int>(Owned.Reported.size()) == Map_.count();
@@ -872,10 +952,61 @@
   }
 }
 
+void JobOwner::applyWorkersReport(OwnedShard &Owned, int Shard,
+                                  const std::string &Member,
+                                  const ExchangeReply &Reply) const {
+  std::map<std::string, std::optional<Resources>> OutOfReach;
+  for (const WorkerLoad &Worker : Reply.Workers) {
+    if (Worker.Resolved || Map_.shardOf(Worker.Id) != Shard)
+      continue;
+    const auto Capacity = Reply.OutOfReach.find(Worker.Id);
+    OutOfReach[Worker.Id] = Capacity == Reply.OutOfReach.end()
+                                ? std::nullopt
+                                : std::optional(Capacity->second);
+  }
+  WorkersReport &Known = Owned.WorkersReports[Shard];
+  if (!Known.IsListed) {
+    Known.Member = Member;
+    Known.OutOfReach = std::move(OutOfReach);
+    return;
+  }
+  // All runs on the others have been reported.
+  std::erase_if(Known.OutOfReach, [&OutOfReach](const auto &WorkerAndCapacity) {
+    return !OutOfReach.contains(WorkerAndCapacity.first);
+  });
+}
+
+std::optional<std::map<std::string, Resources>>
+JobOwner::workersOutOfReach(const OwnedShard &Owned) const {
+  std::map<std::string, Resources> Found;
+  for (int Shard = 0; Shard < Map_.count(); ++Shard) {
+    const auto It = Owned.WorkersReports.find(Shard);
+    if (It == Owned.WorkersReports.end() || !It->second.IsListed)
+      return std::nullopt;
+    for (const auto &[Worker, Capacity] : It->second.OutOfReach) {
+      if (!Capacity || Found.size() == MaximumWorkersInReport)
+        return std::nullopt;
+      Found.emplace(Worker, *Capacity);
+    }
+  }
+  return Found;
+}
+
 void JobOwner::handleHolderList() {
-  for (auto &[Number, Owned] : Shards_)
-    if (Owned.Ready && !Owned.Resolved)
-      resolveIfAllReported(Number, Owned);
+  for (auto &[Number, Owned] : Shards_) {
+    if (!Owned.Ready || Owned.Resolved)
+      continue;
+    markListedReports(Owned);
+    resolveIfAllReported(Number, Owned);
+  }
+}
+
+void JobOwner::markListedReports(OwnedShard &Owned) const {
+  for (auto &[Shard, Report] : Owned.WorkersReports)
+    Report.IsListed =
+        Report.IsListed ||
+        (HolderCheck_ && HolderCheck_(Shard, Report.Member, Owned.ReadyAt));
+  Owned.InheritedChanged = true;
 }
 
 void JobOwner::resolveIfAllReported(int Number, OwnedShard &Owned) {
@@ -909,8 +1040,9 @@
       if (Owned.Reported.contains(Shard))
         continue;
       Missing.push_back(Shard);
-      std::ranges::copy(Owned.WorkersOutOfReach[Shard],
-                        std::back_inserter(Workers));
+      for (const auto &[Worker, Capacity] :
+           Owned.WorkersReports[Shard].OutOfReach)
+        Workers.push_back(Worker);
     }
     const std::size_t OutOfReach = Workers.size();
     Workers.resize(std::min(OutOfReach, MaximumWorkersInEvent));
@@ -1084,7 +1216,11 @@
     std::vector<KeyedRecord> Dropped;
     std::vector<JobPointer> Unwritten;
     std::erase_if(Owned.Jobs, [&](const auto &Entry) {
-      const OwnedJob &Job = *Entry.second;
+      OwnedJob &Job = *Entry.second;
+      if (!Job.MustStore && hasOutdatedFinalState(Job)) {
+        ++Job.Version;
+        Job.MustStore = true;
+      }
       if (Job.MustStore ||
           (Job.Progress.isFinished() && !Job.FinalStateWritten))
         Unwritten.push_back(Entry.second);
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -52,6 +52,9 @@
   /// Largest demand of a task, if the journal has only the final state. Zero
   /// for jobs without an account.
   Resources LargestDemand;
+  /// Bound of what runs use that may have outlived the job, as its final state
+  /// in the journal has it; nothing if it has none.
+  std::optional<Resources> StoppingDemand = Resources{};
   bool FinalStateWritten = false; ///< Final state is in the journal.
   bool MustStore = false;    ///< A write of its progress is due or in progress.
   std::uint64_t Version = 0; ///< Number of durable changes.
@@ -152,8 +155,14 @@
   void countRun(const OwnedJob &Job, const RunId &Run);
   /// Records that the run does not exist (any more).
   void uncountRun(const RunId &Run);
-  /// Returns true if the takeover of the owned shard is complete.
-  [[nodiscard]] bool isResolved(int Shard) const;
+  /// Returns the time at which the journal of the owned shard had been read;
+  /// nothing before that, or if the shard is not owned.
+  [[nodiscard]] std::optional<Clock::time_point> openedAt(int Shard) const;
+  /// Returns the opened shards whose takeover is not complete, and of which the
+  /// journal tells what may run.
+  [[nodiscard]] std::vector<int> shardsWithInheritedDemand() const;
+  /// Tells the quota what inherited runs may use, where that has changed.
+  void updateInheritedDemand();
 
   /// Takes ownership of the shard: sets its epoch and reads its journal.
   void assign(int Shard, std::uint64_t Epoch);
@@ -245,6 +254,17 @@
   void tick();
 
 private:
+  /// What is known of the workers of a shard from the reports of its holder.
+  struct WorkersReport {
+    std::string Member;
+    /// The member is the holder, by a list that was requested after the
+    /// takeover had begun. Orders of former owners of the job are rejected by
+    /// it, and by all later holders.
+    bool IsListed = false;
+    /// Workers whose runs are not all known, with their capacity; nothing if
+    /// that was not reported.
+    std::map<std::string, std::optional<Resources>> OutOfReach;
+  };
   struct OwnedShard {
     std::uint64_t Epoch = 0;
     JournalPointer Journal;
@@ -253,9 +273,13 @@
     /// Member that has reported all runs on the workers of a shard since
     /// ReadyAt, by shard.
     std::map<int, std::string> Reported;
-    /// Workers whose runs their holder did not know at its latest report, by
+    /// What has been reported of the workers of a shard since ReadyAt, by
     /// shard.
-    std::map<int, std::set<std::string>> WorkersOutOfReach;
+    std::map<int, WorkersReport> WorkersReports;
+    /// A record of a job could not be read.
+    bool HasUnreadableJob = false;
+    /// What inherited runs may use has changed.
+    bool InheritedChanged = false;
     bool Resolved = false;               ///< The takeover is complete.
     Clock::time_point NextWaitEventAt{}; ///< See reportWaitingTakeovers().
     bool Confirming = false; ///< runOwnershipConfirmation() is active.
@@ -319,6 +343,9 @@
                                            std::vector<KeyedRecord> Records,
                                            std::shared_ptr<bool> Confirmed);
   [[nodiscard]] JournalPointer journalOf(int Number) const;
+  /// Returns true if no previous owner can start a task of the job any more,
+  /// and this process still owns it in the same term.
+  [[nodiscard]] bool isTakeoverComplete(const OwnedJob &Job) const;
   /// Returns true if the journal contains the job's progress and no previous
   /// owner can start a task of the job any more.
   [[nodiscard]] bool isEndSettled(const OwnedJob &Job) const;
@@ -351,6 +378,22 @@
   /// Completes the takeover of the shard once the holders of all shards have
   /// reported the runs on their workers.
   void resolveIfAllReported(int Number, OwnedShard &Owned);
+  /// Applies what the member reports of the workers of a shard.
+  void applyWorkersReport(OwnedShard &Owned, int Shard,
+                          const std::string &Member,
+                          const ExchangeReply &Reply) const;
+  /// Records which of the reports are of holders that the store lists.
+  void markListedReports(OwnedShard &Owned) const;
+  /// Returns the workers of which not all runs are known, with their capacity;
+  /// nothing if there may be others, or if they are too many for a report.
+  [[nodiscard]] std::optional<std::map<std::string, Resources>>
+  workersOutOfReach(const OwnedShard &Owned) const;
+  [[nodiscard]] InheritedDemand inheritedDemand(const OwnedShard &Owned) const;
+  /// Returns a bound of what runs of the finished job may still use.
+  [[nodiscard]] std::optional<Resources>
+  stoppingDemand(const OwnedJob &Job) const;
+  /// Returns true if the final state in the journal names runs that have ended.
+  [[nodiscard]] bool hasOutdatedFinalState(const OwnedJob &Job) const;
   /// Writes an event for each takeover that is not complete after a second,
   /// with what it waits for.
   void reportWaitingTakeovers();
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -213,6 +213,9 @@
   /// Loads of the jobs that the process owns; empty if it uses neither accounts
   /// nor admission control, and in the answer to a process without shards.
   std::vector<AccountLoad> AccountLoads;
+  /// Capacity of the workers of which not all runs are known. Earlier releases
+  /// do not send it.
+  std::map<std::string, Resources> OutOfReach;
 };
 
 /// Asks a process for the records of the configuration topic that were written
@@ -271,6 +274,15 @@
   Resources Used;
   /// Most that the owner may have running: not less than Used.
   Resources Held;
+  /// Part of it that was granted under a cap that is not above the present one.
+  /// The owner may go on using it while the ledger does not know what exactly
+  /// other shards use. Earlier releases do not send it.
+  Resources Granted;
+  /// Used, beside Used, by runs that former owners of the shard have started;
+  /// empty once the takeover of the shard is complete.
+  Resources Inherited;
+  /// Bound of what further such runs may use, of which none is known.
+  Resources Unseen;
   Resources Wanted;
   /// Least amount, beyond Used, with which the step can start that has been
   /// refused longest; empty if no step needs more.
@@ -282,7 +294,12 @@
 struct ShardUsageReport {
   int Shard = 0;
   std::uint64_t Epoch = 0;
-  bool Resolved = false;      ///< All runs of the shard's jobs are known.
+  /// All runs of the shard's jobs are known. Ledgers of earlier releases ignore
+  /// other reports.
+  bool Resolved = false;
+  /// Unseen runs can only be on the workers in OutOfReach.
+  bool OutOfReachKnown = false;
+  std::map<std::string, Resources> OutOfReach; ///< Capacity by worker.
   std::uint64_t Sequence = 0; ///< Rises with each report in the epoch.
   /// All accounts of the ledger's shard that hold or want anything.
   std::vector<AccountUsage> Accounts;
@@ -391,7 +408,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
                                                 Workers, Runs, WaitingJobs,
                                                 Claims, Outdated, FailureDomain,
-                                                AccountLoads)
+                                                AccountLoads, OutOfReach)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsRequest, From, WaitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
@@ -403,10 +420,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberRequest, Member, FailingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RemoveMemberReply, Done)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AccountUsage, Account, Used,
-                                                Held, Wanted, Minimum, Priority,
-                                                WaitingMs)
+                                                Held, Granted, Inherited,
+                                                Unseen, Wanted, Minimum,
+                                                Priority, WaitingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardUsageReport, Shard, Epoch,
-                                                Resolved, Sequence, Accounts)
+                                                Resolved, OutOfReachKnown,
+                                                OutOfReach, Sequence, Accounts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LedgerReport, Ledger, Epoch,
                                                 Version, Shards)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(QuotaRequest, Sender, Ledgers)
--- a/Source/Cell/QuotaAllotment.cpp
+++ b/Source/Cell/QuotaAllotment.cpp
@@ -29,28 +29,67 @@
   Version_ = Version;
 }
 
+void QuotaAllotment::setInherited(int Shard, InheritedDemand Demand) {
+  const auto It = Shards_.find(Shard);
+  if (It == Shards_.end() || It->second.Resolved)
+    return;
+  // What the workers out of reach can run is usually far below what the journal
+  // tells.
+  if (Demand.OutOfReach && !It->second.Unseen.OutOfReach)
+    ++News_;
+  It->second.Unseen = std::move(Demand);
+}
+
+void QuotaAllotment::setLedgerKnown(int Shard, int Ledger) {
+  const auto It = Shards_.find(Shard);
+  if (It != Shards_.end() && It->second.KnownLedgers.insert(Ledger).second)
+    ++News_;
+}
+
 void QuotaAllotment::setResolved(int Shard) {
   const auto It = Shards_.find(Shard);
   if (It == Shards_.end() || It->second.Resolved)
     return;
-  It->second.Resolved = true;
-  ++Resolved_;
+  OwnedShard &Owned = It->second;
+  Owned.Resolved = true;
+  Owned.Unseen = {};
+  for (auto &[Key, Counted] : Owned.Runs)
+    Counted.Inherited = false;
+  for (auto &[Account, Entry] : Owned.Accounts)
+    Entry.Used =
+        plusSaturated(Entry.Used, std::exchange(Entry.Inherited, Resources{}));
+  ++News_;
+}
+
+Resources QuotaAllotment::unseenOf(const OwnedShard &Owned,
+                                   const std::string &Account) {
+  if (Owned.Unseen.UnboundedAccounts.contains(Account))
+    return largestResources();
+  const auto Tasks = Owned.Unseen.UnseenTasks.find(Account);
+  return Tasks == Owned.Unseen.UnseenTasks.end() ? Resources{} : Tasks->second;
 }
 
 void QuotaAllotment::beginRun(int Shard, const std::string &Account,
                               const RunId &Run, const Resources &Demand,
-                              Clock::time_point Now) {
+                              Clock::time_point Now, bool IsInherited) {
   const auto It = Shards_.find(Shard);
   if (It == Shards_.end() || Account.empty())
     return;
+  const bool Inherited = IsInherited && !It->second.Resolved;
   const auto [Counted, IsNew] = It->second.Runs.try_emplace(
-      keyOf(Run),
-      CountedRun{
-          .Run = Run, .Account = Account, .Demand = Demand, .Since = Now});
+      keyOf(Run), CountedRun{.Run = Run,
+                             .Account = Account,
+                             .Demand = Demand,
+                             .Since = Now,
+                             .Inherited = Inherited});
   Counted->second.Since = Now;
   if (!IsNew)
     return;
   Use &Entry = It->second.Accounts[Account];
+  if (Inherited) {
+    Entry.Inherited = plusSaturated(Entry.Inherited, Demand);
+    return;
+  }
   Entry.Used = plusSaturated(Entry.Used, Demand);
   rollPeaks(Entry, Now);
   Entry.Peak = maximumOf(Entry.Peak, Entry.Used);
@@ -75,8 +114,9 @@
     return;
   const std::string &Account = Counted->second.Account;
   Use &Entry = It->second.Accounts[Account];
-  Entry.Used = Entry.Used.minusClamped(Counted->second.Demand);
-  if (Entry.Used.empty() && !Caps_.contains(Account))
+  Resources &Sum = Counted->second.Inherited ? Entry.Inherited : Entry.Used;
+  Sum = Sum.minusClamped(Counted->second.Demand);
+  if (Entry.Used.empty() && Entry.Inherited.empty() && !Caps_.contains(Account))
     It->second.Accounts.erase(Account);
   It->second.Runs.erase(Counted);
 }
@@ -114,7 +154,7 @@
   if (Cap == Caps_.end())
     return Count;
   const auto It = Shards_.find(Step.Shard);
-  if (It == Shards_.end() || !It->second.Resolved ||
+  if (It == Shards_.end() ||
       !canEverStart(*Step.Spec, Cap->second, Options_.Overage))
     return 0;
   Use &Entry = It->second.Accounts[Step.Account];
@@ -179,7 +219,7 @@
   std::set<int> Found;
   for (auto &[Number, Owned] : Shards_)
     for (auto &[Account, Entry] : Owned.Accounts) {
-      if (!Caps_.contains(Account))
+      if (!Caps_.contains(Account) || !mayReport(Owned, Map_.shardOf(Account)))
         continue;
       dropOldNeeds(Entry, Now);
       const bool CanReturn =
@@ -231,11 +271,18 @@
   LedgerReport Report{
       .Ledger = Ledger, .Epoch = LedgerEpochs_[Ledger], .Version = Version_};
   for (auto &[Number, Owned] : Shards_) {
-    if (!Owned.Resolved)
+    if (!mayReport(Owned, Ledger))
       continue;
+    for (const auto &[Account, Cap] : Caps_)
+      if (Map_.shardOf(Account) == Ledger && !unseenOf(Owned, Account).empty())
+        Owned.Accounts.try_emplace(Account);
     ShardUsageReport Shard{.Shard = Number,
                            .Epoch = Owned.Epoch,
-                           .Resolved = true,
+                           .Resolved = Owned.Resolved,
+                           .OutOfReachKnown =
+                               Owned.Unseen.OutOfReach.has_value(),
+                           .OutOfReach = Owned.Unseen.OutOfReach.value_or(
+                               std::map<std::string, Resources>()),
                            .Sequence = ++LastSequence_};
     Owned.Sequences[Ledger] = Shard.Sequence;
     for (auto &[Account, Entry] : Owned.Accounts) {
@@ -246,7 +293,10 @@
       Entry.Granted = minimumOf(Entry.Granted, kept(Entry, Now));
       AccountUsage Line{.Account = Account,
                         .Used = Entry.Used,
-                        .Held = maximumOf(Entry.Granted, Entry.Used)};
+                        .Held = maximumOf(Entry.Granted, Entry.Used),
+                        .Granted = Entry.Granted,
+                        .Inherited = Entry.Inherited,
+                        .Unseen = unseenOf(Owned, Account)};
       Line.Wanted = Line.Held;
       if (const Need *Longest = longest(Entry)) {
         Resources Total;
@@ -261,7 +311,8 @@
                              Now - Longest->Since)
                              .count();
       }
-      if (!Line.Held.empty() || !Line.Minimum.empty())
+      if (!Line.Held.empty() || !Line.Minimum.empty() ||
+          !Line.Inherited.empty() || !Line.Unseen.empty())
         Shard.Accounts.push_back(std::move(Line));
       else
         Entry.Granted = {};
@@ -269,7 +320,8 @@
     std::erase_if(Owned.Accounts, [&](const auto &NameAndUse) {
       const Use &Entry = NameAndUse.second;
       return Map_.shardOf(NameAndUse.first) == Ledger && Entry.Used.empty() &&
-             Entry.Granted.empty() && Entry.Needs.empty();
+             Entry.Inherited.empty() && Entry.Granted.empty() &&
+             Entry.Needs.empty();
     });
     Report.Shards.push_back(std::move(Shard));
   }
@@ -324,17 +376,26 @@
   }
 }
 
+Resources QuotaAllotment::demandOf(int Shard, const std::string &Job) const {
+  Resources Sum;
+  if (const auto It = Shards_.find(Shard); It != Shards_.end())
+    for (const auto &[Key, Counted] : It->second.Runs)
+      if (Counted.Run.Task.Job == Job)
+        Sum = plusSaturated(Sum, Counted.Demand);
+  return Sum;
+}
+
 Resources QuotaAllotment::used(const std::string &Account) const {
   Resources Sum;
   for (const auto &[Number, Owned] : Shards_)
-    if (const Use *Entry = findUse(Number, Account))
-      Sum = plusSaturated(Sum, Entry->Used);
+    Sum = plusSaturated(Sum, usedIn(Number, Account));
   return Sum;
 }
 
 Resources QuotaAllotment::usedIn(int Shard, const std::string &Account) const {
   const Use *Entry = findUse(Shard, Account);
-  return Entry == nullptr ? Resources{} : Entry->Used;
+  return Entry == nullptr ? Resources{}
+                          : plusSaturated(Entry->Used, Entry->Inherited);
 }
 
 Resources QuotaAllotment::grantedIn(int Shard,
--- a/Source/Cell/QuotaAllotment.h
+++ b/Source/Cell/QuotaAllotment.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -46,6 +47,18 @@
   int Priority = 0;
 };
 
+/// Bound of what the runs that former owners of a shard have started use, while
+/// the takeover of the shard is not complete.
+struct InheritedDemand {
+  /// Demand of the tasks that may run and of which no run is known, by account.
+  std::map<std::string, Resources> UnseenTasks;
+  /// Accounts of which the journal does not tell what may run.
+  std::set<std::string> UnboundedAccounts;
+  /// Workers of which not all runs are known, with their capacity; nothing if
+  /// there may be others. Runs of which none is known can only be there.
+  std::optional<std::map<std::string, Resources>> OutOfReach;
+};
+
 /// What the jobs of the shards that this process owns use of the caps of their
 /// accounts, and what they may use: the allotment of each account and shard,
 /// which only the ledger of the account raises. Runs are counted by name from
@@ -66,15 +79,25 @@
     Shards_[Shard] = {.Epoch = Epoch};
   }
   void closeShard(int Shard) { Shards_.erase(Shard); }
+  /// Sets what the jobs that former owners of the shard have accepted may use,
+  /// once its journal has been read, and whenever less of it may run.
+  void setInherited(int Shard, InheritedDemand Demand);
+  /// Records that the holder of the ledger is known from a list that was
+  /// requested from the store after the shard's journal had been read. The
+  /// shard is reported to the ledger from then on: a ledger that opens without
+  /// its report is a former one, of which this process accepts no grants.
+  void setLedgerKnown(int Shard, int Ledger);
   /// All runs of the shard's jobs are known, and former owners can start
   /// nothing more.
   void setResolved(int Shard);
-  /// Returns how often a shard was resolved.
-  [[nodiscard]] std::uint64_t resolvedShards() const { return Resolved_; }
+  /// Returns a number that rises when a ledger should get a report early.
+  [[nodiscard]] std::uint64_t newsCount() const { return News_; }
 
-  /// Counts a run; its demand counts once.
+  /// Counts a run; its demand counts once. IsInherited: a former owner of the
+  /// shard has started it.
   void beginRun(int Shard, const std::string &Account, const RunId &Run,
-                const Resources &Demand, Clock::time_point Now);
+                const Resources &Demand, Clock::time_point Now,
+                bool IsInherited = false);
   /// Records that the run was still there, so that reports sent before do not
   /// prove its end.
   void confirmRun(int Shard, const RunId &Run, Clock::time_point Now);
@@ -114,6 +137,8 @@
   /// Applies the reply to the latest report.
   void apply(const LedgerGrants &Reply, Clock::time_point Now);
 
+  /// Returns the demand of the counted runs of the job.
+  [[nodiscard]] Resources demandOf(int Shard, const std::string &Job) const;
   [[nodiscard]] Resources used(const std::string &Account) const;
   [[nodiscard]] Resources usedIn(int Shard, const std::string &Account) const;
   [[nodiscard]] Resources grantedIn(int Shard,
@@ -125,6 +150,8 @@
     std::string Account;
     Resources Demand;
     Clock::time_point Since{};
+    /// A former owner has started it, and the takeover is not complete.
+    bool Inherited = false;
   };
   struct Need {
     Resources Total;
@@ -134,7 +161,8 @@
     Clock::time_point SeenAt{};
   };
   struct Use {
-    Resources Used;
+    Resources Used;      ///< By runs that are not inherited.
+    Resources Inherited; ///< Demand of the inherited runs that are known.
     Resources Granted;
     Resources Peak;     ///< Largest use since PeakSince.
     Resources LastPeak; ///< In the period before.
@@ -151,12 +179,20 @@
   struct OwnedShard {
     std::uint64_t Epoch = 0;
     bool Resolved = false;
+    InheritedDemand Unseen;                           ///< Unless resolved.
+    std::set<int> KnownLedgers;                       ///< See setLedgerKnown().
     std::unordered_map<std::string, CountedRun> Runs; ///< TASK#RUN@WORKER
     std::map<std::string, Use> Accounts;
     /// Of the latest report, by ledger.
     std::map<int, std::uint64_t> Sequences;
   };
 
+  [[nodiscard]] static bool mayReport(const OwnedShard &Owned, int Ledger) {
+    return Owned.Resolved || Owned.KnownLedgers.contains(Ledger);
+  }
+  /// Returns the bound of what inherited runs use of which none is known.
+  [[nodiscard]] static Resources unseenOf(const OwnedShard &Owned,
+                                          const std::string &Account);
   [[nodiscard]] const Use *findUse(int Shard, const std::string &Account) const;
   void dropOldNeeds(Use &Account, Clock::time_point Now) const;
   [[nodiscard]] static const Need *longest(const Use &Account);
@@ -171,7 +207,7 @@
   std::map<int, OwnedShard> Shards_;
   std::map<int, std::uint64_t> LedgerEpochs_;
   std::uint64_t LastSequence_ = 0;
-  std::uint64_t Resolved_ = 0;
+  std::uint64_t News_ = 0;
 };
 
 } // namespace hickory
--- a/Source/Cell/QuotaAmount.h
+++ b/Source/Cell/QuotaAmount.h
@@ -57,6 +57,11 @@
           .Accelerators = Limit(Cap.Accelerators)};
 }
 
+inline Resources largestResources() {
+  constexpr std::uint64_t Maximum = std::numeric_limits<std::uint64_t>::max();
+  return {.CpusMilli = Maximum, .MemoryMb = Maximum, .Accelerators = Maximum};
+}
+
 /// Returns how many times the demand fits in the room, at most Count.
 inline int fitsTimes(const Resources &Demand, const Resources &Room,
                      int Count) {
--- a/Source/Cell/QuotaClient.cpp
+++ b/Source/Cell/QuotaClient.cpp
@@ -164,8 +164,9 @@
     if (!Holder || InFlight_.contains(*Holder) || Now < Latest.RetryAt)
       continue;
     Allotment_.noteLedgerEpoch(Ledger, Shards_.latestTerm(Ledger).Epoch);
+    noteKnownLedger(Ledger);
     const bool HasNews = Allotment_.ledgerEpoch(Ledger) != Latest.Epoch ||
-                         Allotment_.resolvedShards() != Latest.OpenedShards;
+                         Allotment_.newsCount() != Latest.News;
     const auto Passed = Now - Latest.SentAt;
     if (HasNews || Passed >= Options_.ReportPeriod ||
         (Urgent.contains(Ledger) && Passed >= Options_.MinimumCallInterval))
@@ -178,11 +179,12 @@
 
 asio::awaitable<void> QuotaClient::call(std::string Address,
                                         std::vector<int> Ledgers) {
+  Jobs_.updateInheritedDemand();
   QuotaRequest Request{.Sender = Options_.Address};
   for (const int Ledger : Ledgers) {
     Contact &Latest = Contacts_[Ledger];
     Latest.SentAt = Timers_.now();
-    Latest.OpenedShards = Allotment_.resolvedShards();
+    Latest.News = Allotment_.newsCount();
     LedgerReport Report = Allotment_.report(Ledger, Timers_.now());
     Latest.Epoch = Report.Epoch;
     if (!Report.Shards.empty())
@@ -225,15 +227,22 @@
   QuotaLedger &Ledger = Held->second.Ledger;
   if (IsNew)
     Ledger.setCaps(Allotment_.caps(), Configuration_.Version);
-  for (int Number = 0; Number < Map_.count(); ++Number)
-    Ledger.noteTerm(Number, std::max(Shards_.latestTerm(Number).Epoch,
-                                     Jobs_.epochOf(Number).value_or(0)));
-  // The terms that the takeover has found are noted before.
-  if (Jobs_.isResolved(Shard))
-    Ledger.setResolved();
+  const auto OpenedAt = Jobs_.openedAt(Shard);
+  for (int Number = 0; Number < Map_.count(); ++Number) {
+    const std::uint64_t Term = Shards_.latestTerm(Number).Epoch;
+    Ledger.noteTerm(Number, std::max(Term, Jobs_.epochOf(Number).value_or(0)));
+    if (OpenedAt && Shards_.isLatestTermListedSince(Number, *OpenedAt))
+      Ledger.noteListed(Number, Term);
+  }
   return &Held->second;
 }
 
+void QuotaClient::noteKnownLedger(int Ledger) {
+  for (const int Shard : Jobs_.shardsWithInheritedDemand())
+    if (Shards_.isLatestTermListedSince(Ledger, *Jobs_.openedAt(Shard)))
+      Allotment_.setLedgerKnown(Shard, Ledger);
+}
+
 QuotaReply QuotaClient::answer(const QuotaRequest &Request) {
   QuotaReply Reply;
   for (const LedgerReport &Report : Request.Ledgers) {
--- a/Source/Cell/QuotaClient.h
+++ b/Source/Cell/QuotaClient.h
@@ -74,11 +74,13 @@
     Clock::time_point SentAt{};
     Clock::time_point RetryAt{};
     std::uint64_t Epoch = 0;
-    std::uint64_t OpenedShards = 0; ///< See QuotaAllotment::resolvedShards().
+    std::uint64_t News = 0; ///< See QuotaAllotment::newsCount().
   };
 
   void callDue();
   asio::awaitable<void> call(std::string Address, std::vector<int> Ledgers);
+  /// Tells the allotment which owned shards may be reported to the ledger.
+  void noteKnownLedger(int Ledger);
   HeldLedger *heldLedger(int Shard);
   void reportWaiting(const QuotaStep &Step, int Count, int Startable);
   void registerGauges();
--- a/Source/Cell/QuotaLedger.cpp
+++ b/Source/Cell/QuotaLedger.cpp
@@ -37,11 +37,56 @@
   Known.Term = std::max(Known.Term, Epoch);
 }
 
+void QuotaLedger::noteListed(int Shard, std::uint64_t Epoch) {
+  JobShard &Known = Shards_.at(static_cast<std::size_t>(Shard));
+  Known.Listed = std::max(Known.Listed, Epoch);
+}
+
 void QuotaLedger::openIfReported() {
-  Open_ = Open_ ||
-          (Resolved_ && std::ranges::all_of(Shards_, [](const JobShard &Each) {
-             return Each.Reported && Each.Epoch >= Each.Term;
-           }));
+  Open_ = Open_ || std::ranges::all_of(Shards_, [](const JobShard &Each) {
+            return Each.Reported && Each.Epoch >= Each.Term &&
+                   Each.Listed != 0 && Each.Epoch >= Each.Listed;
+          });
+}
+
+Resources QuotaLedger::unseenBy(const ShardUsageReport &Report,
+                                const AccountUsage &Usage) const {
+  const JobShard &Sender = Shards_[static_cast<std::size_t>(Report.Shard)];
+  if (Report.Resolved)
+    return {};
+  if (!Sender.Reported)
+    return Usage.Unseen;
+  const auto All = Accounts_.find(Usage.Account);
+  if (All == Accounts_.end() || !All->second.contains(Report.Shard))
+    return {};
+  const Use &Former = All->second.at(Report.Shard);
+  const Resources Most =
+      Sender.Epoch == Report.Epoch
+          ? plusSaturated(Former.Report.Inherited, Former.Unseen)
+          : Former.total();
+  return minimumOf(Usage.Unseen, Most.minusClamped(Usage.Inherited));
+}
+
+Resources QuotaLedger::mostInUse(const Uses &All) const {
+  Resources Sum;
+  Resources OnWorkers; ///< Of the unseen, what can only be on known workers.
+  std::map<std::string, Resources> Workers;
+  for (const auto &[Number, Each] : All) {
+    Sum = plusSaturated(Sum, Each.known());
+    const JobShard &Owner = Shards_[static_cast<std::size_t>(Number)];
+    if (Each.Unseen.empty())
+      continue;
+    if (!Owner.OutOfReachKnown) {
+      Sum = plusSaturated(Sum, Each.Unseen);
+      continue;
+    }
+    OnWorkers = plusSaturated(OnWorkers, Each.Unseen);
+    Workers.insert(Owner.OutOfReach.begin(), Owner.OutOfReach.end());
+  }
+  Resources Capacity;
+  for (const auto &[Worker, Each] : Workers)
+    Capacity = plusSaturated(Capacity, Each);
+  return plusSaturated(Sum, minimumOf(OnWorkers, Capacity));
 }
 
 ShardGrants QuotaLedger::apply(const ShardUsageReport &Report,
@@ -49,8 +94,7 @@
   ShardGrants Refused{.Shard = Report.Shard,
                       .Epoch = Report.Epoch,
                       .Sequence = Report.Sequence};
-  if (Report.Shard < 0 || Report.Shard >= std::ssize(Shards_) ||
-      !Report.Resolved)
+  if (Report.Shard < 0 || Report.Shard >= std::ssize(Shards_))
     return Refused;
   JobShard &Sender = Shards_[static_cast<std::size_t>(Report.Shard)];
   if (Report.Epoch < Sender.Term)
@@ -61,21 +105,25 @@
     return Sender.Answer;
   if (SameEpoch && Report.Sequence < Sender.Sequence)
     return Refused;
-  Sender.Term = Report.Epoch;
-  Sender.Epoch = Report.Epoch;
-  Sender.Sequence = Report.Sequence;
-  Sender.Reported = true;
   std::set<std::string> Listed;
   for (const AccountUsage &Each : Report.Accounts) {
     Listed.insert(Each.Account);
     const Resources Held = maximumOf(Each.Held, Each.Used);
+    const Resources Unseen = unseenBy(Report, Each);
     Accounts_[Each.Account][Report.Shard] = {
         .Report = Each,
         .Held = Held,
+        .Unseen = Unseen,
         .Target = Held,
         .WaitingSince = Now - std::chrono::milliseconds(Each.WaitingMs),
         .ReportedAt = Now};
   }
+  Sender.Term = Report.Epoch;
+  Sender.Epoch = Report.Epoch;
+  Sender.Sequence = Report.Sequence;
+  Sender.Reported = true;
+  Sender.OutOfReachKnown = Report.OutOfReachKnown;
+  Sender.OutOfReach = Report.OutOfReach;
   for (auto &[Account, All] : Accounts_)
     if (!Listed.contains(Account))
       All.erase(Report.Shard);
@@ -109,15 +157,17 @@
       Version < CapVersions_.at(Account))
     return {};
   const Resources Limit = limitOf(Cap->second);
-  Resources Sum;
+  const Resources Sum = mostInUse(All);
+  Resources Known;
   Resources UsedByOthers;
   for (const auto &[Number, Each] : All) {
-    Sum = plusSaturated(Sum, Each.Held);
+    Known = plusSaturated(Known, Each.known());
     if (Number != Shard)
-      UsedByOthers = plusSaturated(UsedByOthers, Each.Held);
+      UsedByOthers = plusSaturated(UsedByOthers, Each.total());
   }
   const bool StartsAlone = Grant.Refused && UsedByOthers.empty() &&
-                           Own.Report.Used.empty() &&
+                           Own.Report.Used.empty() && Own.known() == Own.Held &&
+                           Own.Unseen.empty() &&
                            !Own.Report.Minimum.fitsIn(Limit);
   if (StartsAlone) {
     Own.Held = maximumOf(Own.Held, Own.Report.Minimum);
@@ -127,8 +177,11 @@
     return Grant;
   }
   if (!Sum.fitsIn(Limit)) {
-    // The cap has become smaller: nothing is started until the sum fits.
-    Own.Target = {};
+    // If the cap has become smaller, nothing is started until the sum fits. If
+    // only the bound of unseen runs does not fit, fewer may be running: what
+    // the owner was granted was within the cap together with these runs.
+    Own.Target = Known.fitsIn(Limit) ? minimumOf(Own.Held, Own.Report.Granted)
+                                     : Resources{};
     Grant.Granted = Own.Target;
     return Grant;
   }
@@ -201,7 +254,7 @@
     return Sums;
   for (const auto &[Number, Each] : It->second) {
     Sums.Used = plusSaturated(Sums.Used, Each.Report.Used);
-    Sums.Held = plusSaturated(Sums.Held, Each.Held);
+    Sums.Held = plusSaturated(Sums.Held, Each.known());
     Sums.Waiting += isWaiting(Each, Now) ? 1 : 0;
   }
   return Sums;
--- a/Source/Cell/QuotaLedger.h
+++ b/Source/Cell/QuotaLedger.h
@@ -25,7 +25,8 @@
 /// Amounts that the owners of the job shards hold of the caps of accounts: the
 /// decisions of the holder of the shard of the accounts' names, in one epoch.
 /// It keeps the sum of what is held by an account within its cap, and grants
-/// nothing before the owners of all job shards have reported.
+/// nothing before the owners of all job shards have reported. What former
+/// owners of a shard may still use counts like what its owner holds.
 class QuotaLedger {
 public:
   /// Shards is the number of job shards.
@@ -37,9 +38,11 @@
   /// Records a term of a job shard that this process has learned of. Reports of
   /// earlier ones have no effect.
   void noteTerm(int Shard, std::uint64_t Epoch);
-  /// The takeover of the ledger's own shard is complete: all terms that had
-  /// begun before it are known.
-  void setResolved() { Resolved_ = true; }
+  /// Records that a list of holders, requested from the store after this term
+  /// of the ledger had begun, names the owner that has the job shard in this
+  /// epoch. An owner whose takeover begins later knows this term of the ledger
+  /// before it reports.
+  void noteListed(int Shard, std::uint64_t Epoch);
   /// Returns true once all job shards have reported, so that more is granted.
   [[nodiscard]] bool isOpen() const { return Open_; }
   /// Applies the report of a job shard's owner and decides what it gets.
@@ -58,16 +61,21 @@
 private:
   struct JobShard {
     std::uint64_t Term = 0;     ///< Latest known epoch.
+    std::uint64_t Listed = 0;   ///< See noteListed().
     std::uint64_t Epoch = 0;    ///< Of the latest report.
     std::uint64_t Sequence = 0; ///< Of the latest report.
     bool Reported = false;
-    ShardGrants Answer; ///< To the latest report.
+    bool OutOfReachKnown = false;
+    std::map<std::string, Resources> OutOfReach; ///< See ShardUsageReport.
+    ShardGrants Answer;                          ///< To the latest report.
   };
   struct Use {
     AccountUsage Report;
     /// The owner may have this much running: the larger of what it has reported
     /// and what it was granted since.
     Resources Held;
+    /// Bound of what unseen runs of the shard's former owners may use.
+    Resources Unseen;
     /// Below Held if the owner was asked to return the rest.
     Resources Target;
     Clock::time_point WaitingSince{};
@@ -77,6 +85,13 @@
     [[nodiscard]] Resources minimum() const {
       return plusSaturated(Report.Used, Report.Minimum).minusClamped(Held);
     }
+    /// Returns what is used for certain or granted.
+    [[nodiscard]] Resources known() const {
+      return plusSaturated(Held, Report.Inherited);
+    }
+    [[nodiscard]] Resources total() const {
+      return plusSaturated(known(), Unseen);
+    }
     [[nodiscard]] Resources need() const {
       return Report.Wanted.minusClamped(Held);
     }
@@ -88,6 +103,14 @@
            Now - Each.ReportedAt <= Options_.NeedLifetime;
   }
   void openIfReported();
+  /// Returns the bound of what unseen runs of former owners of the job shard
+  /// may use. With the known ones, they use at most what these owners held by
+  /// their reports, if there are any.
+  [[nodiscard]] Resources unseenBy(const ShardUsageReport &Report,
+                                   const AccountUsage &Usage) const;
+  /// Returns the most that the account may have running. The unseen runs of all
+  /// shards are on the same workers out of reach.
+  [[nodiscard]] Resources mostInUse(const Uses &All) const;
   AccountGrant decide(const std::string &Account, int Shard,
                       std::uint64_t Version, Clock::time_point Now);
   /// Returns what is left for the shard after the needs that were refused
@@ -108,7 +131,6 @@
   /// of a larger cap.
   std::map<std::string, std::uint64_t> CapVersions_;
   std::map<std::string, Uses> Accounts_;
-  bool Resolved_ = false;
   bool Open_ = false;
 };
 
--- a/Source/Cell/ShardMembership.cpp
+++ b/Source/Cell/ShardMembership.cpp
@@ -253,6 +253,13 @@
          It->second == Member;
 }
 
+bool ShardMembership::isLatestTermListedSince(int Shard,
+                                              Clock::time_point Since) const {
+  const auto Latest = Terms_.find(Shard);
+  return Latest != Terms_.end() &&
+         isListedSince(Shard, Latest->second.Member, Since);
+}
+
 asio::awaitable<void> ShardMembership::readHolders() {
   const Clock::time_point AskedAt = Timers_.now();
   const auto List = co_await Store_.listHolders(Options_.Group);
--- a/Source/Cell/ShardMembership.h
+++ b/Source/Cell/ShardMembership.h
@@ -135,6 +135,10 @@
   /// Returns the latest term of the shard that its holder has reported; epoch 0
   /// if there is none.
   [[nodiscard]] ShardEpoch latestTerm(int Shard) const;
+  /// Returns true if a holder list that was requested at or after Since names
+  /// the process that has reported the latest term.
+  [[nodiscard]] bool isLatestTermListedSince(int Shard,
+                                             Clock::time_point Since) const;
   /// Returns the time at which this process learned of the current term of the
   /// shard; nothing if the shard's holder has not reported that term itself.
   [[nodiscard]] std::optional<Clock::time_point>
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -293,6 +293,15 @@
   return All;
 }
 
+std::map<std::string, Resources> WorkerPool::workersOutOfReach() const {
+  std::map<std::string, Resources> Found;
+  for (const auto &[Number, Held] : Shards_)
+    for (const auto &[Id, Agent] : Held.Agents)
+      if (!Agent->load().Resolved)
+        Found.emplace(Id, Agent->entry().Capacity);
+  return Found;
+}
+
 std::vector<WorkerLoad>
 WorkerPool::loadsOf(const std::set<std::string> &Workers) const {
   std::vector<WorkerLoad> Found;
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -88,6 +88,8 @@
 
   [[nodiscard]] std::vector<HeldShard> heldShards() const;
   [[nodiscard]] std::vector<WorkerLoad> loads() const;
+  /// Returns the workers of which not all runs are known, with their capacity.
+  [[nodiscard]] std::map<std::string, Resources> workersOutOfReach() const;
   [[nodiscard]] std::vector<WorkerLoad>
   loadsOf(const std::set<std::string> &Workers) const;
   /// See WorkerAgent::loadIfChangedSince().
--- a/Source/Work/JobProgress.cpp
+++ b/Source/Work/JobProgress.cpp
@@ -123,7 +123,10 @@
 }
 
 void StepProgress::addTasks(int Count, TaskPhase Phase) {
-  Tasks.resize(static_cast<std::size_t>(Count), {.Phase = Phase});
+  const bool MayRun = Phase == TaskPhase::Unknown;
+  Tasks.resize(static_cast<std::size_t>(Count),
+               {.Phase = Phase, .MayRunUnseen = MayRun});
+  UnseenTasks += MayRun ? Count : 0;
   if (int *Counter = counterOf(Phase))
     *Counter += Count;
 }
@@ -134,6 +137,15 @@
   if (int *Next = counterOf(Phase))
     ++*Next;
   Task.Phase = Phase;
+  // That a gang is done does not show where its other members run.
+  if (Phase != TaskPhase::Done)
+    setMayRunUnseen(Task, Phase == TaskPhase::Unknown);
+}
+
+void StepProgress::setMayRunUnseen(TaskProgress &Task, bool MayRun) {
+  if (Task.MayRunUnseen != MayRun)
+    UnseenTasks += MayRun ? 1 : -1;
+  Task.MayRunUnseen = MayRun;
 }
 
 JobProgress::JobProgress(JobSpec Spec)
@@ -534,6 +546,8 @@
           {.Task = Name, .Run = Task.Run, .Worker = Task.Worker});
     }
     Step.setPhase(Task, TaskPhase::Done);
+    if (static_cast<int>(I) == Run.Task.Index)
+      Step.setMayRunUnseen(Task, false);
   }
   if (Step.isDone())
     openSuccessors(*findOccurrence(Run.Task.Occurrence), Run.Task.Step);
@@ -712,6 +726,23 @@
   }
 }
 
+std::optional<Resources> JobProgress::unseenDemand() const {
+  Resources Sum;
+  if (!HasUnknownTasks_)
+    return Sum;
+  // A former owner may have opened occurrences that are not stored.
+  if (Spec_.Repetitions > 0)
+    return std::nullopt;
+  for (const auto &[Number, Entry] : Occurrences_)
+    for (std::size_t S = 0; S < Entry.Steps.size(); ++S) {
+      const auto Demand = Spec_.Steps[S].Demand.times(
+          static_cast<std::uint64_t>(Entry.Steps[S].UnseenTasks));
+      if (!Demand || !Sum.add(*Demand))
+        return std::nullopt;
+    }
+  return Sum;
+}
+
 ProgressEffect JobProgress::resolveUnknownTasks(Clock::time_point Now) {
   ProgressEffect Effect;
   HasUnknownTasks_ = false;
--- a/Source/Work/JobProgress.h
+++ b/Source/Work/JobProgress.h
@@ -76,6 +76,8 @@
   std::string Worker;
   std::string Checkpoint;
   bool Begun = false; ///< The worker is known to have executed the start.
+  /// After a takeover: a run may exist that no holder of a worker has reported.
+  bool MayRunUnseen = false;
   Clock::time_point PhaseSince{}; ///< Start of the phase.
   /// They are being stopped. Until they have ended, the task is not started.
   std::vector<RefusedRun> RefusedRuns;
@@ -88,6 +90,7 @@
   int DoneTasks = 0;
   int WaitingTasks = 0;
   int ActiveTasks = 0; ///< Running, or being placed.
+  int UnseenTasks = 0; ///< See TaskProgress::MayRunUnseen.
   /// Number of steps that this one depends on and that are not done.
   int OpenDependencies = 0;
   bool GangStopping = false; ///< Members of the latest run are being stopped.
@@ -100,6 +103,8 @@
   /// Changes the phase of one of the tasks, and the numbers of tasks by phase.
   void setPhase(TaskProgress &Task, TaskPhase Phase);
 
+  void setMayRunUnseen(TaskProgress &Task, bool MayRun);
+
 private:
   /// Returns the number of tasks in this phase; null if they are not counted.
   int *counterOf(TaskPhase Phase);
@@ -236,6 +241,10 @@
   /// unknown wait for a new start, and incomplete gangs are stopped.
   ProgressEffect resolveUnknownTasks(Clock::time_point Now);
   [[nodiscard]] bool hasUnknownTasks() const { return HasUnknownTasks_; }
+  /// Returns the demand of the tasks of which a run may exist that no holder of
+  /// a worker has reported since the takeover, also if the job is finished;
+  /// nothing if that can't be told. Zero once the takeover is complete.
+  [[nodiscard]] std::optional<Resources> unseenDemand() const;
 
   /// All runs that are running or being placed.
   [[nodiscard]] std::vector<RunId> activeRuns() const;
--- a/Tests/Cell/QuotaNodeTest.cpp
+++ b/Tests/Cell/QuotaNodeTest.cpp
@@ -16,7 +16,8 @@
 /// Four processes and six workers of 4 cores on six shards, and an account. At
 /// each start, what the account's tasks use is compared with its cap.
 struct QuotaBench : CellNodeBench {
-  explicit QuotaBench(std::uint64_t CapMilli) : CellNodeBench(6) {
+  explicit QuotaBench(std::uint64_t CapMilli, int Shards = 6)
+      : CellNodeBench(Shards) {
     setCap(CapMilli);
     Environment.Workers.ChoosePlan = [this](const std::string &Task, int Run) {
       checkStart(Task);
@@ -217,6 +218,9 @@
   CPPUNIT_TEST(testJobsWithoutCapMakeNoCalls);
   CPPUNIT_TEST(testJobThatNeverFitsIsRefused);
   CPPUNIT_TEST(testCancelledRunsOfFormerOwnerCount);
+  CPPUNIT_TEST(testTakeoversBesideASilentWorkerGoOnStarting);
+  CPPUNIT_TEST(testRestartOfAllBesideASilentWorkerGoesOnStarting);
+  CPPUNIT_TEST(testCancelledRunsOnASilentWorkerCount);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -331,7 +335,94 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Bench.inUse());
   }
 
+  // Guards against accounts that start nothing until a worker out of reach has
+  // answered, after shards of jobs and ledgers have moved.
+  void testTakeoversBesideASilentWorkerGoOnStarting() {
+    QuotaBench Bench(20000, 24);
+    const std::string Silent = occupyAWorker(Bench);
+    // One of the processes answers late.
+    Bench.NetworkFault = [](const std::string &, const std::string &To,
+                            const std::string &) {
+      return To == "d:1" ? CallFault{.Type = Kind::Duplicated, .Delay = 400ms}
+                         : CallFault{};
+    };
+    silence(Bench, Silent);
+    Bench.Environment.Store.rotateOwners(1);
+    Bench.run(600ms);
+    checkThatTasksStart(Bench);
+  }
+
+  // The same if all processes begin anew.
+  void testRestartOfAllBesideASilentWorkerGoesOnStarting() {
+    QuotaBench Bench(20000, 24);
+    const std::string Silent = occupyAWorker(Bench);
+    silence(Bench, Silent);
+    for (TestCellNode *Node : Bench.alive())
+      Node->kill();
+    for (const char *Address : {"e:1", "f:1", "g:1", "h:1"})
+      Bench.startNode(Address);
+    Bench.run(2500ms);
+    checkThatTasksStart(Bench);
+  }
+
+  // Guards against a new owner that does not count the runs of a job that was
+  // cancelled before, on a worker that does not answer.
+  void testCancelledRunsOnASilentWorkerCount() {
+    QuotaBench Bench(5000);
+    const std::string Silent = occupyAWorker(Bench);
+    silence(Bench, Silent);
+    Bench.cancel(*Bench.alive().front(), Bench.idIn(0));
+    Bench.run(500ms);
+    for (TestCellNode *Node : Bench.alive())
+      Node->kill();
+    for (const char *Address : {"e:1", "f:1", "g:1", "h:1"})
+      Bench.startNode(Address);
+    Bench.run(2500ms);
+    Bench.submitForAccount(
+        *Bench.alive().front(),
+        Bench.jobOf(Bench.idIn(0, 1), {CellNodeBench::step(8)}));
+    Bench.run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Bench.Violations);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5000), Bench.inUse());
+  }
+
 private:
+  /// Starts a job of shard 0 that fills a worker for long, and returns the
+  /// worker.
+  static std::string occupyAWorker(QuotaBench &Bench) {
+    Bench.PlanOf = [Job = Bench.idIn(0)](const std::string &Task, int) {
+      return RunPlan{.Duration = TaskName::jobOf(Task) == Job ? 30s : 800ms};
+    };
+    Bench.submitForAccount(
+        *Bench.alive().front(),
+        Bench.jobOf(Bench.idIn(0), {CellNodeBench::step(1, 4000)}));
+    Bench.run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Bench.inUse());
+    for (const std::string &Worker : Bench.Environment.Workers.ids())
+      if (!Bench.Environment.Workers.tasksOn(Worker).empty())
+        return Worker;
+    return {};
+  }
+  static void silence(QuotaBench &Bench, const std::string &Worker) {
+    Bench.Environment.Workers.ChooseFault = [Worker](const std::string &,
+                                                     const std::string &Called,
+                                                     const std::string &) {
+      return Called == Worker ? CallFault{.Type = Kind::LostRequest}
+                              : CallFault{};
+    };
+  }
+  /// Checks that new jobs of all shards start at once, beside the job that
+  /// occupies the silent worker.
+  static void checkThatTasksStart(QuotaBench &Bench) {
+    for (int Shard = 1; Shard < Bench.Environment.Shards; ++Shard)
+      Bench.submitForAccount(
+          *Bench.alive().front(),
+          Bench.jobOf(Bench.idIn(Shard), {CellNodeBench::step(1, 500)}));
+    Bench.run(500ms);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Bench.trace("quota"), std::uint64_t(15500),
+                                 Bench.inUse());
+    CPPUNIT_ASSERT_EQUAL(std::string(), Bench.Violations);
+  }
   static int answerTo(QuotaBench &Bench, const std::string &Id,
                       const StepSpec &Step) {
     JobSpec Job = Bench.jobOf(Id, {Step});
--- a/Tests/Cell/QuotaPropertyTest.cpp
+++ b/Tests/Cell/QuotaPropertyTest.cpp
@@ -18,6 +18,8 @@
 constexpr const char *Account = "client";
 constexpr std::uint64_t FullCap = 20000;
 constexpr std::uint64_t SmallestCap = FullCap / 4; ///< Of those that change.
+constexpr int Workers = 6;
+constexpr std::uint64_t WorkerCpus = 8000;
 const ShardMap Map(JobShards);
 
 /// A protection of the protocol that a simulation leaves out.
@@ -27,6 +29,20 @@
   LedgerEpoch, ///< Owners accept grants of former ledgers.
   ShardEpoch,  ///< Ledgers accept reports of former owners.
   AllReports,  ///< A ledger grants before all owners have reported.
+  Unseen,      ///< New owners do not count what former ones may run.
+  Stopping,    ///< The journal does not tell which cancelled tasks may run.
+};
+
+/// A task that the journal of its shard names.
+struct JournaledTask {
+  int Shard = 0;
+  std::uint64_t Cpus = 0;
+  /// Owner that may start it, until it is fenced: the one that has accepted it,
+  /// or the latest one whose takeover is complete.
+  std::size_t Owner = 0;
+  bool Waiting = true;   ///< Its owner may start it.
+  bool IsOver = false;   ///< By the journal: done or cancelled.
+  bool Stopping = false; ///< By the journal: it is over, and may still run.
 };
 
 /// One process as owner of a job shard in one epoch.
@@ -37,7 +53,10 @@
   std::uint64_t LedgerAtListing = 0;
   bool Listed = false;
   bool Resolved = false;
-  bool Fenced = false; ///< Workers reject its orders.
+  bool Fenced = false;                     ///< Workers reject its orders.
+  std::size_t FirstOwnTask = 0;            ///< Earlier ones are inherited.
+  std::set<std::size_t> SeenTasks;         ///< Inherited ones with a known run.
+  std::optional<std::set<int>> OutOfReach; ///< Nothing: no holder has reported.
   std::uint64_t LastSequence = 0;
   std::uint64_t LastEpoch = 0; ///< Of the ledger, in the latest request.
   Clock::time_point ReportedAt{};
@@ -60,14 +79,16 @@
 
 struct SimulatedRun {
   std::size_t Owner = 0;
+  std::size_t Task = 0;
+  int Worker = 0;
   RunId Run;
   Resources Demand;
   bool Ordered = true; ///< The start order is still under way.
   bool Running = false;
 };
 
-/// Ledgers, owners, runs and messages in any order, with a random choice of
-/// events.
+/// Ledgers, owners, runs, workers out of reach and messages in any order, with
+/// a random choice of events.
 class QuotaSimulation {
 public:
   explicit QuotaSimulation(std::uint64_t Seed, Missing Left = Missing::Nothing,
@@ -95,7 +116,7 @@
       calmStep();
     const std::size_t Owner = current(number(0, JobShards - 1));
     for (int Passed = 0; Passed < 2000; Passed += 20) {
-      start(Owner, 1000, 20, false);
+      start(Owner, accept(Owner, 1000, 20), false);
       calmStep();
     }
     arriveAll();
@@ -137,9 +158,36 @@
     auto New = std::make_unique<OwnerTerm>();
     New->Shard = Shard;
     New->Epoch = ++LastEpoch_;
+    New->FirstOwnTask = Tasks_.size();
     New->Allotment.openShard(Shard, New->Epoch);
     New->Allotment.setCaps(capsOf(Version_), Version_);
     Owners_.push_back(std::move(New));
+    updateInherited(Owners_.size() - 1);
+  }
+  /// Returns true if the owner's journal accepts appends.
+  bool isCurrent(std::size_t Index) const {
+    return current(Owners_[Index]->Shard) == Index;
+  }
+  /// Tells the owner's allotment what the journal and the workers say.
+  void updateInherited(std::size_t Index) {
+    OwnerTerm &Owner = *Owners_[Index];
+    InheritedDemand Demand;
+    std::uint64_t Unseen = 0;
+    for (std::size_t I = 0; I < Owner.FirstOwnTask; ++I) {
+      const JournaledTask &Task = Tasks_[I];
+      const bool MayRun = !Task.IsOver || Task.Stopping;
+      if (Task.Shard == Owner.Shard && MayRun && !Owner.SeenTasks.contains(I))
+        Unseen += Task.Cpus;
+    }
+    if (Missing_ != Missing::Unseen)
+      Demand.UnseenTasks[Account] = {.CpusMilli = Unseen};
+    if (Owner.OutOfReach) {
+      Demand.OutOfReach.emplace();
+      for (const int Worker : *Owner.OutOfReach)
+        Demand.OutOfReach->emplace(std::to_string(Worker),
+                                   Resources{.CpusMilli = WorkerCpus});
+    }
+    Owner.Allotment.setInherited(Owner.Shard, std::move(Demand));
   }
   QuotaCaps capsOf(std::uint64_t Version) const {
     return {{Account, {.CpusMilli = CapByVersion_[Version]}}};
@@ -155,6 +203,9 @@
       if (!Owner.Listed)
         Owner.LedgerAtListing = Ledgers_.back()->Epoch;
       Owner.Listed = true;
+      Owner.Allotment.noteLedgerEpoch(Map.shardOf(Account),
+                                      Owner.LedgerAtListing);
+      Owner.Allotment.setLedgerKnown(Shard, Map.shardOf(Account));
     }
   }
   void resolveLedger() {
@@ -162,10 +213,11 @@
     if (Term.Resolved || Term.TermsAtListing.empty())
       return;
     Term.Resolved = true;
-    for (int Shard = 0; Shard < JobShards; ++Shard)
-      Term.Ledger.noteTerm(
-          Shard, Term.TermsAtListing[static_cast<std::size_t>(Shard)]);
-    Term.Ledger.setResolved();
+    for (int Shard = 0; Shard < JobShards; ++Shard) {
+      const auto Epoch = Term.TermsAtListing[static_cast<std::size_t>(Shard)];
+      Term.Ledger.noteTerm(Shard, Epoch);
+      Term.Ledger.noteListed(Shard, Epoch);
+    }
     if (Missing_ == Missing::AllReports)
       for (int Shard = 0; Shard < JobShards; ++Shard)
         Term.Ledger.apply(
@@ -174,8 +226,9 @@
              .Resolved = true},
             0, Now_);
   }
-  /// All holders report to the new owner, and reject earlier ones from then on.
-  void resolveShard(int Shard) {
+  /// All holders report the runs on workers within reach to the new owner, and
+  /// reject the orders of earlier ones from then on.
+  void reportRuns(int Shard) {
     const std::size_t Index = current(Shard);
     OwnerTerm &New = *Owners_[Index];
     if (New.Resolved || !New.Listed)
@@ -183,23 +236,121 @@
     for (const auto &Each : Owners_)
       Each->Fenced =
           Each->Fenced || (Each->Shard == Shard && Each->Epoch < New.Epoch);
+    const std::set<int> OutOfReach = SilentWorkers_;
     std::erase_if(Runs_, [&](const SimulatedRun &Each) {
-      return Each.Ordered && Owners_[Each.Owner]->Fenced;
+      return Each.Ordered && Owners_[Each.Owner]->Fenced &&
+             !OutOfReach.contains(Each.Worker);
     });
-    for (SimulatedRun &Each : Runs_)
-      if (Owners_[Each.Owner]->Shard == Shard) {
-        Each.Owner = Index;
-        New.Allotment.beginRun(Shard, Account, Each.Run, Each.Demand, Now_);
+    for (SimulatedRun &Each : Runs_) {
+      if (Owners_[Each.Owner]->Shard != Shard ||
+          OutOfReach.contains(Each.Worker) || Each.Owner == Index)
+        continue;
+      Each.Owner = Index;
+      New.SeenTasks.insert(Each.Task);
+      New.Allotment.beginRun(Shard, Account, Each.Run, Each.Demand, Now_, true);
+    }
+    if (!New.OutOfReach)
+      New.OutOfReach = OutOfReach;
+    std::erase_if(*New.OutOfReach, [&OutOfReach](int Worker) {
+      return !OutOfReach.contains(Worker);
+    });
+  }
+  /// Completes the takeover if all runs are known.
+  void resolveShard(int Shard) {
+    const std::size_t Index = current(Shard);
+    OwnerTerm &New = *Owners_[Index];
+    if (New.Resolved || !New.OutOfReach || !New.OutOfReach->empty())
+      return;
+    for (std::size_t I = 0; I < New.FirstOwnTask; ++I)
+      if (Tasks_[I].Shard == Shard) {
+        Tasks_[I].Owner = Index;
+        Tasks_[I].Waiting = !Tasks_[I].IsOver && !isRunning(I);
       }
-    New.Allotment.noteLedgerEpoch(Map.shardOf(Account), New.LedgerAtListing);
     New.Allotment.setResolved(Shard);
     New.Resolved = true;
   }
+  bool isRunning(std::size_t Task) const {
+    return std::ranges::any_of(
+        Runs_, [Task](const SimulatedRun &Each) { return Each.Task == Task; });
+  }
+  /// A worker falls silent or answers again, or all silent ones have lost their
+  /// runs as the leases have ended.
+  void changeReach() {
+    if (SilentWorkers_.empty() || number(0, 2) == 0) {
+      SilentWorkers_.insert(number(0, Workers - 1));
+    } else if (number(0, 1) == 0) {
+      SilentWorkers_.erase(SilentWorkers_.begin());
+    } else {
+      std::erase_if(Runs_, [this](const SimulatedRun &Each) {
+        return SilentWorkers_.contains(Each.Worker) &&
+               Owners_[Each.Owner]->Fenced;
+      });
+    }
+  }
+
+  /// Returns the first of Count new tasks that the owner has accepted; nothing
+  /// if its journal accepts no appends.
+  std::optional<std::size_t> accept(std::size_t Index, std::uint64_t Cpus,
+                                    int Count) {
+    if (!isCurrent(Index))
+      return std::nullopt;
+    const std::size_t First = Tasks_.size();
+    for (int I = 0; I < Count; ++I)
+      Tasks_.push_back(
+          {.Shard = Owners_[Index]->Shard, .Cpus = Cpus, .Owner = Index});
+    return First;
+  }
+  /// Returns the first of some waiting tasks that the owner may start.
+  std::optional<std::size_t> findWaiting(std::size_t Index) {
+    std::vector<std::size_t> Found;
+    for (std::size_t I = 0; I < Tasks_.size(); ++I)
+      if (Tasks_[I].Owner == Index && Tasks_[I].Waiting)
+        Found.push_back(I);
+    return Found.empty() ? std::nullopt
+                         : std::optional(Found[indexIn(Found.size())]);
+  }
+  /// The job of the task is cancelled, and its runs go on.
+  void cancel(std::size_t Index) {
+    JournaledTask &Task = Tasks_[Index];
+    OwnerTerm &Owner = *Owners_[current(Task.Shard)];
+    if (Task.IsOver)
+      return;
+    Task.IsOver = true;
+    const bool Inherited = Index < Owner.FirstOwnTask;
+    const bool MayRun = Inherited && !Owner.Resolved ? true : isRunning(Index);
+    Task.Stopping = MayRun && Missing_ != Missing::Stopping;
+    if (&Owner == Owners_[Task.Owner].get())
+      Task.Waiting = false;
+  }
+  void cancelAll(int Shard) {
+    for (std::size_t I = 0; I < Tasks_.size(); ++I)
+      if (Tasks_[I].Shard == Shard)
+        cancel(I);
+  }
+  std::optional<int> workerFor(std::uint64_t Cpus) {
+    const int First = number(0, Workers - 1);
+    for (int I = 0; I < Workers; ++I) {
+      const int Worker = (First + I) % Workers;
+      std::uint64_t Sum = Cpus;
+      for (const SimulatedRun &Each : Runs_)
+        Sum += Each.Worker == Worker ? Each.Demand.CpusMilli : 0;
+      if (Sum <= WorkerCpus)
+        return Worker;
+    }
+    return std::nullopt;
+  }
 
-  void start(std::size_t Index, std::uint64_t Cpus, int Count, bool Gang) {
+  /// Starts the task and the following ones that are like it.
+  void start(std::size_t Index, std::optional<std::size_t> First, bool Gang) {
     OwnerTerm &Owner = *Owners_[Index];
-    if (Owner.Fenced)
+    if (Owner.Fenced || !First)
       return;
+    const std::uint64_t Cpus = Tasks_[*First].Cpus;
+    int Count = 0;
+    for (std::size_t I = *First; I < Tasks_.size(); ++I, ++Count)
+      if (Tasks_[I].Owner != Index || !Tasks_[I].Waiting ||
+          Tasks_[I].Cpus != Cpus)
+        break;
     // A gang above the cap may start alone, up to the cap and one task.
     if (ChangesCaps_ && Gang)
       Count = std::min(Count, static_cast<int>(SmallestCap / Cpus));
@@ -213,10 +364,17 @@
     if (Gang && Starts != 0 && Starts != Count)
       Violation_ = "part of a gang is started";
     for (int I = 0; I < Starts; ++I) {
+      const auto Worker = workerFor(Cpus);
+      if (!Worker)
+        return;
+      const std::size_t Task = *First + static_cast<std::size_t>(I);
+      Tasks_[Task].Waiting = false;
       SimulatedRun New{.Owner = Index,
+                       .Task = Task,
+                       .Worker = *Worker,
                        .Run = {.Task = {.Job = "j", .Index = ++LastRun_},
                                .Run = 1,
-                               .Worker = "w"},
+                               .Worker = std::to_string(*Worker)},
                        .Demand = Spec.Demand};
       Owner.Allotment.beginRun(Owner.Shard, Account, New.Run, New.Demand, Now_);
       Runs_.push_back(std::move(New));
@@ -251,14 +409,29 @@
     Owners_[Run.Owner]->Allotment.endRun(Owners_[Run.Owner]->Shard, Run.Run);
   }
   void end(std::size_t Index) {
-    if (Runs_[Index].Ordered)
+    const SimulatedRun Run = Runs_[Index];
+    if (Run.Ordered || SilentWorkers_.contains(Run.Worker))
       return;
     settle(Index);
     Runs_.erase(Runs_.begin() + static_cast<std::ptrdiff_t>(Index));
+    JournaledTask &Task = Tasks_[Run.Task];
+    OwnerTerm &Owner = *Owners_[Run.Owner];
+    const bool IsFailed = number(0, 2) == 0;
+    if (isCurrent(Run.Owner)) {
+      Task.IsOver = Task.IsOver || !IsFailed;
+      // Of an inherited task, a former owner may start another run.
+      Task.Stopping =
+          Task.Stopping && !Owner.Resolved && Run.Task < Owner.FirstOwnTask;
+    }
+    if (IsFailed) {
+      Owner.SeenTasks.erase(Run.Task);
+      Task.Waiting = !Task.IsOver && Task.Owner == Run.Owner;
+    }
   }
 
   Message request(std::size_t Index, std::size_t Ledger) {
     OwnerTerm &Owner = *Owners_[Index];
+    updateInherited(Index);
     Message New{.Owner = Index, .Ledger = Ledger};
     if (Missing_ == Missing::LedgerEpoch)
       Owner.Allotment.noteLedgerEpoch(Map.shardOf(Account), 1);
@@ -325,6 +498,10 @@
     }
   }
 
+  std::size_t chooseLedger() {
+    return number(0, 3) == 0 ? indexIn(Ledgers_.size()) : Ledgers_.size() - 1;
+  }
+
   void faultyStep() {
     const int Event = number(0, 199);
     Now_ += std::chrono::milliseconds(number(0, 10));
@@ -332,17 +509,19 @@
     const std::size_t Owner = number(0, 3) == 0
                                   ? indexIn(Owners_.size())
                                   : current(number(0, JobShards - 1));
-    if (Event < 50)
-      start(Owner, number(std::uint64_t{1}, std::uint64_t{4}) * 1000,
-            number(1, 5), number(0, 3) == 0);
+    if (Event < 30)
+      start(Owner,
+            accept(Owner, number(std::uint64_t{1}, std::uint64_t{4}) * 1000,
+                   number(1, 5)),
+            number(0, 3) == 0);
+    else if (Event < 50)
+      start(Owner, findWaiting(Owner), false);
     else if (Event < 65 && !Runs_.empty())
       arrive(Runs_[indexIn(Runs_.size())]);
     else if (Event < 85 && !Runs_.empty())
       end(indexIn(Runs_.size()));
     else if (Event < 108)
-      Messages_.push_back(request(Owner, number(0, 3) == 0
-                                             ? indexIn(Ledgers_.size())
-                                             : Ledgers_.size() - 1));
+      Messages_.push_back(request(Owner, chooseLedger()));
     else if (Event < 180 && !Messages_.empty())
       deliver(indexIn(Messages_.size()), number(0, 9) == 0);
     else if (Event < 184 && !Messages_.empty())
@@ -351,8 +530,16 @@
       takeOverShard(number(0, JobShards - 1));
     else if (Event < 186)
       takeOverLedger();
-    else if (Event < 190)
+    else if (Event < 189)
       list();
+    else if (Event < 191)
+      reportRuns(number(0, JobShards - 1));
+    else if (Event < 192)
+      changeReach();
+    else if (Event < 193 && !Runs_.empty())
+      cancel(Runs_[indexIn(Runs_.size())].Task);
+    else if (Event < 194)
+      cancelAll(number(0, JobShards - 1));
     else if (Event < 195)
       resolveShard(number(0, JobShards - 1));
     else if (Event < 198)
@@ -366,11 +553,13 @@
   /// 20 ms without faults.
   void calmStep() {
     Now_ += 20ms;
+    SilentWorkers_.clear();
     list();
     resolveLedger();
     LedgerVersion_ = Version_;
     Ledgers_.back()->Ledger.setCaps(capsOf(Version_), Version_);
     for (int Shard = 0; Shard < JobShards; ++Shard) {
+      reportRuns(Shard);
       resolveShard(Shard);
       const std::size_t Index = current(Shard);
       OwnerTerm &Owner = *Owners_[Index];
@@ -393,6 +582,8 @@
   std::vector<std::unique_ptr<OwnerTerm>> Owners_;
   std::vector<std::unique_ptr<LedgerTerm>> Ledgers_;
   std::vector<SimulatedRun> Runs_;
+  std::vector<JournaledTask> Tasks_;
+  std::set<int> SilentWorkers_;
   std::vector<Message> Messages_;
   std::uint64_t LastEpoch_ = 0;
   std::uint64_t FreshSequence_ = 0;
@@ -403,7 +594,7 @@
 /// Returns the number of simulations in which the sum exceeds the cap.
 int violationsWithout(Missing Protection) {
   int Found = 0;
-  for (std::uint64_t Seed = 0; Seed < 200; ++Seed) {
+  for (std::uint64_t Seed = 0; Seed < 800; ++Seed) {
     QuotaSimulation Simulation(Seed, Protection);
     Simulation.runFaults(2500);
     Found += Simulation.violation().empty() ? 0 : 1;
@@ -418,12 +609,13 @@
   CPPUNIT_TEST(propertySumStaysWithinCap);
   CPPUNIT_TEST(propertySumStaysWithinChangingCap);
   CPPUNIT_TEST(testRemovedProtectionsAreFound);
+  CPPUNIT_TEST(testLedgersAndNewOwnersAwaitLists);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   // Guards against more than the cap running after any order of grants, lost
-  // and delayed messages, takeovers, starts and ends, and against amounts that
-  // nobody uses and nobody gets.
+  // and delayed messages, takeovers beside workers out of reach, starts, ends
+  // and cancelled jobs, and against amounts that nobody uses and nobody gets.
   void propertySumStaysWithinCap() {
     CPPUNIT_ASSERT(rc::check("the sum stays within the cap", [] {
       const auto Seed =
@@ -457,6 +649,33 @@
     CPPUNIT_ASSERT(violationsWithout(Missing::LedgerEpoch) > 0);
     CPPUNIT_ASSERT(violationsWithout(Missing::ShardEpoch) > 0);
     CPPUNIT_ASSERT(violationsWithout(Missing::AllReports) > 0);
+    CPPUNIT_ASSERT(violationsWithout(Missing::Unseen) > 0);
+    CPPUNIT_ASSERT(violationsWithout(Missing::Stopping) > 0);
+  }
+
+  // Guards against a new ledger that opens without the report of an owner which
+  // it does not know, while this owner gets amounts from the former ledger.
+  void testLedgersAndNewOwnersAwaitLists() {
+    const int Number = Map.shardOf(Account);
+    QuotaLedger Ledger(JobShards);
+    Ledger.setCaps({{Account, {.CpusMilli = FullCap}}}, 1);
+    for (int Shard = 0; Shard < JobShards; ++Shard)
+      Ledger.apply({.Shard = Shard, .Epoch = 1, .Sequence = 1}, 1, {});
+    CPPUNIT_ASSERT(!Ledger.isOpen());
+    for (int Shard = 0; Shard < JobShards; ++Shard)
+      Ledger.noteListed(Shard, Shard == 0 ? 2 : 1);
+    Ledger.apply({.Shard = 1, .Epoch = 1, .Sequence = 2}, 1, {});
+    CPPUNIT_ASSERT(!Ledger.isOpen());
+    Ledger.apply({.Shard = 0, .Epoch = 2, .Sequence = 1}, 1, {});
+    CPPUNIT_ASSERT(Ledger.isOpen());
+
+    QuotaAllotment Owner(Map);
+    Owner.setCaps({{Account, {.CpusMilli = FullCap}}}, 1);
+    Owner.openShard(0, 2);
+    CPPUNIT_ASSERT(Owner.report(Number, {}).Shards.empty());
+    Owner.setLedgerKnown(0, Number);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Owner.report(Number, {}).Shards.size());
   }
 };
 
