Forget workers that have left idle before their leases end

Callers saw: after a loss of power, no job of an account with a cap starts for 11 s. Cause: 18 workers had left as planned some seconds before. Their records stay in the journals until their leases have ended and 4 s more, and the next holders wait 10.6 s for the leases of each. Nothing can run there: it refuses the orders of earlier holders, and this one sends none.

--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -77,6 +77,7 @@
       AllEndsAccepted_(Executor), DeliveryWait_(Options.DeliveryWait) {
   // A former holder may have extended the lease, and may still do so.
   recordExtension(Options_.OwnershipLease);
+  FormerLeasesEndBy_ = LeaseEndsBy_;
 }
 
 std::int64_t WorkerAgent::fencingToken() const {
@@ -909,6 +910,11 @@
   Listed_ = false;
 }
 
+bool WorkerAgent::hasLeftIdle() const {
+  return !Listed_ && HasAnswered_ && Resolved_ && Runs_.empty() &&
+         Timers_.now() > FormerLeasesEndBy_;
+}
+
 bool WorkerAgent::isRemovable() const {
   // Job owners learn from exchanges that nothing runs on the worker. If the
   // worker were removed earlier, its runs would count as running forever.
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -120,11 +120,16 @@
 
   /// Called once the shard's journal refuses the former owner, which may have
   /// granted a lease until then.
-  void handleShardOpened() { recordExtension(Options_.OwnershipLease); }
+  void handleShardOpened() {
+    recordExtension(Options_.OwnershipLease);
+    FormerLeasesEndBy_ = LeaseEndsBy_;
+  }
   /// Called once the shard's journal names the worker, so that the next holder
   /// finds it even if the platform's list lacks it. Nothing is started on the
   /// worker before.
   void markRecorded() { Recorded_ = true; }
+  /// Called when the worker is deleted from the shard's journal.
+  void markUnrecorded() { Recorded_ = false; }
   /// Called if the shard's journal, which was read, does not name the worker:
   /// no former holder has started anything there.
   void markNeverUsed() { Resolved_ = true; }
@@ -135,6 +140,12 @@
   /// Applies the worker's entry in the platform's list.
   void update(const WorkerEntry &Entry);
   void markUnlisted();
+  [[nodiscard]] bool isListed() const { return Listed_; }
+  /// Returns true if the platform no longer lists the worker, and nothing runs
+  /// on it or can be started: it has answered in this term, so that it refuses
+  /// earlier holders, and the orders of those have expired for any later
+  /// incarnation.
+  [[nodiscard]] bool hasLeftIdle() const;
   /// Returns true if the platform no longer lists the worker, nothing can run
   /// on it and the job owners have had time to learn that.
   [[nodiscard]] bool isRemovable() const;
@@ -306,6 +317,7 @@
   Clock::time_point WorkerClockReadAt_{};
   /// The lease has ended by then, on the slowest clock that a worker may have.
   Clock::time_point LeaseEndsBy_;
+  Clock::time_point FormerLeasesEndBy_; ///< The same of former holders' leases.
   WorkerHealth RunHealth_;
   Notifier AllEndsAccepted_;
   std::chrono::milliseconds DeliveryWait_; ///< Before the next heartbeat.
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -136,6 +136,7 @@
       if (Listed_.contains(Id))
         return false;
       Agent->markUnlisted();
+      forgetIfIdle(ShardNumber, *Agent);
       if (!Agent->isRemovable())
         return false;
       removeAgent(ShardNumber, Held, *Agent);
@@ -152,11 +153,23 @@
       const auto Added = addAgent(ShardNumber, Entry);
       if (It->second.Restored)
         Added->markNeverUsed();
-    } else
-      Agent->second->update(Entry);
+      continue;
+    }
+    const bool WasListed = Agent->second->isListed();
+    Agent->second->update(Entry);
+    if (!WasListed)
+      recordIfAnswered(ShardNumber, Id);
   }
 }
 
+void WorkerPool::forgetIfIdle(int ShardNumber, WorkerAgent &Agent) {
+  if (!Agent.isRecorded() || !Agent.hasLeftIdle())
+    return;
+  Agent.markUnrecorded();
+  if (DeleteWorker_)
+    DeleteWorker_(ShardNumber, Agent.entry().Id);
+}
+
 void WorkerPool::removeAgent(int ShardNumber, Shard &Held, WorkerAgent &Agent) {
   const std::string &Id = Agent.entry().Id;
   Agent.stop();
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -133,6 +133,9 @@
   /// nobody answers for, such as one of another service, must not delay the
   /// next holder, which waits for the runs on recorded workers.
   void recordIfAnswered(int ShardNumber, const std::string &Worker);
+  /// Deletes the worker from the shard's journal if it has left and nothing can
+  /// run on it, so that a later holder does not wait for its leases.
+  void forgetIfIdle(int ShardNumber, WorkerAgent &Agent);
   void removeAgent(int ShardNumber, Shard &Held, WorkerAgent &Agent);
   /// Forgets removed workers whose next agent can begin anew.
   void dropRemoved(Shard &Held);
--- a/Tests/Cell/WorkerPoolTest.cpp
+++ b/Tests/Cell/WorkerPoolTest.cpp
@@ -21,6 +21,8 @@
       Recorded.insert(Entry.Id);
       Pool.markRecorded(Shard, Entry.Id);
     });
+    Pool.onDeleteWorker(
+        [this](int, const std::string &Id) { Recorded.erase(Id); });
     Pool.onFenced([this](int /*Shard*/) { Fenced = true; });
     Pool.setOwnershipSource(
         {.Confirm = [](int, std::uint64_t) -> asio::awaitable<bool> {
@@ -74,6 +76,8 @@
   CPPUNIT_TEST(testRemovedWorkerThatIsListedAgainIsNotFenced);
   CPPUNIT_TEST(testEntryThatNobodyAnswersForDelaysNoTakeover);
   CPPUNIT_TEST(testRecordedWorkerThatDoesNotAnswerMayHaveRuns);
+  CPPUNIT_TEST(testWorkerThatHasLeftIdleDelaysNoTakeover);
+  CPPUNIT_TEST(testWorkerThatIsNotListedKeepsItsRecordWhileItHasRuns);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +166,44 @@
     Bench.run(1s);
     CPPUNIT_ASSERT(!Bench.Pool.loads().front().Resolved);
   }
+
+  // Guards against a takeover that waits for the leases of a worker which the
+  // platform has removed while it was idle.
+  void testWorkerThatHasLeftIdleDelaysNoTakeover() {
+    PoolBench Bench;
+    Bench.listWorker();
+    Bench.run(12s);
+    Bench.Pool.updateWorkers({});
+    CPPUNIT_ASSERT(Bench.Recorded.empty());
+    // It may be back.
+    Bench.listWorker();
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Started);
+  }
+
+  // Guards against a later holder that starts a task again which still runs on
+  // a worker that the platform no longer lists, and against one that does not
+  // know of orders of former holders which may still arrive.
+  void testWorkerThatIsNotListedKeepsItsRecordWhileItHasRuns() {
+    PoolBench Bench;
+    Bench.listWorker();
+    Bench.Pool.updateWorkers({});
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    Bench.listWorker();
+    Bench.run(12s);
+    CPPUNIT_ASSERT(Bench.place(1).Status == PlaceStatus::Started);
+    Bench.Pool.updateWorkers({});
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    Bench.Worker.end("j.0.0.0", 1, "done");
+    Bench.run(200ms);
+    Bench.Pool.updateWorkers({});
+    CPPUNIT_ASSERT(Bench.Recorded.contains("w"));
+    Bench.Pool.handleEndAccepted(
+        {.Task = "j.0.0.0", .Run = 1, .Worker = "w", .How = "done"});
+    Bench.run(200ms);
+    Bench.Pool.updateWorkers({});
+    CPPUNIT_ASSERT(Bench.Recorded.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerPoolTest);
