Ask a holder again if a shard was opened while it answered

A call in flight at that time was followed by the next one only after the exchange period, up to 1.4 s later. Change: The next call to this holder follows its answer.

--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -106,6 +106,10 @@
     return Dispatcher_.orderSender().hasPendingOrder(Run);
   });
   Dispatcher_.wake();
+  // The reply does not count for the takeovers of shards that were opened while
+  // it was awaited.
+  if (Jobs_.hasTakeoverSince(SentAt) && Exchanging_.insert(Address).second)
+    asio::co_spawn(Executor_, exchangeWith(Address), asio::detached);
 }
 
 void CellNode::applyWaitingJobs(const ExchangeReply &Reply,
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -740,6 +740,13 @@
              : std::nullopt;
 }
 
+bool JobOwner::hasTakeoverSince(Clock::time_point Since) const {
+  return std::ranges::any_of(Shards_, [Since](const auto &NumberAndShard) {
+    const OwnedShard &Owned = NumberAndShard.second;
+    return Owned.Ready && !Owned.Resolved && Owned.ReadyAt >= Since;
+  });
+}
+
 std::vector<int> JobOwner::shardsWithInheritedDemand() const {
   std::vector<int> Found;
   for (const auto &[Number, Owned] : Shards_)
--- a/Source/Cell/JobOwner.h
+++ b/Source/Cell/JobOwner.h
@@ -158,6 +158,9 @@
   /// Returns the time at which the journal of the owned shard had been read;
   /// nothing before that, or if the shard is not owned.
   [[nodiscard]] std::optional<Clock::time_point> openedAt(int Shard) const;
+  /// Returns true if a shard was opened at or after Since, and its takeover is
+  /// not complete.
+  [[nodiscard]] bool hasTakeoverSince(Clock::time_point Since) const;
   /// Returns the opened shards whose takeover is not complete, and of which the
   /// journal tells what may run.
   [[nodiscard]] std::vector<int> shardsWithInheritedDemand() const;
