Show that a long request is served in any chunks

Missing was a single long request within the limits. Change: testSingleRequestWithinLimitsIsServed sends a body of 260,000 bytes in one chunk, in chunks of 32 KiB and of one byte.

--- a/Tests/RequestLimits/RequestLimitsTest.cpp
+++ b/Tests/RequestLimits/RequestLimitsTest.cpp
@@ -27,6 +27,9 @@
 constexpr int Attempts = 5;
 
 constexpr std::size_t LongestBody = 262144;
+/// The job has to fit into a record of the store, which has at most 262,144
+/// bytes with what is stored beside the body.
+constexpr std::size_t LongestStorableBody = 260000;
 constexpr std::size_t LargeChunk = 32768;
 /// Far over any limit of a body.
 constexpr std::size_t AnnouncedBytes = 50'000'000;
@@ -43,17 +46,21 @@
                           "Host: plain.example\r\n";
 const std::string ChunkedStart = Start + "Transfer-Encoding: chunked\r\n\r\n";
 
-/// Chunks with Bytes bytes in all, without the last chunk of a body.
-std::string chunks(std::size_t Bytes, std::size_t ChunkBytes) {
+/// Returns the body in chunks, without the last chunk.
+std::string chunksOf(const std::string &Body, std::size_t ChunkBytes) {
   std::string Text;
-  while (Bytes > 0) {
-    const std::size_t Size = std::min(Bytes, ChunkBytes);
-    Text += fmt::format("{:x}\r\n{}\r\n", Size, std::string(Size, 'x'));
-    Bytes -= Size;
+  for (std::size_t Begin = 0; Begin < Body.size(); Begin += ChunkBytes) {
+    const std::string Chunk = Body.substr(Begin, ChunkBytes);
+    Text += fmt::format("{:x}\r\n{}\r\n", Chunk.size(), Chunk);
   }
   return Text;
 }
 
+/// Chunks with Bytes bytes in all, without the last chunk of a body.
+std::string chunks(std::size_t Bytes, std::size_t ChunkBytes) {
+  return chunksOf(std::string(Bytes, 'x'), ChunkBytes);
+}
+
 /// Clients that send a text, then leave their connections open.
 class Crowd {
 public:
@@ -112,6 +119,7 @@
   CPPUNIT_TEST(testUnannouncedTooLongBodies);
   CPPUNIT_TEST(testManyConnections);
   CPPUNIT_TEST(testManyInternalConnections);
+  CPPUNIT_TEST(testSingleRequestWithinLimitsIsServed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +184,30 @@
     check(Clients);
   }
 
+  // Guards against a limit that refuses a long body which can be stored, in
+  // whatever chunks it comes.
+  void testSingleRequestWithinLimitsIsServed() {
+    const std::string Begin = R"({"steps":[{"count":1,"cpu":100,"mem-mb":16}],)"
+                              R"("spec":")";
+    const std::string End = "\"}";
+    const std::string Body =
+        Begin +
+        std::string(LongestStorableBody - Begin.size() - End.size(), 'x') + End;
+    int Number = 0;
+    for (const std::size_t ChunkBytes :
+         {LongestStorableBody, LargeChunk, std::size_t{1}}) {
+      const std::string Text = fmt::format("POST /plain/{:016x} HTTP/1.1\r\n"
+                                           "Host: plain.example\r\n"
+                                           "Content-Type: application/json\r\n"
+                                           "Transfer-Encoding: chunked\r\n\r\n",
+                                           ++Number) +
+                               chunksOf(Body, ChunkBytes) + "0\r\n\r\n";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          fmt::format("chunks of {}", ChunkBytes), std::string("HTTP/1.1 200"),
+          Cells_.send(0, GatewayPort, Text).substr(0, 12));
+    }
+  }
+
 private:
   void check(Crowd &Clients) {
     std::size_t MostDescriptors = 0;
