Close connections of clients that do not read their answers

Callers saw: beside 100 clients that send requests one after the other and read no answer, an ordinary request is answered 503 in all of five attempts. Cause: Such a connection is neither idle nor does it have an unfinished request, and only these are closed for a new connection. Change: A connection whose client has not taken a part of a response for 1 s may be closed for a new one; after 10 s it is closed anyway. If all are in use, the one that has been busy for longest is closed after its next response. Responses are written part by part. Measured: RequestLimitsTest::testAnswersThatAreNeverRead: 503 before, 200 after (17 MB of 60, 117 descriptors of 400). http_tests pass. Not covered: clients that take a byte a second, internal callers and probes, and stops beside such clients.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -67,7 +67,8 @@
 enum class Phase : std::size_t {
   Idle,      ///< The first byte of a request.
   Receiving, ///< The rest of a request.
-  Handling,  ///< The response, or the client that takes it.
+  Handling,  ///< The response.
+  Writing,   ///< The client that takes the next part of the response.
   Closing,   ///< The end of the client's side.
   Closed,    ///< The end of its coroutine; it has no descriptor.
   Count
@@ -101,6 +102,9 @@
   std::size_t ReservedBytes = 0; ///< Memory of the body.
   Phase Now = Phase::Idle;
   std::chrono::steady_clock::time_point Since; ///< Begin of the phase.
+  /// Begin of the first request since the client has last waited to send one.
+  std::optional<std::chrono::steady_clock::time_point> BusySince;
+  bool ClosesAfterResponse = false;
   std::list<ConnectionHandle>::iterator Place; ///< In the list of its phase.
 };
 
@@ -156,8 +160,8 @@
   [[nodiscard]] std::uint16_t port() const { return Port_; }
   [[nodiscard]] std::size_t openConnections() const {
     std::size_t Open = 0;
-    for (const Phase In :
-         {Phase::Idle, Phase::Receiving, Phase::Handling, Phase::Closing})
+    for (const Phase In : {Phase::Idle, Phase::Receiving, Phase::Handling,
+                           Phase::Writing, Phase::Closing})
       Open += Connections_[static_cast<std::size_t>(In)].size();
     return Open;
   }
@@ -303,11 +307,26 @@
     Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   }
 
+  /// Lets the client that has sent one request after the other for longest, for
+  /// at least MinimumAge, make room for others after its next response.
+  void limitBusiestConnection() {
+    Connection *Busiest = nullptr;
+    for (const Phase In : {Phase::Handling, Phase::Writing})
+      for (const ConnectionHandle &Client : connections(In))
+        if (!Client->ClosesAfterResponse && Client->BusySince &&
+            (Busiest == nullptr || *Client->BusySince < *Busiest->BusySince))
+          Busiest = Client.get();
+    if (Busiest != nullptr &&
+        *Busiest->BusySince <= SteadyClock::now() - MinimumAge)
+      Busiest->ClosesAfterResponse = true;
+  }
+
   /// Closes the connection that is needed least. Returns false if there is none
   /// that may be closed.
   bool closeOneConnection() {
     const auto Latest = SteadyClock::now() - MinimumAge;
-    for (const Phase In : {Phase::Closing, Phase::Receiving, Phase::Idle}) {
+    for (const Phase In :
+         {Phase::Closing, Phase::Writing, Phase::Receiving, Phase::Idle}) {
       const auto &Candidates = connections(In);
       if (Candidates.empty() ||
           (In != Phase::Closing && Candidates.front()->Since > Latest))
@@ -339,6 +358,7 @@
       } else {
         countRefusal("connections");
         sendRefusal(Accepted);
+        limitBusiestConnection();
       }
     }
   }
@@ -398,6 +418,11 @@
     co_return IsReadable;
   }
 
+  static void markBusy(Connection &Client) {
+    if (!Client.BusySince)
+      Client.BusySince = SteadyClock::now();
+  }
+
   /// Parses what has been read. Returns true if the client waits for a 100.
   bool parse(const ConnectionHandle &Client) {
     RequestParser &Parser = Client->Parser;
@@ -417,6 +442,7 @@
       return false;
     if (Client->Now == Phase::Idle) {
       enter(*Client, Phase::Receiving);
+      markBusy(*Client);
       limitTime(Client, Client->Since + Options_.HeaderTimeout);
     }
     if (Parser.hasHeaders() && !HadHeaders)
@@ -454,6 +480,7 @@
                          .ReceivedAt = SteadyClock::now()};
     Client->Reply.reset();
     enter(*Client, Phase::Handling);
+    markBusy(*Client);
     if (IsRefusing_)
       respond(Number, {.Status = ServiceUnavailable, .Body = "{}"});
     else
@@ -469,11 +496,14 @@
     // A client may send requests before the response to the first; all that
     // have been received are answered before the connection closes.
     const bool Closes = !Client->Parser.keepsAlive() ||
+                        Client->ClosesAfterResponse ||
                         (CloseAfterResponse_ && !Client->hasUnreadRequest());
     HttpServerResponse Reply = std::move(*Client->Reply);
     const bool IsWritten =
         co_await write(Client, std::move(Reply), Closes, HasBody);
     InFlight_.erase(Number);
+    if (!Client->hasUnreadRequest())
+      Client->BusySince.reset();
     if (IsWritten && Closes)
       co_await linger(Client);
     co_return IsWritten && !Closes;
@@ -505,16 +535,28 @@
   /// Returns false if the client did not take it.
   asio::awaitable<bool> write(ConnectionHandle Client, HttpServerResponse Reply,
                               bool Closes, bool HasBody = true) {
-    const std::string Head = responseHead(Reply, Closes);
-    const std::array<asio::const_buffer, 2> Parts{
-        asio::buffer(Head),
-        HasBody ? asio::buffer(Reply.Body) : asio::const_buffer()};
-    limitTime(Client, Options_.IdleTimeout);
+    std::string Text = responseHead(Reply, Closes);
+    if (HasBody)
+      Text += Reply.Body;
+    if (Client->Now == Phase::Handling)
+      enter(*Client, Phase::Writing);
     std::error_code Error;
-    co_await asio::async_write(Client->Socket, Parts, resume(Error));
+    for (std::size_t Begin = 0; Begin < Text.size() && !Error;) {
+      limitTime(Client, Options_.WriteTimeout);
+      Begin += co_await Client->Socket.async_write_some(
+          asio::buffer(Text) + Begin, resume(Error));
+      if (Client->Now == Phase::Writing)
+        recordProgress(*Client);
+    }
     clearTime(*Client);
     co_return !Error;
   }
+  /// The client has taken a part of the response, and the next one begins.
+  void recordProgress(Connection &Client) {
+    auto &Writing = connections(Phase::Writing);
+    Writing.splice(Writing.end(), Writing, Client.Place);
+    Client.Since = SteadyClock::now();
+  }
 
   asio::awaitable<void> writeContinue(ConnectionHandle Client) {
     static constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds RequestTimeout{60000};
   /// Time without a request, and time for the client to take a response.
   std::chrono::seconds IdleTimeout{60};
+  /// Time for the client to take a part of a response.
+  std::chrono::milliseconds WriteTimeout{10000};
   /// Bytes that the kernel receives ahead on a connection; 0 leaves it to the
   /// system. The kernel uses twice as much memory.
   int ReceiveBufferBytes = 0;
--- a/Tests/RequestLimits/RequestLimitsTest.cpp
+++ b/Tests/RequestLimits/RequestLimitsTest.cpp
@@ -41,6 +41,9 @@
 constexpr int TooLongClients = 100;
 constexpr int EndlessClients = 20;
 constexpr int IdleClients = 600;
+constexpr int NeverReadingClients = 100;
+/// More answers than the kernel keeps for a client that does not read.
+constexpr std::size_t EndlessRequests = 100'000;
 
 const std::string Start = "POST /plain/00000000000000ff HTTP/1.1\r\n"
                           "Host: plain.example\r\n";
@@ -120,6 +123,7 @@
   CPPUNIT_TEST(testManyConnections);
   CPPUNIT_TEST(testManyInternalConnections);
   CPPUNIT_TEST(testSingleRequestWithinLimitsIsServed);
+  CPPUNIT_TEST(testAnswersThatAreNeverRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,6 +212,20 @@
     }
   }
 
+  // Guards against clients that hold all connections, as they send requests and
+  // never read the answers.
+  void testAnswersThatAreNeverRead() {
+    const std::string Host = "Host: plain.example\r\n\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), sendOrdinaryRequest());
+    Crowd Clients(Cells_.endpoint(0, GatewayPort));
+    // A job that is not known, and one that is.
+    for (const char *Job : {"00000000000000ff", "0000000000000001"})
+      Clients.add(NeverReadingClients / 2,
+                  fmt::format("GET /plain/{} HTTP/1.1\r\n", Job) + Host,
+                  EndlessRequests);
+    check(Clients);
+  }
+
 private:
   void check(Crowd &Clients) {
     std::size_t MostDescriptors = 0;
