--- a/Tests/CellScale/MixedLoadBench.h
+++ b/Tests/CellScale/MixedLoadBench.h
@@ -21,6 +21,12 @@
   std::chrono::milliseconds Arrivals{10000};
   /// Time after the last arrival until the result is taken.
   std::chrono::milliseconds Tail{12000};
+  /// One process after the other is killed with this time between them, and
+  /// starts again after RestartDelay; 0: none.
+  std::chrono::milliseconds StopInterval{0};
+  std::chrono::milliseconds RestartDelay{800};
+  /// Share of the processes that are killed at a third of the arrivals.
+  double KilledShare = 0;
   // Each of these removes one cause for which gangs may wait.
   bool InstantAdvice = false;
   bool LastingTickets = false;
@@ -110,12 +116,14 @@
              chance(Expected); Expected = 0)
           submitJob(Queue, Shape);
       run(Millisecond);
+      stopProcesses(Passed);
       if (Passed.count() % TrackingPeriod.count() == 0)
         trackJobs();
     }
     for (std::chrono::milliseconds Passed{0}; Passed < Options_.Tail;
          Passed += TrackingPeriod) {
       run(TrackingPeriod);
+      restartProcesses();
       trackJobs();
     }
   }
@@ -199,6 +207,38 @@
   static constexpr std::pair<int, int> WidthClasses[] = {
       {1, 20}, {20, 40}, {40, 60}, {60, 80}, {80, 120}, {120, 1000}};
 
+  void stopProcesses(std::chrono::milliseconds Passed) {
+    const auto Stop = [this](TestCellNode &Node) {
+      Node.kill();
+      RestartAt_[Node.address()] =
+          Environment.Timers.now() + Options_.RestartDelay;
+    };
+    const auto Alive = alive();
+    if (Passed == Options_.Arrivals / 3)
+      for (TestCellNode *Node : Alive)
+        if (chance(Options_.KilledShare))
+          Stop(*Node);
+    const bool IsDue = Options_.StopInterval.count() > 0 &&
+                       Passed.count() > 0 &&
+                       (Passed % Options_.StopInterval).count() == 0;
+    const std::string Next = fmt::format("p{:03}:1", NextStopped_);
+    if (IsDue) {
+      ++NextStopped_;
+      for (TestCellNode *Node : Alive)
+        if (Node->address() == Next && Node->alive())
+          Stop(*Node);
+    }
+    restartProcesses();
+  }
+  void restartProcesses() {
+    std::erase_if(RestartAt_, [this](const auto &AddressAndTime) {
+      if (Environment.Timers.now() < AddressAndTime.second)
+        return false;
+      startNode(AddressAndTime.first);
+      return true;
+    });
+  }
+
   void addQueues() {
     using std::chrono::milliseconds;
     auto &Queues = Environment.Configuration.Queues;
@@ -353,6 +393,8 @@
   std::map<std::string, std::vector<std::chrono::milliseconds>> Durations_;
   std::map<std::string, TrackedJob> Tracked_;
   std::set<std::string> Open_; ///< Jobs that have not completed.
+  std::map<std::string, Clock::time_point> RestartAt_; ///< By address.
+  int NextStopped_ = 0;
   double CpuShareSum_ = 0;
   int CpuShareSamples_ = 0;
 };
