Count inherited runs of accounts whose cap came after the last report

Cause: A ledger takes what an owner did not report for nothing, and limits the bound of the next owner by it. Before an account has a cap, owners do not report it, so that runs of a former owner did not count if the cap and a takeover came together. Found by reading. Change: The former report limits the bound only if it was made with the configuration of the cap, or a later one. Measured: QuotaPropertyTest::testInheritedRunsCountUnderANewCap passes; it was not run without the change.

--- a/Source/Cell/QuotaLedger.cpp
+++ b/Source/Cell/QuotaLedger.cpp
@@ -54,7 +54,10 @@
   const JobShard &Sender = Shards_[static_cast<std::size_t>(Report.Shard)];
   if (Report.Resolved)
     return {};
-  if (!Sender.Reported)
+  // Before the account had its cap, its use was not reported.
+  const auto CapVersion = CapVersions_.find(Usage.Account);
+  if (!Sender.Reported || CapVersion == CapVersions_.end() ||
+      Sender.Version < CapVersion->second)
     return Usage.Unseen;
   const auto All = Accounts_.find(Usage.Account);
   if (All == Accounts_.end() || !All->second.contains(Report.Shard))
@@ -121,6 +124,7 @@
   Sender.Term = Report.Epoch;
   Sender.Epoch = Report.Epoch;
   Sender.Sequence = Report.Sequence;
+  Sender.Version = Version;
   Sender.Reported = true;
   Sender.OutOfReachKnown = Report.OutOfReachKnown;
   Sender.OutOfReach = Report.OutOfReach;
--- a/Source/Cell/QuotaLedger.h
+++ b/Source/Cell/QuotaLedger.h
@@ -64,6 +64,7 @@
     std::uint64_t Listed = 0;   ///< See noteListed().
     std::uint64_t Epoch = 0;    ///< Of the latest report.
     std::uint64_t Sequence = 0; ///< Of the latest report.
+    std::uint64_t Version = 0;  ///< Of the configuration of its sender.
     bool Reported = false;
     bool OutOfReachKnown = false;
     std::map<std::string, Resources> OutOfReach; ///< See ShardUsageReport.
--- a/Tests/Cell/QuotaPropertyTest.cpp
+++ b/Tests/Cell/QuotaPropertyTest.cpp
@@ -610,6 +610,7 @@
   CPPUNIT_TEST(propertySumStaysWithinChangingCap);
   CPPUNIT_TEST(testRemovedProtectionsAreFound);
   CPPUNIT_TEST(testLedgersAndNewOwnersAwaitLists);
+  CPPUNIT_TEST(testInheritedRunsCountUnderANewCap);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -677,6 +678,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                          Owner.report(Number, {}).Shards.size());
   }
+
+  // Guards against runs of a former owner that do not count, as the account had
+  // no cap yet when that owner reported last.
+  void testInheritedRunsCountUnderANewCap() {
+    QuotaLedger Ledger(JobShards);
+    Ledger.setCaps({}, 1);
+    for (int Shard = 0; Shard < JobShards; ++Shard) {
+      Ledger.noteListed(Shard, 1);
+      Ledger.apply({.Shard = Shard, .Epoch = 1, .Sequence = 1}, 1, {});
+    }
+    Ledger.setCaps({{Account, {.CpusMilli = FullCap}}}, 2);
+    AccountUsage Inherited{.Account = Account,
+                           .Unseen = {.CpusMilli = FullCap}};
+    ShardUsageReport NewOwner{.Shard = 0, .Epoch = 2, .Sequence = 1};
+    NewOwner.Accounts.push_back(Inherited);
+    Ledger.apply(NewOwner, 2, {});
+    AccountUsage Waiting{.Account = Account,
+                         .Wanted = {.CpusMilli = 1000},
+                         .Minimum = {.CpusMilli = 1000}};
+    ShardUsageReport Other{
+        .Shard = 1, .Epoch = 1, .Resolved = true, .Sequence = 2};
+    Other.Accounts.push_back(Waiting);
+    const ShardGrants Answer = Ledger.apply(Other, 2, {});
+    CPPUNIT_ASSERT(Answer.Accounts.at(0).Granted.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaPropertyTest);
