Show what processors of workers are used for, and how reservations end

Cause: neither logs nor metrics tell capacity that is reserved for nothing from capacity that runs work or is free Change: worker_cores{use}, reservations_ended_total{how}, reservation_ms, gangs_withdrawn_total{reason}; events workers/cores each second and dispatch/gang_withdrawn.

--- a/Source/Cell/CellDaemon.cpp
+++ b/Source/Cell/CellDaemon.cpp
@@ -46,6 +46,7 @@
       LoadControl_(Timers_, Jobs_, View_, Configuration_, Events_, Metrics_,
                    {.Address = Options_.Address,
                     .Admission = Options_.AdmissionControl}),
+      UseMonitor_(Timers_, Pool_, Events_, Metrics_),
       Node_(Context.get_executor(), Timers_, Shards_, Map_, Pool_, Jobs_, View_,
             Dispatcher_, Adviser_, Peers_, Options_.Node),
       Gateway_(Shards_, Map_, Peers_, Node_, Configuration_, Timers_, Events_),
@@ -147,6 +148,7 @@
   Supervisor_.start();
   asio::co_spawn(Context_, Dispatcher_.run(), asio::detached);
   asio::co_spawn(Context_, Quota_.run(), asio::detached);
+  asio::co_spawn(Context_, UseMonitor_.run(), asio::detached);
   Node_.start();
 }
 
@@ -231,6 +233,7 @@
   Events_.emit("daemon", "stopped");
   Dispatcher_.stop();
   Quota_.stop();
+  UseMonitor_.stop();
   Node_.stop();
   Pool_.stop();
 }
--- a/Source/Cell/CellDaemon.h
+++ b/Source/Cell/CellDaemon.h
@@ -16,6 +16,7 @@
 #include "Cell/HttpCellPeer.h"
 #include "Cell/JobOwner.h"
 #include "Cell/KeyedFollower.h"
+#include "Cell/ProcessorUseMonitor.h"
 #include "Cell/QuotaClient.h"
 #include "Cell/ShardMembership.h"
 #include "Cell/WorkerList.h"
@@ -104,6 +105,7 @@
   QuotaClient Quota_;
   Dispatcher Dispatcher_;
   AccountLoadControl LoadControl_;
+  ProcessorUseMonitor UseMonitor_;
   CellNode Node_;
   CellGateway Gateway_;
   WorkerList ListedWorkers_;
--- a/Source/Cell/RunOrderSender.cpp
+++ b/Source/Cell/RunOrderSender.cpp
@@ -274,7 +274,7 @@
   if (!allReserved(Gang) || !canStartGang(Gang) ||
       !workersWithoutTicket(Gang).empty() ||
       Timers_.now() - Begin > Options_.ReservationUseTime) {
-    withdrawGang(Gang);
+    withdrawGang(Gang, Begin);
     co_return;
   }
   Gang.Schedulable.Job->FailedReservations.erase(Gang.Schedulable.key());
@@ -355,7 +355,30 @@
                                    static_cast<std::uint64_t>(Bound.count()));
 }
 
-void RunOrderSender::withdrawGang(const GangPlacement &Gang) {
+void RunOrderSender::reportWithdrawal(const GangPlacement &Gang,
+                                      Clock::time_point Begin) {
+  const auto Reserved =
+      std::ranges::count(Gang.Members, true, &GangMember::Reserved);
+  std::string Reason = "changed";
+  if (Reserved < std::ssize(Gang.Members))
+    Reason = "capacity";
+  else if (!workersWithoutTicket(Gang).empty())
+    Reason = "tickets";
+  Counters_.count("gangs_withdrawn_total", 1,
+                  fmt::format("reason=\"{}\"", Reason));
+  Events_.emit("dispatch", "gang_withdrawn",
+               {{"job", Gang.Schedulable.job().Id},
+                {"step", Gang.Schedulable.Step.Step},
+                {"run", Gang.Members.front().Placement.Run.Run},
+                {"tasks", Gang.Members.size()},
+                {"reserved", Reserved},
+                {"reason", Reason},
+                {"held_ms", toMilliseconds(Timers_.now() - Begin)}});
+}
+
+void RunOrderSender::withdrawGang(const GangPlacement &Gang,
+                                  Clock::time_point Begin) {
+  reportWithdrawal(Gang, Begin);
   std::map<std::string, StopRequest> Reserved;
   std::vector<RunId> Runs;
   for (const GangMember &Member : Gang.Members) {
--- a/Source/Cell/RunOrderSender.h
+++ b/Source/Cell/RunOrderSender.h
@@ -148,8 +148,10 @@
   /// reject each other's gangs again and again.
   [[nodiscard]] std::chrono::milliseconds
   gangRetryDelay(const GangPlacement &Gang) const;
-  /// Records that the gang is not started, and releases its reservations.
-  void withdrawGang(const GangPlacement &Gang);
+  /// Records that the gang is not started, and releases its reservations, the
+  /// first of which was requested at Begin.
+  void withdrawGang(const GangPlacement &Gang, Clock::time_point Begin);
+  void reportWithdrawal(const GangPlacement &Gang, Clock::time_point Begin);
   asio::awaitable<void> releaseReservations(std::string Address,
                                             StopRequest Request);
   void countRejection(const PendingPlacement &Placement,
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -66,6 +66,20 @@
   return "invalid";
 }
 
+const char *nameOf(ReservationEnd End) {
+  switch (End) {
+  case ReservationEnd::Started:
+    return "started";
+  case ReservationEnd::Released:
+    return "released";
+  case ReservationEnd::Expired:
+    return "expired";
+  case ReservationEnd::Lost:
+    return "lost";
+  }
+  return "lost";
+}
+
 WorkerAgent::WorkerAgent(const asio::any_io_executor &Executor,
                          TimerService &Timers, WorkerClient &Client,
                          EventLog &Events, WorkerEntry Entry,
@@ -486,8 +500,12 @@
 
 void WorkerAgent::endAllRuns(RunOutcome Outcome) {
   RunHealth_ = WorkerHealth();
-  std::erase_if(Runs_, [](const auto &KeyAndRun) {
-    return KeyAndRun.second.State == Phase::Reserved;
+  std::erase_if(Runs_, [this](const auto &KeyAndRun) {
+    const TrackedRun &Tracked = KeyAndRun.second;
+    if (Tracked.State != Phase::Reserved)
+      return false;
+    reportReservationEnd(Tracked, ReservationEnd::Lost);
+    return true;
   });
   for (auto &[Key, Tracked] : Runs_) {
     if (Tracked.State != Phase::Ended)
@@ -564,6 +582,21 @@
           .Lasting = Committed.Lasting};
 }
 
+void WorkerAgent::addUse(ProcessorUse &Use) const {
+  for (const auto &[Key, Tracked] : Runs_) {
+    const std::uint64_t Cpus = Tracked.Demand.CpusMilli;
+    if (Tracked.State == Phase::Reserved)
+      Use.Reserved += Cpus;
+    else if (Tracked.State == Phase::Stopping)
+      Use.Stopping += Cpus;
+    else if (Tracked.State != Phase::Ended)
+      Use.Running[Tracked.Priority] += Cpus;
+  }
+  const WorkerLoad Load = load();
+  (Load.Usable && !Load.Suspect ? Use.Free : Use.Unusable) +=
+      Load.Free.CpusMilli;
+}
+
 std::optional<WorkerLoad>
 WorkerAgent::loadIfChangedSince(Clock::time_point Since) {
   if (WorkerLoad Load = load(); Load != LatestLoad_) {
@@ -575,12 +608,22 @@
 
 void WorkerAgent::dropExpiredReservations() {
   std::erase_if(Runs_, [this](const auto &KeyAndRun) {
-    return KeyAndRun.second.State == Phase::Reserved &&
-           Timers_.now() - KeyAndRun.second.ConfirmedAt >
-               Options_.ReservationLifetime;
+    const TrackedRun &Tracked = KeyAndRun.second;
+    const bool Expired =
+        Tracked.State == Phase::Reserved &&
+        Timers_.now() - Tracked.ConfirmedAt > Options_.ReservationLifetime;
+    if (Expired)
+      reportReservationEnd(Tracked, ReservationEnd::Expired);
+    return Expired;
   });
 }
 
+void WorkerAgent::reportReservationEnd(const TrackedRun &Reserved,
+                                       ReservationEnd End) const {
+  if (Listener_.ReservationEnded)
+    Listener_.ReservationEnded(End, Timers_.now() - Reserved.ConfirmedAt);
+}
+
 std::optional<PlaceResult>
 WorkerAgent::repeatedResult(const RunKey &Key) const {
   const auto It = Runs_.find(Key);
@@ -659,8 +702,14 @@
   if (const auto Earlier = repeatedResult(Key);
       Earlier && Earlier->Status != PlaceStatus::Reserved)
     co_return *Earlier;
-  // Frees the order's own reservation.
-  const bool WasReserved = Runs_.erase(Key) > 0;
+  const auto Reservation = Runs_.find(Key);
+  const bool WasReserved = Reservation != Runs_.end();
+  if (WasReserved) {
+    if (Reservation->second.State == Phase::Reserved)
+      reportReservationEnd(Reservation->second, ReservationEnd::Started);
+    // Frees the order's own reservation.
+    Runs_.erase(Reservation);
+  }
   if (const auto Refusal = findRefusal(Order))
     co_return rejectRun(Key, *Refusal);
   // The other members of a gang start on their reservations.
@@ -753,6 +802,7 @@
   }
   TrackedRun &Tracked = It->second;
   if (Tracked.State == Phase::Reserved) {
+    reportReservationEnd(Tracked, ReservationEnd::Released);
     Runs_.erase(It);
     return;
   }
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -77,6 +77,26 @@
   RunTombstones Tombstones;
 };
 
+/// How a reservation has ended.
+enum class ReservationEnd {
+  Started,  ///< Its run was started.
+  Released, ///< The caller released it.
+  Expired,
+  Lost, ///< The worker has restarted, or its lease has ended.
+};
+
+const char *nameOf(ReservationEnd End);
+
+/// Processors of workers, in thousandths, by what they are used for.
+struct ProcessorUse {
+  std::map<int, std::uint64_t> Running; ///< By the priority of the runs.
+  std::uint64_t Reserved = 0;           ///< For members of incomplete gangs.
+  std::uint64_t Stopping = 0;
+  std::uint64_t Free = 0;
+  /// Free on workers that accept no runs, or whose runs fail or are slow.
+  std::uint64_t Unusable = 0;
+};
+
 /// Manages one worker on behalf of the process that holds the worker's shard:
 /// accounts for its capacity, sends it orders, extends its lease and collects
 /// the ends of its runs.
@@ -100,6 +120,8 @@
     std::function<std::optional<Clock::time_point>()> OwnershipConfirmedAt;
     /// Called when the worker has answered for the first time in this term.
     std::function<void()> Contacted;
+    /// Called with the age of a reservation that has ended.
+    std::function<void(ReservationEnd, Clock::duration Age)> ReservationEnded;
   };
 
   WorkerAgent(const asio::any_io_executor &Executor, TimerService &Timers,
@@ -167,6 +189,8 @@
   int preemptRuns(const Resources &Demand, int Priority);
 
   [[nodiscard]] WorkerLoad load() const;
+  /// Adds what the worker's processors are used for.
+  void addUse(ProcessorUse &Use) const;
   /// Returns the load if it has changed since the given time, which is that of
   /// an earlier call.
   [[nodiscard]] std::optional<WorkerLoad>
@@ -290,6 +314,8 @@
   asio::awaitable<void> resolveFence();
   void updateQuarantine();
   void dropExpiredReservations();
+  void reportReservationEnd(const TrackedRun &Reserved,
+                            ReservationEnd End) const;
   /// Returns the result for an order that was already accepted.
   [[nodiscard]] std::optional<PlaceResult>
   repeatedResult(const RunKey &Key) const;
--- a/Source/Cell/WorkerPool.cpp
+++ b/Source/Cell/WorkerPool.cpp
@@ -111,7 +111,12 @@
                        : std::nullopt;
           },
       .Contacted = [this, ShardNumber,
-                    Id = Entry.Id] { recordIfAnswered(ShardNumber, Id); }};
+                    Id = Entry.Id] { recordIfAnswered(ShardNumber, Id); },
+      .ReservationEnded =
+          [this](ReservationEnd End, Clock::duration Age) {
+            if (OnReservationEnded_)
+              OnReservationEnded_(End, Age);
+          }};
   auto Agent =
       std::make_shared<WorkerAgent>(Executor_, Timers_, Client_, Events_, Entry,
                                     Held.Epoch, std::move(Listener), Options_);
@@ -306,6 +311,14 @@
   return All;
 }
 
+ProcessorUse WorkerPool::processorUse() const {
+  ProcessorUse Use;
+  for (const auto &[ShardNumber, Held] : Shards_)
+    for (const auto &[Id, Agent] : Held.Agents)
+      Agent->addUse(Use);
+  return Use;
+}
+
 std::map<std::string, Resources> WorkerPool::workersOutOfReach() const {
   std::map<std::string, Resources> Found;
   for (const auto &[Number, Held] : Shards_)
--- a/Source/Cell/WorkerPool.h
+++ b/Source/Cell/WorkerPool.h
@@ -30,6 +30,10 @@
   void onEndsChanged(std::function<void()> Callback) {
     OnEndsChanged_ = std::move(Callback);
   }
+  void onReservationEnded(
+      std::function<void(ReservationEnd, Clock::duration Age)> Callback) {
+    OnReservationEnded_ = std::move(Callback);
+  }
   /// What the store says of the terms of this process.
   struct OwnershipSource {
     /// Returns true if the shard had no later holder at the time of the call.
@@ -88,6 +92,8 @@
 
   [[nodiscard]] std::vector<HeldShard> heldShards() const;
   [[nodiscard]] std::vector<WorkerLoad> loads() const;
+  /// Returns what the processors of the held workers are used for.
+  [[nodiscard]] ProcessorUse processorUse() const;
   /// Returns the workers of which not all runs are known, with their capacity.
   [[nodiscard]] std::map<std::string, Resources> workersOutOfReach() const;
   [[nodiscard]] std::vector<WorkerLoad>
@@ -156,6 +162,7 @@
   WorkerAgentOptions Options_;
   std::function<void(int)> OnFenced_;
   std::function<void()> OnEndsChanged_;
+  std::function<void(ReservationEnd, Clock::duration)> OnReservationEnded_;
   OwnershipSource Ownership_;
   std::map<int, Shard> Shards_;
   std::map<int, std::uint64_t> JobEpochs_;
--- a/Tests/Cell/CellNodeBench.h
+++ b/Tests/Cell/CellNodeBench.h
@@ -12,6 +12,7 @@
 #include "Cell/FakeWorkers.h"
 #include "Cell/HttpCellPeer.h"
 #include "Cell/KeyedFollower.h"
+#include "Cell/ProcessorUseMonitor.h"
 #include "Fakes/FakeTimerService.h"
 
 #include <asio/io_context.hpp>
@@ -224,6 +225,7 @@
             Environment.Timers, Jobs_, View_, Environment.Configuration,
             Events_, Metrics_,
             {.Address = Address, .Admission = Environment.AdmissionControl}),
+        UseMonitor_(Environment.Timers, Pool_, Events_, Metrics_),
         Node_(Environment.Context.get_executor(), Environment.Timers, Shards_,
               Map_, Pool_, Jobs_, View_, Dispatcher_, Adviser_, Peers_,
               {.Address = Address}),
@@ -244,6 +246,7 @@
     Supervisor_.start();
     asio::co_spawn(Environment.Context, Dispatcher_.run(), asio::detached);
     asio::co_spawn(Environment.Context, Quota_.run(), asio::detached);
+    asio::co_spawn(Environment.Context, UseMonitor_.run(), asio::detached);
     Node_.start();
   }
 
@@ -255,6 +258,7 @@
     Shards_.stop();
     Dispatcher_.stop();
     Quota_.stop();
+    UseMonitor_.stop();
     Node_.stop();
     Pool_.stop();
   }
@@ -274,6 +278,7 @@
   [[nodiscard]] CellGateway &gateway() { return Gateway_; }
   [[nodiscard]] QuotaClient &quota() { return Quota_; }
   [[nodiscard]] CellNode &node() { return Node_; }
+  [[nodiscard]] const WorkerPool &pool() const { return Pool_; }
   [[nodiscard]] JobOwner &jobs() { return Jobs_; }
   [[nodiscard]] ShardMembership &shards() { return Shards_; }
   [[nodiscard]] EventLog &events() { return Events_; }
@@ -376,6 +381,7 @@
   QuotaClient Quota_;
   Dispatcher Dispatcher_;
   AccountLoadControl LoadControl_;
+  ProcessorUseMonitor UseMonitor_;
   CellNode Node_;
   CellGateway Gateway_;
   KeyedFollower WorkersFollower_;
