--- a/Tests/CellScale/MixedLoadBench.h
+++ b/Tests/CellScale/MixedLoadBench.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <random>
 
 namespace hickory {
@@ -25,8 +26,16 @@
   /// starts again after RestartDelay; 0: none.
   std::chrono::milliseconds StopInterval{0};
   std::chrono::milliseconds RestartDelay{800};
-  /// Share of the processes that are killed at a third of the arrivals.
+  /// Share of the processes that are killed at the same moment.
   double KilledShare = 0;
+  /// Time of that moment from the first arrival; nothing: at a third of the
+  /// arrivals.
+  std::optional<std::chrono::milliseconds> KillAt;
+  /// From BurstBegin on, gangs and checks arrive at multiples of their rates.
+  std::chrono::milliseconds BurstBegin{0};
+  std::chrono::milliseconds BurstLength{0};
+  double GangBurst = 1;
+  double CheckBurst = 1;
   // Each of these removes one cause for which gangs may wait.
   bool InstantAdvice = false;
   bool LastingTickets = false;
@@ -72,11 +81,16 @@
     double Work = 0;
     Clock::time_point SubmittedAt{};
     std::chrono::milliseconds Objective{0};
+    std::chrono::milliseconds RunTime{0}; ///< Of all steps, one after another.
     std::optional<Clock::time_point> CompletedAt;
 
     [[nodiscard]] bool inTime() const {
       return CompletedAt && *CompletedAt - SubmittedAt <= Objective;
     }
+    /// Returns the time up to Now in which the job did not run.
+    [[nodiscard]] Clock::duration waited(Clock::time_point Now) const {
+      return CompletedAt.value_or(Now) - SubmittedAt - RunTime;
+    }
     /// Returns the share of the job's worth that is earned.
     [[nodiscard]] bool served() const {
       return CompletedAt && *CompletedAt - SubmittedAt <= 3 * Objective;
@@ -109,10 +123,11 @@
   /// Lets jobs arrive, then waits for them, and checks the history.
   void runLoad() {
     const auto Millisecond = std::chrono::milliseconds(1);
+    LoadBegin_ = Environment.Timers.now();
     for (std::chrono::milliseconds Passed{0}; Passed < Options_.Arrivals;
          Passed += Millisecond) {
       for (const auto &[Queue, Shape] : Shapes_)
-        for (double Expected = Shape.PerSecond * Options_.Load / 1000;
+        for (double Expected = rateOf(Queue, Shape, Passed) / 1000;
              chance(Expected); Expected = 0)
           submitJob(Queue, Shape);
       run(Millisecond);
@@ -128,12 +143,15 @@
     }
   }
 
-  /// Returns the jobs of the queue, those with the most work first.
+  /// Returns the jobs of the queue that arrived between the two times from the
+  /// first arrival, those with the most work first.
   [[nodiscard]] std::vector<const TrackedJob *>
-  jobsByWork(const std::string &Queue) const {
+  jobsByWork(const std::string &Queue, std::chrono::milliseconds From = {},
+             std::chrono::milliseconds To = std::chrono::hours(1)) const {
     std::vector<const TrackedJob *> Found;
     for (const auto &[Id, Job] : Tracked_)
-      if (Job.Queue == Queue)
+      if (Job.Queue == Queue && Job.SubmittedAt >= LoadBegin_ + From &&
+          Job.SubmittedAt < LoadBegin_ + To)
         Found.push_back(&Job);
     std::ranges::sort(Found, std::greater<>(), &TrackedJob::Work);
     return Found;
@@ -148,6 +166,14 @@
                Jobs, [](const TrackedJob *Job) { return Job->inTime(); })) /
            static_cast<double>(std::max<std::size_t>(1, Jobs.size()));
   }
+  /// Returns the longest time in which one of the jobs did not run.
+  [[nodiscard]] std::chrono::milliseconds
+  longestWait(const std::vector<const TrackedJob *> &Jobs) const {
+    Clock::duration Longest{0};
+    for (const TrackedJob *Job : Jobs)
+      Longest = std::max(Longest, Job->waited(Environment.Timers.now()));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Longest);
+  }
   /// Returns the tenth of the jobs, rounded up, that comes first.
   static std::vector<const TrackedJob *>
   largestTenth(std::vector<const TrackedJob *> JobsByWork) {
@@ -191,6 +217,27 @@
     Text += fmt::format("calls for advice: {:.0f}, {:.0f} refused\n",
                         counter("advice_calls_total"),
                         counter("advice_without_answer_total"));
+    Text += fmt::format("gangs withdrawn: {:.0f} for capacity, {:.0f} for "
+                        "tickets, {:.0f} for changes\n",
+                        counter("gangs_withdrawn_total", "reason=\"capacity\""),
+                        counter("gangs_withdrawn_total", "reason=\"tickets\""),
+                        counter("gangs_withdrawn_total", "reason=\"changed\""));
+    return Text + UseReport_;
+  }
+  /// Returns a table of the gangs and of the use of processors by time.
+  [[nodiscard]] std::string reportByTime() const {
+    std::string Text = "arrival s: gangs, served, in time; of the largest "
+                       "tenth; longest wait\n";
+    constexpr std::chrono::milliseconds Step{2000};
+    for (std::chrono::milliseconds From{0}; From < Options_.Arrivals;
+         From += Step) {
+      const auto Jobs = jobsByWork(GangQueue, From, From + Step);
+      const auto Largest = largestTenth(Jobs);
+      Text += fmt::format("{:4}: {:3}, {:.2f}, {:.2f}; {:.2f}, {:.2f}; {} ms\n",
+                          From.count() / 1000, Jobs.size(), servedShare(Jobs),
+                          inTimeShare(Jobs), servedShare(Largest),
+                          inTimeShare(Largest), longestWait(Jobs).count());
+    }
     return Text;
   }
   /// Returns a counter's sum over all processes.
@@ -204,6 +251,8 @@
 
 private:
   static constexpr std::chrono::milliseconds TrackingPeriod{100};
+  /// Samples of the use of processors for each line of the report.
+  static constexpr int UseReportInterval = 20;
   static constexpr std::pair<int, int> WidthClasses[] = {
       {1, 20}, {20, 40}, {40, 60}, {60, 80}, {80, 120}, {120, 1000}};
 
@@ -214,7 +263,7 @@
           Environment.Timers.now() + Options_.RestartDelay;
     };
     const auto Alive = alive();
-    if (Passed == Options_.Arrivals / 3)
+    if (Passed == Options_.KillAt.value_or(Options_.Arrivals / 3))
       for (TestCellNode *Node : Alive)
         if (chance(Options_.KilledShare))
           Stop(*Node);
@@ -239,6 +288,18 @@
     });
   }
 
+  [[nodiscard]] double rateOf(const std::string &Queue, const JobShape &Shape,
+                              std::chrono::milliseconds Passed) const {
+    const bool InBurst = Passed >= Options_.BurstBegin &&
+                         Passed < Options_.BurstBegin + Options_.BurstLength;
+    double Factor = 1;
+    if (InBurst && Queue == GangQueue)
+      Factor = Options_.GangBurst;
+    if (InBurst && Queue == "checks")
+      Factor = Options_.CheckBurst;
+    return Shape.PerSecond * Options_.Load * Factor;
+  }
+
   void addQueues() {
     using std::chrono::milliseconds;
     auto &Queues = Environment.Configuration.Queues;
@@ -337,6 +398,7 @@
     Tracked.Objective = std::chrono::duration_cast<std::chrono::milliseconds>(
                             Chain * Policy->Stretch) +
                         Policy->TargetLatency;
+    Tracked.RunTime = Chain;
     Tracked.Shard = ShardMap(Environment.Shards).shardOf(Job.Id);
     Open_.insert(Job.Id);
     Queues_[Job.Id] = Queue;
@@ -378,6 +440,31 @@
         Used += static_cast<double>(demandOf(Task).CpusMilli);
     CpuShareSum_ += Used / (32000.0 * Options_.Workers);
     ++CpuShareSamples_;
+    if (CpuShareSamples_ % UseReportInterval == 0)
+      reportUse();
+  }
+
+  /// Appends the use of the processors, as shares, to the report.
+  void reportUse() {
+    ProcessorUse Sum;
+    for (TestCellNode *Node : alive()) {
+      const ProcessorUse Use = Node->pool().processorUse();
+      for (const auto &[Priority, Cpus] : Use.Running)
+        Sum.Running[Priority] += Cpus;
+      Sum.Reserved += Use.Reserved;
+      Sum.Free += Use.Free;
+      Sum.Unusable += Use.Unusable;
+    }
+    const auto ShareOf = [this](std::uint64_t Cpus) {
+      return static_cast<double>(Cpus) / (32000.0 * Options_.Workers);
+    };
+    UseReport_ += fmt::format(
+        "{:5.1f} s: reserved {:.2f}, running checks {:.2f}, gangs {:.2f}, "
+        "batches {:.2f}, free {:.2f}, unusable {:.2f}\n",
+        std::chrono::duration<double>(Environment.Timers.now() - LoadBegin_)
+            .count(),
+        ShareOf(Sum.Reserved), ShareOf(Sum.Running[0]), ShareOf(Sum.Running[1]),
+        ShareOf(Sum.Running[2]), ShareOf(Sum.Free), ShareOf(Sum.Unusable));
   }
 
   [[nodiscard]] const std::string &queueOf(const std::string &Name) const {
@@ -395,6 +482,8 @@
   std::set<std::string> Open_; ///< Jobs that have not completed.
   std::map<std::string, Clock::time_point> RestartAt_; ///< By address.
   int NextStopped_ = 0;
+  Clock::time_point LoadBegin_{};
+  std::string UseReport_;
   double CpuShareSum_ = 0;
   int CpuShareSamples_ = 0;
 };
