--- a/Source/Cell/AdviceRouter.cpp
+++ b/Source/Cell/AdviceRouter.cpp
@@ -23,14 +23,19 @@
 
 const AdviceRouter::Carriers &
 AdviceRouter::carriersOf(const AdviceCost &Cost) const {
-  Carriers &Known = Cost.Long ? LongCarriers_ : ShortCarriers_;
+  const bool Learning = Cost.Long && Cost.Learning;
+  Carriers &Known = Learning    ? LearningCarriers_
+                    : Cost.Long ? LongCarriers_
+                                : ShortCarriers_;
   const Clock::time_point Now = Timers_.now();
   if (!Owners_ ||
       (Known.ListedAt && Now - *Known.ListedAt < Options_.CarrierListLifetime))
     return Known;
-  auto Listed = processesForCalls(Cost.Long, Owners_(), Helpers_());
-  Known.Own = Listed.erase(Options_.Address) > 0;
+  const auto Listed = processesForCalls(Cost.Long, Owners_(), Helpers_());
   Known.Peers.assign(Listed.begin(), Listed.end());
+  if (Learning)
+    dropProcessesWithoutLearning(Known.Peers);
+  Known.Own = std::erase(Known.Peers, Options_.Address) > 0;
   Known.ListedAt = Now;
   std::erase_if(PeerBusyUntil_, [Now](const auto &PeerAndTime) {
     return PeerAndTime.second <= Now;
--- a/Source/Cell/AdviceRouter.h
+++ b/Source/Cell/AdviceRouter.h
@@ -102,6 +102,7 @@
   Addresses Helpers_;
   AdviserChannel Channel_;
   mutable Carriers LongCarriers_;
+  mutable Carriers LearningCarriers_; ///< See dropProcessesWithoutLearning().
   mutable Carriers ShortCarriers_;
   int LongThroughPeers_ = 0;
   int ShortThroughPeers_ = 0;
--- a/Source/Cell/AdviserChannel.cpp
+++ b/Source/Cell/AdviserChannel.cpp
@@ -1,5 +1,7 @@
 #include "Cell/AdviserChannel.h"
 
+#include "Base/Hash.h"
+
 #include <algorithm>
 
 namespace hickory {
@@ -55,4 +57,15 @@
   return {Border, All.end()};
 }
 
+void dropProcessesWithoutLearning(std::vector<std::string> &Processes) {
+  constexpr std::size_t Parts = 4;
+  if (Processes.size() < Parts)
+    return;
+  const auto Dropped = [](const std::string &Address) {
+    return stableHash(Address) % Parts == 0;
+  };
+  if (!std::ranges::all_of(Processes, Dropped))
+    std::erase_if(Processes, Dropped);
+}
+
 } // namespace hickory
--- a/Source/Cell/AdviserChannel.h
+++ b/Source/Cell/AdviserChannel.h
@@ -15,6 +15,9 @@
   bool Urgent = false;
   /// The call takes so long that an urgent call must not wait behind it.
   bool Long = false;
+  /// The call only learns which workers are good for a gang. Others wait for a
+  /// ticket, some of them with reserved capacity.
+  bool Learning = false;
 };
 
 struct AdviserChannelOptions {
@@ -62,4 +65,10 @@
                                         const std::set<std::string> &Owners,
                                         const std::set<std::string> &Helpers);
 
+/// Removes the processes, about a quarter, whose channels carry no calls that
+/// only learn workers. Otherwise such calls would occupy all channels, and
+/// gangs would wait for tickets with capacity reserved. Keeps all if there are
+/// fewer than four.
+void dropProcessesWithoutLearning(std::vector<std::string> &Processes);
+
 } // namespace hickory
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -409,17 +409,18 @@
 }
 
 bool Dispatcher::canAskAbout(const SchedulableStep &Schedulable,
-                             int MaximumCalls) const {
+                             int MaximumCalls, bool Learning) const {
   const StepAdvice &Advice = Schedulable.advice();
+  AdviceCost Cost = costOf(Schedulable, TypicalWorkersAsked);
+  Cost.Learning = Learning;
   return Advice.callsInFlight() < MaximumCalls &&
-         Advice.RetryAt <= Timers_.now() &&
-         Adviser_.canAsk(costOf(Schedulable, TypicalWorkersAsked));
+         Advice.RetryAt <= Timers_.now() && Adviser_.canAsk(Cost);
 }
 
 void Dispatcher::startAdviceCall(const SchedulableStep &Schedulable,
                                  const std::vector<Candidate> &Candidates,
                                  int Count) {
-  if (!canAskAbout(Schedulable, 1))
+  if (!canAskAbout(Schedulable, 1, false))
     return;
   const PlacementNeed Need{.Step = &Schedulable.step(), .Count = Count};
   const auto UsualTime = costOf(Schedulable, TypicalWorkersAsked).Time;
@@ -428,24 +429,26 @@
                                     Timers_.now() + UsualTime +
                                         Options_.Orders.TicketMargin);
   if (!Workers.empty())
-    beginAdviceCall(Schedulable, std::move(Workers));
+    beginAdviceCall(Schedulable, std::move(Workers), false);
 }
 
 void Dispatcher::learnWorkers(const SchedulableStep &Schedulable,
                               const std::vector<Candidate> &Candidates) {
-  while (canAskAbout(Schedulable, Options_.MaximumCallsPerGang)) {
+  while (canAskAbout(Schedulable, Options_.MaximumCallsPerGang, true)) {
     auto Workers = chooseWorkersToLearn(
         Schedulable.need(), Candidates, Schedulable.advice(),
         goodShareOf(Schedulable.job().Queue.Name));
     if (Workers.empty())
       return;
-    beginAdviceCall(Schedulable, std::move(Workers));
+    beginAdviceCall(Schedulable, std::move(Workers), true);
   }
 }
 
 void Dispatcher::beginAdviceCall(const SchedulableStep &Schedulable,
-                                 std::vector<std::string> Workers) {
-  const AdviceCost Cost = costOf(Schedulable, Workers.size());
+                                 std::vector<std::string> Workers,
+                                 bool Learning) {
+  AdviceCost Cost = costOf(Schedulable, Workers.size());
+  Cost.Learning = Learning;
   Schedulable.advice().beginCall(Workers);
   asio::co_spawn(Executor_,
                  runAdviceCall(Schedulable, {.Step = Schedulable.stepName(),
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -112,7 +112,7 @@
   [[nodiscard]] bool canOrderInPass(int JobShard, int WorkerShard);
   /// Returns true if a call about the step may be started.
   [[nodiscard]] bool canAskAbout(const SchedulableStep &Schedulable,
-                                 int MaximumCalls) const;
+                                 int MaximumCalls, bool Learning) const;
   /// Starts a call about workers for Count tasks, unless none is needed or
   /// possible at present.
   void startAdviceCall(const SchedulableStep &Schedulable,
@@ -122,7 +122,7 @@
   void learnWorkers(const SchedulableStep &Schedulable,
                     const std::vector<Candidate> &Candidates);
   void beginAdviceCall(const SchedulableStep &Schedulable,
-                       std::vector<std::string> Workers);
+                       std::vector<std::string> Workers, bool Learning);
   /// Requests tickets for the workers, in as many calls as keep each short.
   asio::awaitable<void> requestTickets(SchedulableStep Schedulable,
                                        std::vector<std::string> Workers);
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -15,9 +15,9 @@
 /// Slots on the good workers of a gang if they were empty, as a multiple of the
 /// need. The gang starts on whichever of them have free capacity first.
 constexpr double PotentialSlotsFactor = 10.0;
-/// Free slots that are expected on the good workers of a gang, as a multiple of
-/// the need. Other processes take some of them before the gang is placed.
-constexpr double FreeSlotsFactor = 2.0;
+/// Part of these slots with which no further calls are begun: a call takes
+/// almost the same time for few and for many workers.
+constexpr double SufficientSlotsShare = 0.8;
 constexpr std::size_t MinimumAsked = 4;
 constexpr std::size_t MaximumAsked = 100; // The adviser's limit per call.
 
@@ -190,8 +190,7 @@
                      const std::vector<Candidate> &Candidates,
                      const StepAdvice &Advice, double GoodShare) {
   std::vector<Candidate> Unknown;
-  double FreeSlots = 0; ///< Expected on good workers.
-  double SlotsIfEmpty = 0;
+  double SlotsIfEmpty = 0; ///< Expected on good workers.
   int TotalSlots = 0;
   for (const Candidate &Each : Candidates) {
     const int Slots = slotsWhenEmpty(Need, Each);
@@ -204,20 +203,16 @@
       Unknown.push_back(Each);
       continue;
     }
-    FreeSlots += (Good ? 1.0 : GoodShare) * slotsOn(Need, Each);
     SlotsIfEmpty += (Good ? 1.0 : GoodShare) * Slots;
   }
   std::vector<std::string> Chosen;
-  if (TotalSlots < Need.Count)
+  const double Potential = PotentialSlotsFactor * Need.Count;
+  if (TotalSlots < Need.Count ||
+      SlotsIfEmpty >= SufficientSlotsShare * Potential)
     return Chosen;
   for (const std::size_t I : candidateOrder(Need, Unknown)) {
-    const int Slots = slotsOn(Need, Unknown[I]);
-    const bool Needed =
-        (Slots > 0 && FreeSlots < FreeSlotsFactor * Need.Count) ||
-        SlotsIfEmpty < PotentialSlotsFactor * Need.Count;
-    if (!Needed || Chosen.size() == MaximumAsked)
+    if (SlotsIfEmpty >= Potential || Chosen.size() == MaximumAsked)
       break;
-    FreeSlots += GoodShare * Slots;
     SlotsIfEmpty += GoodShare * slotsWhenEmpty(Need, Unknown[I]);
     Chosen.push_back(Unknown[I].Worker->Id);
   }
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -80,9 +80,9 @@
 
 /// Chooses the workers for the next call about a gang, to learn which ones are
 /// good for it: those with the most free capacity, until the gang is expected
-/// to find enough free capacity on good workers, and enough good workers whose
-/// capacity it can wait for. Workers that were asked about are not chosen
-/// again; those in a call in flight count like the ones chosen here.
+/// to know enough good workers whose capacity it can wait for. Workers that
+/// were asked about are not chosen again; those in a call in flight count like
+/// the ones chosen here.
 std::vector<std::string>
 chooseWorkersToLearn(const PlacementNeed &Need,
                      const std::vector<Candidate> &Candidates,
--- a/Tests/Cell/AdviceRouterTest.cpp
+++ b/Tests/Cell/AdviceRouterTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testUrgentCallUsesAPeerDuringALongCall);
   CPPUNIT_TEST(testLongCallDoesNotUseAChannelForShortCalls);
   CPPUNIT_TEST(testLongCallUsesAChannelWithoutShortCalls);
+  CPPUNIT_TEST(testCallsForTicketsHaveChannelsWithoutLearning);
   CPPUNIT_TEST(testTriesTheNextPeerWhenAChannelIsBusy);
   CPPUNIT_TEST(testBusyPeersAreNotAskedAgainAtOnce);
   CPPUNIT_TEST(testCannotAskWithABusyChannelAndNoPeers);
@@ -60,6 +61,38 @@
     CPPUNIT_ASSERT(First->value()->Good.size() == 1);
   }
 
+  // Guards against reserved capacity that waits for tickets behind calls that
+  // only learn which workers are good.
+  void testCallsForTicketsHaveChannelsWithoutLearning() {
+    CellTestBench Bench;
+    FakeAdviceClient Adviser{Bench.Timers, 600ms};
+    FakeAdvicePeers Peers;
+    AdviceRouter Router(Bench.Timers, Adviser, Peers, {.Address = "own"});
+    std::set<std::string> Helpers;
+    for (int I = 0; I < 40; ++I)
+      Helpers.insert("10.0.0." + std::to_string(I) + ":80");
+    Router.setProcessLists([] { return std::set<std::string>{"own"}; },
+                           [&] { return Helpers; });
+    AdviceCost Learning = LongCall;
+    Learning.Learning = true;
+    std::set<std::string> UsedForLearning;
+    while (Router.canAsk(Learning)) {
+      const std::size_t Before = Peers.Called.size();
+      Bench.begin(
+          Router.ask({.Step = "a", .Workers = {"w"}, .Cost = Learning}));
+      CPPUNIT_ASSERT(Peers.Called.size() > Before);
+      // Its channel stays busy.
+      Peers.Busy.insert(Peers.Called.back());
+      Peers.FreeIn = 600ms;
+      if (!UsedForLearning.insert(Peers.Called.back()).second)
+        break;
+    }
+    const auto Answer = Bench.begin(
+        Router.ask({.Step = "b", .Workers = {"w"}, .Cost = LongCall}));
+    CPPUNIT_ASSERT(*Answer && Answer->value().has_value());
+    CPPUNIT_ASSERT(!UsedForLearning.contains(Peers.Called.back()));
+  }
+
   void testLongCallDoesNotUseAChannelForShortCalls() {
     Cell At("c");
     const auto Answer = At.ask("gang", LongCall);
--- a/Tests/Cell/AdviserChannelTest.cpp
+++ b/Tests/Cell/AdviserChannelTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 namespace hickory {
@@ -17,6 +18,7 @@
   CPPUNIT_TEST(testHelpersCarryLongCalls);
   CPPUNIT_TEST(testSingleProcessCarriesLongAndShortCalls);
   CPPUNIT_TEST(propertyLongCallsLeaveChannelsForShortCalls);
+  CPPUNIT_TEST(propertyLearningLeavesChannelsForTickets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,6 +77,22 @@
                    std::set<std::string>{"a"});
   }
 
+  // Guards against calls that only learn workers on all channels at a time:
+  // gangs with reserved capacity then wait for tickets.
+  void propertyLearningLeavesChannelsForTickets() {
+    CPPUNIT_ASSERT(rc::check([](std::uint8_t Count) {
+      std::vector<std::string> All;
+      for (int I = 0; I < Count; ++I)
+        All.push_back(fmt::format("10.0.{}.{}:80", I % 6, I));
+      std::vector<std::string> ForLearning = All;
+      dropProcessesWithoutLearning(ForLearning);
+      RC_ASSERT(ForLearning.empty() == All.empty());
+      RC_ASSERT(2 * ForLearning.size() >= All.size() || All.size() < 40U);
+      if (All.size() >= 40U)
+        RC_ASSERT(8 * (All.size() - ForLearning.size()) >= All.size());
+    }));
+  }
+
   // Guards against long calls on all channels at a time: with calls of 650 ms
   // for gangs, urgent steps of 0.6 s waited up to 1 s for advice.
   void propertyLongCallsLeaveChannelsForShortCalls() {
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(testAsksAboutOtherWorkersForTheRestOfAStep);
   CPPUNIT_TEST(testLearnsOnlyAboutWorkersWithoutAdvice);
   CPPUNIT_TEST(testLearnsWhileKnownGoodWorkersDoNotFitAWideGang);
+  CPPUNIT_TEST(testStopsLearningOnceEnoughWorkersAreKnown);
   CPPUNIT_TEST(testSecondCallOfAWideGangAsksAboutOtherWorkers);
   CPPUNIT_TEST(testBurstOfSmallTasksLeavesCapacityForGangs);
   CPPUNIT_TEST(testDropsSuspectWorkersOnlyWhileTheyAreFew);
@@ -274,6 +275,32 @@
     }));
   }
 
+  // Guards against gangs on a full cell that ask about each worker with a free
+  // slot, in small calls, so that no channel is left for calls for tickets.
+  void testStopsLearningOnceEnoughWorkersAreKnown() {
+    std::vector<std::uint64_t> Free(60, 0);
+    for (std::size_t I = 40; I < Free.size(); ++I)
+      Free[I] = 9000;
+    const TestWorkers Workers(Free);
+    const StepSpec Gang = stepOf(10, 9000, true);
+    const PlacementNeed Need{.Step = &Gang, .Count = 10};
+    StepAdvice Collected;
+    const auto Learn = [&](std::size_t From, std::size_t To) {
+      std::vector<std::string> Known;
+      Advice Reply;
+      for (std::size_t I = From; I < To; ++I) {
+        Known.push_back(fmt::format("w{:02}", I));
+        Reply.Good.push_back({.Worker = Known.back(), .Text = "a"});
+      }
+      Collected.apply(Known, Reply, {});
+      return chooseWorkersToLearn(Need, Workers.Candidates, Collected, 0.3);
+    };
+    CPPUNIT_ASSERT(!Learn(0, 20).empty());
+    // A few more slots are not worth a call.
+    CPPUNIT_ASSERT(Learn(20, 30).empty());
+    CPPUNIT_ASSERT(Learn(30, 40).empty());
+  }
+
   // Guards against a wide gang that stops asking about workers without advice
   // when those known to be good fill a call but do not fit the gang.
   void testLearnsWhileKnownGoodWorkersDoNotFitAWideGang() {
