Let less urgent tasks leave room to waiting gangs, down to a floor

With a backlog of both, tasks take each piece at once and get more than their usual share Ruled out: a shortage: what runs in all is less than in the calm before.

--- a/Source/Cell/CapacityView.cpp
+++ b/Source/Cell/CapacityView.cpp
@@ -30,6 +30,7 @@
     State.Usable = Load.Usable;
     State.Suspect = Load.Suspect;
     State.Lasting = Load.Lasting;
+    State.TaskCpusMilli = Load.TaskCpusMilli;
   }
 }
 
@@ -84,6 +85,7 @@
   Usable_ = Load.Usable;
   Suspect_ = Load.Suspect;
   Lasting_ = Load.Lasting;
+  TaskCpusMilli_ = Load.TaskCpusMilli;
 }
 
 void CapacityView::refreshHeldWorkers() {
--- a/Source/Cell/CapacityView.h
+++ b/Source/Cell/CapacityView.h
@@ -26,6 +26,7 @@
     Resources Free;
     Resources InFlight; ///< Demand of placements without an answer.
     Resources Lasting;  ///< See WorkerLoad.
+    std::uint64_t TaskCpusMilli = 0; ///< See WorkerLoad.
     bool Usable = false;
     bool Suspect = false;
   };
@@ -82,6 +83,10 @@
     [[nodiscard]] const Resources &lasting() const {
       return Local_ ? Lasting_ : Listed_->Reported->Lasting;
     }
+    /// See WorkerLoad::TaskCpusMilli.
+    [[nodiscard]] std::uint64_t taskCpusMilli() const {
+      return Local_ ? TaskCpusMilli_ : Listed_->Reported->TaskCpusMilli;
+    }
     [[nodiscard]] Resources free() const {
       return Local_ ? Free_.minusClamped(Listed_->Reported->InFlight)
                     : Listed_->Reported->Free;
@@ -98,6 +103,7 @@
     bool Usable_ = false;
     bool Suspect_ = false;
     Resources Lasting_;
+    std::uint64_t TaskCpusMilli_ = 0;
     std::optional<WorkerClaim> Claim_;
   };
   /// Marks the worker as claimed until the next refreshHeldWorkers().
--- a/Source/Cell/CellNode.cpp
+++ b/Source/Cell/CellNode.cpp
@@ -102,6 +102,11 @@
     LoadControl_->applyReport(Address, std::move(Reply->AccountLoads), SentAt);
   if (Address != Options_.Address)
     Dispatcher_.gangClaims().applyClaims(Address, Reply->Claims);
+  if (Address != Options_.Address)
+    Dispatcher_.waitingGangs().setRemote(
+        Address, Reply->WaitingGangPriority < 0
+                     ? std::nullopt
+                     : std::optional(Reply->WaitingGangPriority));
   Jobs_.applyExchange(Reply->Member, *Reply, SentAt, [this](const RunId &Run) {
     return Dispatcher_.orderSender().hasPendingOrder(Run);
   });
@@ -176,7 +181,9 @@
                               : LoadControl_->ownLoads(),
           .OutOfReach = Request.Held.empty()
                             ? std::map<std::string, Resources>()
-                            : Pool_.workersOutOfReach()};
+                            : Pool_.workersOutOfReach(),
+          .WaitingGangPriority =
+              Dispatcher_.waitingGangs().ownPriority().value_or(-1)};
 }
 
 QuotaReply CellNode::quota(const QuotaRequest &Request) {
--- a/Source/Cell/Dispatcher.cpp
+++ b/Source/Cell/Dispatcher.cpp
@@ -53,10 +53,12 @@
     : Executor_(Executor), Timers_(Timers), Jobs_(Jobs), View_(View),
       Adviser_(Adviser), Configuration_(Configuration), Events_(Events),
       Counters_(Counters), Options_(Options), Wake_(Executor),
-      Orders_(Executor, Timers, Jobs, View, Peers, Shards, Events, Counters,
-              Options.Orders),
+      WaitingGangs_(Timers), Orders_(Executor, Timers, Jobs, View, Peers,
+                                     Shards, Events, Counters, Options.Orders),
       Gangs_(Executor, Timers, Jobs, View, Peers, Shards, Events, Counters,
              Options.Gangs) {
+  Counters_.gauge("yields_to_gangs_of_priority",
+                  [this] { return WaitingGangs_.mostUrgent().value_or(-1); });
   Orders_.setCandidateSource([this](const SchedulableStep &Schedulable) {
     // Called between passes.
     beginPass(true);
@@ -163,8 +165,21 @@
       [](const SchedulableStep &Schedulable) { return Schedulable.Rank; });
 }
 
+Resources Dispatcher::freeFor(const SchedulableStep &Schedulable,
+                              const CapacityView::Row &Worker) const {
+  const bool MustYield =
+      !Schedulable.step().Gang && MostUrgentWaitingGang_ &&
+      *MostUrgentWaitingGang_ < Schedulable.job().Queue.Priority;
+  if (!MustYield)
+    return Worker.free();
+  return freeBesideWaitingGangs(
+      Schedulable.step().Demand, Worker.free(), Worker.listed().Entry.Capacity,
+      Worker.taskCpusMilli(), Options_.Gangs.Placement);
+}
+
 void Dispatcher::beginPass(bool WithDeferrable) {
   OrderableInPass_.clear();
+  MostUrgentWaitingGang_ = WaitingGangs_.mostUrgent();
   View_.refreshHeldWorkers();
   if (WithDeferrable)
     Gangs_.markClaimedWorkers();
@@ -242,7 +257,7 @@
         headroomOf(Worker.Capacity, Step.Demand, Job.Queue.Priority,
                    Options_.Gangs.Placement);
     Candidate New{.Worker = &Worker,
-                  .Free = Row.free().minusClamped(Headroom),
+                  .Free = freeFor(Schedulable, Row).minusClamped(Headroom),
                   .Lasting = Row.lasting(),
                   .Headroom = Headroom,
                   .Local = Row.isLocal(),
@@ -348,6 +363,10 @@
       Orders_.place(Schedulable, Permitted, Chosen);
     return;
   }
+  if (Accepted && Schedulable.Rank.Deferrable &&
+      fitsWhenEmpty(Schedulable.need(), Permitted))
+    WaitingGangs_.recordOwn(Schedulable.job().Queue.Priority,
+                            Schedulable.Job->AcceptedAt);
   if (Accepted)
     Gangs_.claimWorkersFor(Schedulable, Permitted);
   if (Schedulable.job().Queue.Advice)
--- a/Source/Cell/Dispatcher.h
+++ b/Source/Cell/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "Cell/GangClaimManager.h"
 #include "Cell/RunOrderSender.h"
 #include "Cell/ShardMembership.h"
+#include "Cell/WaitingGangs.h"
 
 #include <map>
 #include <optional>
@@ -70,6 +71,7 @@
     LoadControl_ = &LoadControl;
   }
   [[nodiscard]] GangClaimManager &gangClaims() { return Gangs_; }
+  [[nodiscard]] WaitingGangs &waitingGangs() { return WaitingGangs_; }
   [[nodiscard]] RunOrderSender &orderSender() { return Orders_; }
 
 private:
@@ -126,6 +128,10 @@
   /// Requests tickets for the workers, in as many calls as keep each short.
   asio::awaitable<void> requestTickets(SchedulableStep Schedulable,
                                        std::vector<std::string> Workers);
+  /// Returns the free capacity of the worker that the step may use, beside the
+  /// headroom of more urgent queues.
+  [[nodiscard]] Resources freeFor(const SchedulableStep &Schedulable,
+                                  const CapacityView::Row &Worker) const;
   /// Records why a gang that was not placed waits; does nothing for other
   /// steps.
   void reportGangWait(const SchedulableStep &Schedulable,
@@ -158,6 +164,7 @@
   DispatcherOptions Options_;
   QuotaClient *Quota_ = nullptr;
   Notifier Wake_;
+  WaitingGangs WaitingGangs_;
   std::map<std::string, double> GoodShare_; ///< By queue.
   RunOrderSender Orders_;
   GangClaimManager Gangs_;
@@ -166,6 +173,8 @@
   std::size_t NextInTurn_ = 0; ///< See chooseForPass().
   std::size_t NextUrgentInTurn_ = 0;
   Clock::time_point DeferrableDueAt_{};
+  /// WaitingGangs::mostUrgent() at the beginning of the pass.
+  std::optional<int> MostUrgentWaitingGang_;
   AccountLoadControl *LoadControl_ = nullptr;
   bool DeferrableSkipped_ = false; ///< The latest pass left them out.
   bool Stopped_ = false;
--- a/Source/Cell/JobOwner.cpp
+++ b/Source/Cell/JobOwner.cpp
@@ -1099,7 +1099,8 @@
                        .Priority = Job->Progress.spec().Queue.Priority,
                        .Preemptible = isPreemptible(Step),
                        .EstimatedMs = Step.EstimatedDuration.count(),
-                       .LongRunning = Step.LongRunning});
+                       .LongRunning = Step.LongRunning,
+                       .Gang = Step.Gang});
   }
   return Demands;
 }
--- a/Source/Cell/PeerMessages.h
+++ b/Source/Cell/PeerMessages.h
@@ -70,6 +70,9 @@
   bool Suspect = false;  ///< Its runs fail or take too long.
   /// Demand of the runs that do not end soon. Earlier releases do not send it.
   Resources Lasting;
+  /// Processors, in thousandths, used by runs that are neither most urgent nor
+  /// members of a gang. Earlier releases do not send it.
+  std::uint64_t TaskCpusMilli = 0;
 
   bool operator==(const WorkerLoad &) const = default;
 };
@@ -144,6 +147,7 @@
   bool Preemptible = false;
   std::int64_t EstimatedMs = 0; ///< See PlaceOrder.
   bool LongRunning = false;
+  bool Gang = false; ///< The run is a member of a gang.
 };
 
 /// Capacity that a step needs on a worker.
@@ -216,6 +220,9 @@
   /// Capacity of the workers of which not all runs are known. Earlier releases
   /// do not send it.
   std::map<std::string, Resources> OutOfReach;
+  /// Most urgent priority of the process's gangs that have waited for capacity
+  /// for a while; -1 if none has. Earlier releases do not send it.
+  int WaitingGangPriority = -1;
 };
 
 /// Asks a process for the records of the configuration topic that were written
@@ -379,7 +386,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceRequest, Job, Orders, ReserveOnly)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceResult, Status, Reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerLoad, Id, Free, Resolved,
-                                                Usable, Suspect, Lasting)
+                                                Usable, Suspect, Lasting,
+                                                TaskCpusMilli)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlaceReply, Results, Loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReference, Task, Run, Worker,
                                                 HolderEpoch)
@@ -392,7 +400,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndsReply, Accepted, Owners)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunDemand, Task, Run, Worker,
                                                 Demand, Priority, Preemptible,
-                                                EstimatedMs, LongRunning)
+                                                EstimatedMs, LongRunning, Gang)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptionNeed, Worker, Demand, Priority)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptRequest, Job, Needs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PreemptReply, Stopped)
@@ -408,7 +416,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExchangeReply, Member, Held,
                                                 Workers, Runs, WaitingJobs,
                                                 Claims, Outdated, FailureDomain,
-                                                AccountLoads, OutOfReach)
+                                                AccountLoads, OutOfReach,
+                                                WaitingGangPriority)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsRequest, From, WaitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayedRecord, Key, Value, Offset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordsReply, Current, Records, Keys,
--- a/Source/Cell/Placement.cpp
+++ b/Source/Cell/Placement.cpp
@@ -151,6 +151,17 @@
   return static_cast<int>(Maximum);
 }
 
+bool fitsWhenEmpty(const PlacementNeed &Need,
+                   const std::vector<Candidate> &Candidates) {
+  int Slots = 0;
+  for (const Candidate &Each : Candidates) {
+    Slots += slotsWhenEmpty(Need, Each);
+    if (Slots >= Need.Count)
+      return true;
+  }
+  return false;
+}
+
 void dropSuspects(std::vector<Candidate> &Candidates) {
   const auto Suspects = static_cast<std::size_t>(
       std::ranges::count_if(Candidates, &Candidate::Suspect));
@@ -169,6 +180,28 @@
               std::min(Headroom, Capacity.minusClamped(Demand).CpusMilli)};
 }
 
+Resources freeBesideWaitingGangs(const Resources &Demand, const Resources &Free,
+                                 const Resources &Capacity,
+                                 std::uint64_t TaskCpusMilli,
+                                 const PlacementOptions &Options) {
+  const auto ShareOfWorker = [&Capacity](double Share) {
+    return static_cast<std::uint64_t>(Share *
+                                      static_cast<double>(Capacity.CpusMilli));
+  };
+  const auto Difference = [](std::uint64_t From, std::uint64_t Amount) {
+    return From - std::min(From, Amount);
+  };
+  std::uint64_t Floor = ShareOfWorker(Options.TaskFloor);
+  if (TaskCpusMilli == 0)
+    Floor = std::max(Floor, Demand.CpusMilli);
+  const std::uint64_t UpToFloor = Difference(Floor, TaskCpusMilli);
+  const std::uint64_t BesideGangs =
+      Difference(Free.CpusMilli, ShareOfWorker(Options.WaitingGangShare));
+  Resources Usable = Free;
+  Usable.CpusMilli = std::min(Free.CpusMilli, std::max(UpToFloor, BesideGangs));
+  return Usable;
+}
+
 std::vector<std::size_t> placeStep(const PlacementNeed &Need,
                                    const std::vector<Candidate> &Candidates) {
   if (Need.Step->Gang && !haveCapacityFor(Need, Candidates))
--- a/Source/Cell/Placement.h
+++ b/Source/Cell/Placement.h
@@ -39,6 +39,12 @@
   /// than the tasks of other queues, so that they can't wait for one of those
   /// to end.
   double UrgentHeadroom = 0.06;
+  /// Share of each worker's processors that tasks of less urgent queues leave
+  /// to waiting gangs: room for a member on most workers. Tasks are small and
+  /// take each piece that is free, so that wide gangs would wait for them.
+  double WaitingGangShare = 0.5;
+  /// Share of each worker's processors that these tasks may use all the same.
+  double TaskFloor = 0.3;
 };
 
 /// Returns the number of tasks of the step that fit on the candidate, at most
@@ -47,6 +53,11 @@
 /// Returns the same number for the candidate if only what lasts ran on it.
 int slotsWhenEmpty(const PlacementNeed &Need, const Candidate &Target);
 
+/// Returns true if all tasks would fit on the candidates if only what lasts ran
+/// there.
+bool fitsWhenEmpty(const PlacementNeed &Need,
+                   const std::vector<Candidate> &Candidates);
+
 /// Removes suspect workers. Keeps all if more than a third is suspect, as the
 /// cause is then more likely in the estimates or the jobs.
 void dropSuspects(std::vector<Candidate> &Candidates);
@@ -58,6 +69,14 @@
 Resources headroomOf(const Resources &Capacity, const Resources &Demand,
                      int Priority, const PlacementOptions &Options);
 
+/// Returns the part of a worker's free capacity that tasks with this demand may
+/// use while gangs of a more urgent queue wait. One task may use it in any
+/// case, so that large ones start too. TaskCpusMilli: see WorkerLoad.
+Resources freeBesideWaitingGangs(const Resources &Demand, const Resources &Free,
+                                 const Resources &Capacity,
+                                 std::uint64_t TaskCpusMilli,
+                                 const PlacementOptions &Options);
+
 /// Chooses a candidate for each task and returns an index into Candidates for
 /// each placed task. A gang is placed completely or not at all; of other steps,
 /// as many tasks as fit are placed.
--- a/Source/Cell/WorkerAgent.cpp
+++ b/Source/Cell/WorkerAgent.cpp
@@ -554,6 +554,9 @@
         (Tracked.Estimated > SoonEnding &&
          Tracked.ConfirmedAt + Tracked.Estimated > Timers_.now() + SoonEnding))
       (void)Sum.Lasting.add(Tracked.Demand);
+    if (Tracked.Priority > 0 && !Tracked.InGang &&
+        Tracked.State != Phase::Reserved)
+      Sum.TaskCpusMilli += Tracked.Demand.CpusMilli;
   }
   return Sum;
 }
@@ -579,7 +582,8 @@
           .Resolved = Resolved_,
           .Usable = isUsable() && !hasJustStartedSuspect(),
           .Suspect = Quarantined_,
-          .Lasting = Committed.Lasting};
+          .Lasting = Committed.Lasting,
+          .TaskCpusMilli = Committed.TaskCpusMilli};
 }
 
 void WorkerAgent::addUse(ProcessorUse &Use) const {
@@ -721,6 +725,7 @@
                  .DemandKnown = true,
                  .Estimated = std::chrono::milliseconds(Order.EstimatedMs),
                  .LongRunning = Order.LongRunning,
+                 .InGang = WasReserved,
                  .Checkpoint = Order.Checkpoint,
                  .Priority = Order.Priority,
                  .Preemptible = Order.Preemptible,
@@ -851,6 +856,7 @@
   It->second.Preemptible = Update.Preemptible;
   It->second.Estimated = std::chrono::milliseconds(Update.EstimatedMs);
   It->second.LongRunning = Update.LongRunning;
+  It->second.InGang = Update.Gang;
 }
 
 int WorkerAgent::preemptRuns(const Resources &Demand, int Priority) {
--- a/Source/Cell/WorkerAgent.h
+++ b/Source/Cell/WorkerAgent.h
@@ -228,6 +228,7 @@
     bool DemandKnown = false;
     std::chrono::milliseconds Estimated{0}; ///< Run time; 0 if not known.
     bool LongRunning = false;
+    bool InGang = false;
     std::string Checkpoint;
     /// When the run was reserved, confirmed as running or, if it is stopping,
     /// confirmed as stopped.
@@ -264,7 +265,8 @@
   /// Demand of the runs on the worker.
   struct CommittedResources {
     Resources All;
-    Resources Lasting; ///< Of the runs that do not end soon.
+    Resources Lasting;               ///< Of the runs that do not end soon.
+    std::uint64_t TaskCpusMilli = 0; ///< See WorkerLoad.
   };
   [[nodiscard]] CommittedResources committedResources() const;
 
--- a/Tests/Cell/LargeJobTest.cpp
+++ b/Tests/Cell/LargeJobTest.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(testGangThatWaitsForALastingTaskHoldsBackNoOthers);
   CPPUNIT_TEST(testGangOfWholeWorkersThatWaitsHoldsBackNoOthers);
   CPPUNIT_TEST(testGangThatWaitsForALongTaskHoldsBackNoOthers);
+  CPPUNIT_TEST(testNoTaskYieldsToAGangThatWaitsForALastingTask);
   CPPUNIT_TEST(testGangStartsOnceTheLastingTaskHasEnded);
   CPPUNIT_TEST(testGangOfWholeWorkersStarts);
   CPPUNIT_TEST(testStepsThatFitNowhereDoNotHideOthers);
@@ -154,6 +155,29 @@
     checkJobsBeside(Long, 30000);
   }
 
+  // Guards against tasks that leave half of each worker to a more urgent gang
+  // which can't start as long as a task lasts.
+  void testNoTaskYieldsToAGangThatWaitsForALastingTask() {
+    LargeJobBench Bench;
+    StepSpec Service = CellNodeBench::step(1, 18000);
+    Service.LongRunning = true;
+    Bench.Duration = 10min;
+    Bench.submitLarge(Bench.jobOf(Bench.largeId(), {Service}));
+    Bench.run(1s);
+    StepSpec Gang = CellNodeBench::step(LargeJobBench::Workers, 20000);
+    Gang.Gang = true;
+    JobSpec GangJob = Bench.jobOf(Bench.idIn(0, 100001), {Gang});
+    GangJob.Queue.Priority = 1;
+    Bench.submitLarge(GangJob);
+    Bench.run(4s);
+    const std::string Id = Bench.idIn(0, 100002);
+    constexpr int Tasks = 2 * (LargeJobBench::Workers - 1);
+    Bench.submitLarge(Bench.jobOf(Id, {CellNodeBench::step(Tasks, 10000)}));
+    Bench.run(1s);
+    CPPUNIT_ASSERT_EQUAL(Tasks, Bench.Starts[Id]);
+    CPPUNIT_ASSERT(!Bench.StartedAt.contains(GangJob.Id));
+  }
+
   // Guards against a gang that is forgotten while it holds no claim.
   void testGangStartsOnceTheLastingTaskHasEnded() {
     LargeJobBench Bench;
--- a/Tests/Cell/PlacementTest.cpp
+++ b/Tests/Cell/PlacementTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(testAsksAboutOtherWorkersForTheRestOfAStep);
   CPPUNIT_TEST(testLearnsOnlyAboutWorkersWithoutAdvice);
   CPPUNIT_TEST(testLearnsWhileKnownGoodWorkersDoNotFitAWideGang);
+  CPPUNIT_TEST(testTasksLeaveRoomToWaitingGangs);
   CPPUNIT_TEST(testStopsLearningOnceEnoughWorkersAreKnown);
   CPPUNIT_TEST(testSecondCallOfAWideGangAsksAboutOtherWorkers);
   CPPUNIT_TEST(testBurstOfSmallTasksLeavesCapacityForGangs);
@@ -275,6 +276,28 @@
     }));
   }
 
+  // Guards against small tasks that take each piece that a more urgent gang
+  // waits for, and against tasks that never start while gangs wait.
+  void testTasksLeaveRoomToWaitingGangs() {
+    const Resources Capacity{.CpusMilli = 32000, .MemoryMb = 131072};
+    const auto Usable = [&](std::uint64_t Demand, std::uint64_t Free,
+                            std::uint64_t UsedByTasks) {
+      return freeBesideWaitingGangs(
+                 {.CpusMilli = Demand}, {.CpusMilli = Free}, Capacity,
+                 UsedByTasks, {.WaitingGangShare = 0.5, .TaskFloor = 0.25})
+          .CpusMilli;
+    };
+    // Up to the floor, whatever is free.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5000), Usable(1000, 12000, 3000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2000), Usable(1000, 2000, 3000));
+    // Beyond it, only what leaves half of the worker free.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Usable(1000, 12000, 9000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4000), Usable(1000, 20000, 9000));
+    // A task that exceeds the floor starts on a worker without tasks.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(31000), Usable(31000, 31000, 0));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(16000), Usable(31000, 32000, 1000));
+  }
+
   // Guards against gangs on a full cell that ask about each worker with a free
   // slot, in small calls, so that no channel is left for calls for tickets.
   void testStopsLearningOnceEnoughWorkersAreKnown() {
