--- a/Tests/Cell/AdviserChannelTest.cpp
+++ b/Tests/Cell/AdviserChannelTest.cpp
@@ -82,6 +82,7 @@
   void propertyLearningLeavesChannelsForTickets() {
     CPPUNIT_ASSERT(rc::check([](std::uint8_t Count) {
       std::vector<std::string> All;
+      All.reserve(Count);
       for (int I = 0; I < Count; ++I)
         All.push_back(fmt::format("10.0.{}.{}:80", I % 6, I));
       std::vector<std::string> ForLearning = All;
